--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,37 @@
+import { configs, extensions, plugins } from 'eslint-config-airbnb-extended';
+
+const NAMESPACE_IMPORT_MESSAGE = 'Import modules as namespaces: import * as name from "module".';
+
+export default [
+  {
+    ignores: [
+      'dist/**',
+      'node_modules/**',
+      'src/node/peer/generated/**',
+      'reports/**',
+      '*.mjs',
+      '*.cjs',
+      'jest.config.js',
+    ],
+  },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...extensions.base.typescript,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  {
+    files: ['**/*.ts'],
+    rules: {
+      'no-underscore-dangle': ['error', { enforceInMethodNames: true, enforceInClassFields: true }],
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ImportSpecifier', message: NAMESPACE_IMPORT_MESSAGE },
+        { selector: 'ImportDefaultSpecifier', message: NAMESPACE_IMPORT_MESSAGE },
+        { selector: 'ForInStatement', message: 'Iterate over Object.keys or entries.' },
+        { selector: 'WithStatement', message: 'with is not allowed.' },
+      ],
+    },
+  },
+];
--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,14 @@
+module.exports = {
+  testEnvironment: 'node',
+  roots: ['<rootDir>/src', '<rootDir>/spec'],
+  testMatch: ['**/*.test.ts'],
+  transform: {
+    '^.+\\.ts$': [
+      '@swc/jest',
+      {
+        jsc: { parser: { syntax: 'typescript' }, target: 'es2022' },
+        module: { type: 'commonjs', noInterop: true },
+      },
+    ],
+  },
+};
--- /dev/null
+++ b/src/common/ManualClock.ts
@@ -0,0 +1,64 @@
+import type * as types from './Types';
+
+interface PendingTimer {
+  readonly dueMs: number;
+  readonly order: number;
+  readonly callback: () => void;
+}
+
+/** A clock that moves only when told to. For tests and the virtual-time bench. */
+export class ManualClock implements types.IClock {
+  private readonly pending = new Set<PendingTimer>();
+
+  private nowMs = 0;
+
+  private orderCount = 0;
+
+  public constructor(private readonly originWallMs = 0) {}
+
+  public monotonicMs(): number {
+    return this.nowMs;
+  }
+
+  public wallTime(): Date {
+    return new Date(this.originWallMs + this.nowMs);
+  }
+
+  public setTimer(delayMs: number, callback: () => void): types.IDisposable {
+    this.orderCount += 1;
+    const timer = { dueMs: this.nowMs + Math.max(0, delayMs), order: this.orderCount, callback };
+    this.pending.add(timer);
+    return { dispose: () => this.pending.delete(timer) };
+  }
+
+  /** Advances time by `durationMs`, and fires the timers that fall due, in order. */
+  public advance(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    let next = this.earliestUntil(endMs);
+    while (next !== undefined) {
+      this.pending.delete(next);
+      this.nowMs = Math.max(this.nowMs, next.dueMs);
+      next.callback();
+      next = this.earliestUntil(endMs);
+    }
+    this.nowMs = endMs;
+  }
+
+  /** Advances time without firing timers that fall due, as when a process is paused. */
+  public pause(durationMs: number): void {
+    this.nowMs += durationMs;
+  }
+
+  private earliestUntil(endMs: number): PendingTimer | undefined {
+    let earliest: PendingTimer | undefined;
+    this.pending.forEach((timer) => {
+      if (timer.dueMs > endMs) return;
+      const isEarlier =
+        earliest === undefined ||
+        timer.dueMs < earliest.dueMs ||
+        (timer.dueMs === earliest.dueMs && timer.order < earliest.order);
+      if (isEarlier) earliest = timer;
+    });
+    return earliest;
+  }
+}
--- /dev/null
+++ b/src/common/Types.ts
@@ -0,0 +1,30 @@
+/** Source of time. Passed in, so that tests and the virtual-time bench control it. */
+export interface IClock {
+  /** Monotonic time in milliseconds, from an arbitrary origin. May have a fraction. */
+  monotonicMs(): number;
+  /** Wall-clock time. Only for display and for values that leave the process. */
+  wallTime(): Date;
+  /** Calls `callback` once after `delayMs` milliseconds, unless the timer is disposed first. */
+  setTimer(delayMs: number, callback: () => void): IDisposable;
+}
+
+/** Source of randomness. Passed in, so that tests and the virtual-time bench can seed it. */
+export interface IRandom {
+  /** Returns a number in [0, 1). */
+  next(): number;
+  /** Returns an integer in [0, bound). `bound` must be at least 1. */
+  nextInteger(bound: number): number;
+}
+
+/** Something that holds a resource or a registration until it is disposed. */
+export interface IDisposable {
+  /** Releases the resource. Has no effect when called again. */
+  dispose(): void;
+}
+
+/** A source of events of one type. Calling it registers a listener. */
+export type Event<T> = (listener: (event: T) => void) => IDisposable;
+
+/** An outcome that is either a value or an error. Errors are values, not exceptions. */
+export type Result<TValue, TError> =
+  { readonly ok: true; readonly value: TValue } | { readonly ok: false; readonly error: TError };
--- /dev/null
+++ b/src/common/policy/Types.ts
@@ -0,0 +1,38 @@
+/** Load that a backend server reports about itself, in an answer or to a probe. */
+export interface ILoadReport {
+  /** Requests that run now. */
+  readonly inFlight: number;
+  /** Requests that wait for a slot. */
+  readonly queued: number;
+  readonly draining: boolean;
+}
+
+/** How an attempt at a backend server ended, as far as the choice of a server is concerned. */
+export type AttemptResult = 'answered' | 'refused' | 'failed' | 'timed-out' | 'cancelled';
+
+/** A server as the selection policy sees it. Kept up to date by the service balancer. */
+export interface IServerState {
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly weight: number;
+  readonly slots: number;
+  /** Attempts of this daemon that are in flight. */
+  readonly inFlight: number;
+  /** Start of the oldest attempt in flight, in monotonic milliseconds. */
+  readonly oldestStartMs: number | undefined;
+  /** Moving average of the latency of answered attempts, in milliseconds. */
+  readonly latencyMs: number | undefined;
+  readonly report: ILoadReport | undefined;
+  /** Monotonic time of `report` in milliseconds. */
+  readonly reportedAtMs: number;
+  /** Attempts that this daemon has started since `report`. */
+  readonly startedSinceReport: number;
+  /** Share of the normal load that a returning or cold server is given, in (0, 1]. */
+  readonly warmth: number;
+}
+
+/** A probe that the balancer wants sent. */
+export interface IProbeOrder {
+  readonly service: string;
+  readonly address: string;
+}
