Serve a caller's request from end to end through separate processes

Cause: nothing ran yet. Change: table parser and holder, least-in-flight choice, one attempt per call with a deadline, HTTP to callers and backend servers, gossip of members and table versions over gRPC, stand-ins, and a demo with three daemon processes and twelve backend servers.

Not there yet: retries, hedges, request keys, probes, admission, faults.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,7 +11,7 @@
       'reports/**',
       '*.mjs',
       '*.cjs',
-      'jest.config.js',
+      'jest.*.js',
     ],
   },
   plugins.stylistic,
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,5 +1,6 @@
 module.exports = {
   testEnvironment: 'node',
+  reporters: ['default', '<rootDir>/jest.summary.js'],
   roots: ['<rootDir>/src', '<rootDir>/spec'],
   testMatch: ['**/*.test.ts'],
   transform: {
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,14 @@
+import * as commander from 'commander';
+
+import * as serve from './commands/serve';
+
+const program = new commander.Command('lavenderspar')
+  .description('Load balancer for servers whose load shifts in milliseconds')
+  .version('0.1.0');
+
+serve.register(program);
+
+program.parseAsync().catch((error: Error) => {
+  process.stderr.write(`${error.message}\n`);
+  process.exitCode = 1;
+});
--- /dev/null
+++ b/src/common/policy/ServerState.ts
@@ -0,0 +1,79 @@
+import type * as tableTypes from '../table/Types';
+import type * as policyTypes from './Types';
+
+/** Weight of the newest latency in the moving average. */
+const LATENCY_SMOOTHING = 0.2;
+
+/** What one daemon knows of one backend server. */
+export class ServerState implements policyTypes.IServerState {
+  public row: tableTypes.IServerRow;
+
+  public latencyMs: number | undefined;
+
+  public report: policyTypes.ILoadReport | undefined;
+
+  public reportedAtMs = Number.NEGATIVE_INFINITY;
+
+  public startedSinceReport = 0;
+
+  public warmth = 1;
+
+  private readonly startsMs = new Map<number, number>();
+
+  private nextAttempt = 0;
+
+  public constructor(row: tableTypes.IServerRow) {
+    this.row = row;
+  }
+
+  public get address(): string {
+    return this.row.address;
+  }
+
+  public get failureDomain(): string {
+    return this.row.failureDomain;
+  }
+
+  public get weight(): number {
+    return this.row.weight;
+  }
+
+  public get slots(): number {
+    return this.row.slots;
+  }
+
+  public get inFlight(): number {
+    return this.startsMs.size;
+  }
+
+  public get oldestStartMs(): number | undefined {
+    // A map keeps the order of insertion, and attempts are inserted in the order of their starts.
+    return this.startsMs.values().next().value;
+  }
+
+  /** Records the start of an attempt and returns the number to end it with. */
+  public recordStart(nowMs: number): number {
+    this.nextAttempt += 1;
+    this.startsMs.set(this.nextAttempt, nowMs);
+    this.startedSinceReport += 1;
+    return this.nextAttempt;
+  }
+
+  /** Records the end of an attempt. */
+  public recordEnd(attempt: number, result: policyTypes.AttemptResult, nowMs: number): void {
+    const startMs = this.startsMs.get(attempt);
+    if (startMs === undefined) return;
+    this.startsMs.delete(attempt);
+    if (result !== 'answered') return;
+    const latencyMs = nowMs - startMs;
+    const previousMs = this.latencyMs ?? latencyMs;
+    this.latencyMs = previousMs + LATENCY_SMOOTHING * (latencyMs - previousMs);
+  }
+
+  /** Records the load that the server states about itself. */
+  public recordReport(report: policyTypes.ILoadReport, nowMs: number): void {
+    this.report = report;
+    this.reportedAtMs = nowMs;
+    this.startedSinceReport = 0;
+  }
+}
--- /dev/null
+++ b/src/node/peer/PeerClient.ts
@@ -0,0 +1,61 @@
+import * as grpc from '@grpc/grpc-js';
+
+import type * as types from '../../common/Types';
+import * as peer from './generated/peer';
+
+const CALL_TIMEOUT_MS = 1_000;
+
+type Reply<T> = types.Result<T, grpc.ServiceError>;
+type Method<TRequest, TReply> = (
+  request: TRequest,
+  metadata: grpc.Metadata,
+  options: Partial<grpc.CallOptions>,
+  callback: (error: grpc.ServiceError | null, reply: TReply) => void,
+) => grpc.ClientUnaryCall;
+
+/** Sends messages to peers. */
+export class PeerClient implements types.IDisposable {
+  private readonly clients = new Map<string, peer.PeerClient>();
+
+  public exchange(
+    address: string,
+    request: peer.ExchangeRequest,
+  ): Promise<Reply<peer.ExchangeReply>> {
+    const client = this.clientOf(address);
+    return this.call(client.exchange.bind(client), request);
+  }
+
+  public fetchTable(
+    address: string,
+    request: peer.FetchTableRequest,
+  ): Promise<Reply<peer.FetchTableReply>> {
+    const client = this.clientOf(address);
+    return this.call(client.fetchTable.bind(client), request);
+  }
+
+  public dispose(): void {
+    this.clients.forEach((client) => client.close());
+    this.clients.clear();
+  }
+
+  private clientOf(address: string): peer.PeerClient {
+    const known = this.clients.get(address);
+    if (known !== undefined) return known;
+    const client = new peer.PeerClient(address, grpc.credentials.createInsecure());
+    this.clients.set(address, client);
+    return client;
+  }
+
+  private call<TRequest, TReply>(
+    method: Method<TRequest, TReply>,
+    request: TRequest,
+  ): Promise<Reply<TReply>> {
+    const options = { deadline: Date.now() + CALL_TIMEOUT_MS };
+    return new Promise((resolve) => {
+      method(request, new grpc.Metadata(), options, (error, reply) => {
+        if (error === null) resolve({ ok: true, value: reply });
+        else resolve({ ok: false, error });
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/node/server/Refusals.ts
@@ -0,0 +1,64 @@
+import type * as callTypes from '../../common/call/Types';
+
+/** HTTP status of each refusal. */
+const STATUSES: Record<callTypes.NotRunKind | callTypes.UnknownOutcomeKind, number> = {
+  'unknown-service': 404,
+  'malformed-request': 400,
+  'headers-too-large': 431,
+  'body-too-large': 413,
+  'invalid-deadline': 400,
+  'request-key-missing': 428,
+  'request-key-invalid': 422,
+  'request-key-reused': 422,
+  'call-too-deep': 508,
+  'not-ready': 503,
+  'shutting-down': 503,
+  overloaded: 503,
+  'no-backend-server': 503,
+  'backend-server-refused': 503,
+  'deadline-before-dispatch': 504,
+  'already-refused': 409,
+  'deadline-exceeded': 504,
+  'connection-lost': 502,
+  'answer-truncated': 502,
+  'answer-too-large': 502,
+  'attempt-in-progress': 409,
+  'earlier-outcome-unknown': 409,
+  'request-key-expired': 410,
+  'key-issuer-unavailable': 503,
+  'suspected-crash': 503,
+  'cancelled-by-caller': 499,
+};
+
+/** Body of a refusal: problem details (RFC 9457) with the members of this product. */
+export interface IProblem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly kind: callTypes.NotRunKind | callTypes.UnknownOutcomeKind;
+  readonly outcome: 'not-run' | 'unknown';
+  readonly dispatched: boolean;
+  readonly requestId: string;
+  /** Version of the table that the call used; 0 if there was none. */
+  readonly tableVersion: number;
+}
+
+/** Describes a refusal for the caller. */
+export function toProblem(
+  outcome: Exclude<callTypes.CallOutcome, { kind: 'answered' }>,
+  requestId: string,
+  tableVersion: number,
+): IProblem {
+  return {
+    type: `urn:lavenderspar:refusal:${outcome.reason}`,
+    title: outcome.reason.replaceAll('-', ' '),
+    status: STATUSES[outcome.reason],
+    detail: outcome.detail,
+    kind: outcome.reason,
+    outcome: outcome.kind,
+    dispatched: outcome.kind === 'unknown' && outcome.dispatched,
+    requestId,
+    tableVersion,
+  };
+}
