Issue request keys and decide on their claims

Cause: a non-idempotent request may be sent again through another daemon, and only one attempt may run it (design 5.5).

A hand-over names the incarnation of the successor process, since a process that restarts at the same address lacks the claims that its predecessor granted.

--- a/src/common/keys/Types.ts
+++ b/src/common/keys/Types.ts
@@ -1,5 +1,13 @@
 import type * as callTypes from '../call/Types';
 
+/** The process that issues keys. */
+export interface IKeyIssuer {
+  /** Peer address of the issuing daemon. */
+  readonly address: string;
+  /** Random number that the issuing process drew at its start. */
+  readonly incarnation: number;
+}
+
 /** The contents of a request key, which names the daemon that issued it. */
 export interface IRequestKey {
   /** Peer address of the issuing daemon. */
@@ -27,4 +35,50 @@
   | { readonly kind: 'different-content' }
   | { readonly kind: 'invalid-key' }
   | { readonly kind: 'expired-key' }
+  /** The bound on claims is reached. Nothing is recorded; a later claim may be granted. */
+  | { readonly kind: 'too-many-claims' }
   | { readonly kind: 'not-issuer' };
+
+/** Why no keys were issued. */
+export type IssueRefusal =
+  | { readonly kind: 'closed' }
+  | { readonly kind: 'too-many-claims' }
+  | { readonly kind: 'invalid-count'; readonly found: number };
+
+/** A claim, and its outcome once it is completed. */
+export interface IKeyRecord {
+  readonly sequence: number;
+  readonly issuedAtMs: number;
+  /** The attempt that holds the claim. */
+  readonly attempt: string;
+  readonly fingerprint: string;
+  /** Undefined while the attempt is in progress. */
+  readonly outcome: KeyOutcome | undefined;
+}
+
+/** Everything that the authority over the keys of one issuer consists of. */
+export interface IKeyTransfer {
+  readonly issuer: IKeyIssuer;
+  readonly secret: Uint8Array;
+  /** Time on the issuer's clock at which it stopped granting claims. */
+  readonly issuerClockMs: number;
+  readonly nextSequence: number;
+  readonly records: readonly IKeyRecord[];
+}
+
+/** One message of a hand-over. Parts are numbered from 0 and sent in order. */
+export interface IKeyTransferPart extends IKeyTransfer {
+  readonly part: number;
+  readonly last: boolean;
+  /** The process that was chosen as the successor. No other process may take over. */
+  readonly successorIncarnation: number;
+}
+
+/** Bounds on the memory that request keys use. */
+export interface IKeyLimits {
+  readonly lifetimeMs: number;
+  readonly maxClaims: number;
+  readonly maxCachedAnswerBytes: number;
+  /** Larger answers are not stored. */
+  readonly maxStoredAnswerBytes: number;
+}
