Add admission, retries, hedges, ejection and crash suspicion to the call path

Cause: a call had one attempt per server and no bound on load or on extra attempts. Ruled out: separate retry and hedge budgets, which multiply with call depth.

--- a/src/common/call/CallCoordinator.ts
+++ b/src/common/call/CallCoordinator.ts
@@ -1,17 +1,32 @@
+import type * as requestSuspicion from '../suspicion/RequestSuspicion';
 import type * as types from '../Types';
 import * as runningCall from './RunningCall';
 import type * as serviceBalancer from './ServiceBalancer';
 import type * as callTypes from './Types';
 
-/** Runs calls: chooses servers, sends attempts and ends each call with exactly one outcome. */
+/** Calls that a daemon holds at once, running and waiting; a bound on its memory. */
+const MAX_CALLS = 4_000;
+
+/** Calls held from which on work at leisure is refused, so that prompt work still gets in. */
+const MAX_CALLS_FOR_LEISURE = 2_000;
+
+/** Runs calls: admits them, sends attempts, and ends each with exactly one outcome. */
 export class CallCoordinator {
+  private running = 0;
+
   public constructor(
     private readonly transport: callTypes.IBackendTransport,
+    private readonly suspicion: requestSuspicion.RequestSuspicion,
     private readonly clock: types.IClock,
   ) {}
 
+  /** Calls that have no outcome yet. */
+  public get inFlight(): number {
+    return this.running;
+  }
+
   /**
-   * Runs `call` on one of the servers of `balancer`.
+   * Runs `call` on the servers of `balancer`.
    * @param onOutcome Called exactly once, unless the call is cancelled first.
    */
   public start(
@@ -19,14 +34,43 @@
     balancer: serviceBalancer.ServiceBalancer,
     onOutcome: (outcome: callTypes.CallOutcome) => void,
   ): callTypes.IAttempt {
-    const running = new runningCall.RunningCall(
-      call,
+    const refusal = this.refusalOf(call);
+    if (refusal !== undefined) {
+      onOutcome(refusal);
+      return { cancel: () => undefined };
+    }
+    this.running += 1;
+    const context = {
       balancer,
-      this.transport,
-      this.clock,
-      onOutcome,
-    );
+      transport: this.transport,
+      suspicion: this.suspicion,
+      clock: this.clock,
+    };
+    const running = new runningCall.RunningCall(call, context, (outcome) => {
+      this.running -= 1;
+      if (outcome !== undefined) onOutcome(outcome);
+    });
     running.begin();
     return { cancel: () => running.cancel() };
   }
+
+  private refusalOf(call: callTypes.ICall): callTypes.CallOutcome | undefined {
+    const isLeisure = call.service.workClass === 'leisure';
+    if (this.running >= (isLeisure ? MAX_CALLS_FOR_LEISURE : MAX_CALLS)) {
+      return {
+        kind: 'not-run',
+        reason: 'overloaded',
+        detail: `the daemon holds ${this.running} calls`,
+      };
+    }
+    if (this.suspicion.isSuspect(call.fingerprint)) {
+      return {
+        kind: 'unknown',
+        reason: 'suspected-crash',
+        detail: 'backend servers were lost while they ran this request',
+        dispatched: false,
+      };
+    }
+    return undefined;
+  }
 }
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -1,110 +1,237 @@
+import type * as policyTypes from '../policy/Types';
 import type * as serverState from '../policy/ServerState';
+import type * as requestSuspicion from '../suspicion/RequestSuspicion';
 import type * as types from '../Types';
+import type * as admissionQueue from './AdmissionQueue';
+import * as failures from './Failures';
 import type * as serviceBalancer from './ServiceBalancer';
 import type * as callTypes from './Types';
 
+/** Retries in a call tree after which no daemon retries any more. */
+const MAX_RETRIES_SPENT = 2;
+
+/** Hedges of one call. */
+const MAX_HEDGES = 2;
+
+/** What a call needs from its surroundings. */
+export interface ICallContext {
+  readonly balancer: serviceBalancer.ServiceBalancer;
+  readonly transport: callTypes.IBackendTransport;
+  readonly suspicion: requestSuspicion.RequestSuspicion;
+  readonly clock: types.IClock;
+}
+
+interface IActiveAttempt {
+  readonly started: serviceBalancer.IStartedAttempt;
+  handle: callTypes.IAttempt | undefined;
+  sent: boolean;
+}
+
 /** One call under way. */
 export class RunningCall {
+  private readonly active = new Set<IActiveAttempt>();
+
   private readonly tried = new Set<string>();
 
-  private attempt: callTypes.IAttempt | undefined;
+  private readonly failures = new failures.Failures();
+
+  private readonly ticket: admissionQueue.ITicket;
 
   private deadlineTimer: types.IDisposable | undefined;
 
-  private endCurrent: (() => void) | undefined;
+  private hedgeTimer: types.IDisposable | undefined;
+
+  private admittedAtMs: number | undefined;
+
+  private retries = 0;
 
-  private dispatched = false;
+  private hedges = 0;
 
   private ended = false;
 
+  /** @param onEnd Called exactly once; with undefined if the call was cancelled. */
   public constructor(
     private readonly call: callTypes.ICall,
-    private readonly balancer: serviceBalancer.ServiceBalancer,
-    private readonly transport: callTypes.IBackendTransport,
-    private readonly clock: types.IClock,
-    private readonly onOutcome: (outcome: callTypes.CallOutcome) => void,
-  ) {}
+    private readonly context: ICallContext,
+    private readonly onEnd: (outcome: callTypes.CallOutcome | undefined) => void,
+  ) {
+    this.ticket = {
+      nested: call.depth > 0,
+      deadlineMs: call.deadlineMs,
+      onAdmitted: () => this.onAdmitted(),
+      onShed: () => this.shed('the call waited too long for a backend server'),
+    };
+  }
 
+  /** Asks for admission and starts the first attempt as soon as it is granted. */
   public begin(): void {
-    const remainingMs = this.call.deadlineMs - this.clock.monotonicMs();
-    this.deadlineTimer = this.clock.setTimer(remainingMs, () => this.expire());
-    this.sendNext();
+    const remainingMs = this.call.deadlineMs - this.context.clock.monotonicMs();
+    this.deadlineTimer = this.context.clock.setTimer(remainingMs, () => this.expire());
+    const admission = this.context.balancer.admission.enter(this.ticket);
+    if (admission === 'admitted') this.onAdmitted();
+    if (admission === 'refused') this.shed('the expected wait exceeds the time that is left');
   }
 
+  /** Gives the call up because its caller has gone. No outcome follows. */
   public cancel(): void {
     if (this.ended) return;
-    this.ended = true;
-    this.deadlineTimer?.dispose();
-    this.endCurrent?.();
-    this.attempt?.cancel();
+    this.cancelActive('cancelled');
+    this.finish(undefined);
+  }
+
+  private onAdmitted(): void {
+    this.admittedAtMs = this.context.clock.monotonicMs();
+    this.context.balancer.recordFirstAttempt();
+    this.sendNext();
+    if (!this.ended) this.armHedge();
+  }
+
+  private shed(detail: string): void {
+    this.finish({ kind: 'not-run', reason: 'overloaded', detail });
   }
 
   private sendNext(): void {
-    if (this.clock.monotonicMs() >= this.call.deadlineMs) {
+    if (this.context.clock.monotonicMs() >= this.call.deadlineMs) {
       this.expire();
       return;
     }
-    const server = this.balancer.choose(this.tried);
+    const server = this.context.balancer.choose(this.tried);
     if (server === undefined) {
-      const detail = 'no backend server of the service may be used now';
-      this.end({ kind: 'not-run', reason: 'no-backend-server', detail });
+      if (this.active.size === 0) this.finish(this.failures.toOutcome());
       return;
     }
-    this.tried.add(server.address);
     this.send(server);
   }
 
   private send(server: serverState.ServerState): void {
-    const number = server.recordStart(this.clock.monotonicMs());
-    this.endCurrent = () => server.recordEnd(number, 'cancelled', this.clock.monotonicMs());
-    this.attempt = this.transport.send(this.call, server.row, {
+    this.tried.add(server.address);
+    const { balancer, transport } = this.context;
+    const attempt: IActiveAttempt = {
+      started: balancer.recordStart(server),
+      handle: undefined,
+      sent: false,
+    };
+    this.active.add(attempt);
+    const call = this.retries > 0 ? this.withRetriesSpent() : this.call;
+    attempt.handle = transport.send(call, server.row, {
       onSent: () => {
-        this.dispatched = true;
-      },
-      onLoadReport: (report) => server.recordReport(report, this.clock.monotonicMs()),
-      onEnd: (outcome) => {
-        const result = outcome.kind === 'answered' ? 'answered' : 'failed';
-        server.recordEnd(number, result, this.clock.monotonicMs());
-        this.endCurrent = undefined;
-        this.finishAttempt(outcome, server.address);
+        attempt.sent = true;
       },
+      onLoadReport: (report) => balancer.recordReport(server.address, report),
+      onEnd: (outcome) => this.endAttempt(attempt, outcome),
     });
   }
 
-  private finishAttempt(outcome: callTypes.AttemptOutcome, server: string): void {
+  private withRetriesSpent(): callTypes.ICall {
+    return { ...this.call, retriesSpent: this.call.retriesSpent + this.retries };
+  }
+
+  private armHedge(): void {
+    const { service } = this.call;
+    if (!service.idempotent || service.workClass !== 'prompt') return;
+    if (service.hedgeFraction === 0 || this.hedges >= MAX_HEDGES) return;
+    const { clock, balancer } = this.context;
+    this.hedgeTimer = clock.setTimer(balancer.hedgeDelay.delayMs, () => this.hedge());
+  }
+
+  private hedge(): void {
+    if (this.ended || this.context.suspicion.serversLost(this.call.fingerprint).length > 0) return;
+    const server = this.context.balancer.choose(this.tried);
+    if (server !== undefined && this.context.balancer.takeHedge()) {
+      this.hedges += 1;
+      this.send(server);
+    }
+    if (!this.ended) this.armHedge();
+  }
+
+  private endAttempt(attempt: IActiveAttempt, outcome: callTypes.AttemptOutcome): void {
+    if (!this.active.delete(attempt)) return;
+    const { server } = attempt.started;
+    this.context.balancer.recordEnd(attempt.started, failures.toResult(outcome));
     switch (outcome.kind) {
       case 'answered':
-        this.end({ kind: 'answered', answer: outcome.answer, server });
+        this.endWithAnswer(outcome.answer, server.address);
         break;
-      case 'not-sent':
       case 'refused':
-        this.dispatched = false;
-        this.sendNext();
+        if (outcome.draining) this.context.balancer.recordDraining(server.address);
+        this.failures.recordRefused();
+        this.retry();
+        break;
+      case 'not-sent':
+        this.failures.recordNotSent(outcome.detail);
+        this.retry();
         break;
-      default: {
-        const { detail } = outcome;
-        const reason = outcome.reason === 'silent' ? 'connection-lost' : outcome.reason;
-        this.end({ kind: 'unknown', reason, detail, dispatched: true });
-      }
+      default:
+        this.endLost(outcome, server.address);
     }
   }
 
-  private expire(): void {
+  private endWithAnswer(answer: callTypes.IAnswer, server: string): void {
     if (this.ended) return;
-    this.endCurrent?.();
-    this.attempt?.cancel();
-    const detail = 'the deadline passed';
-    if (this.dispatched) {
-      this.end({ kind: 'unknown', reason: 'deadline-exceeded', detail, dispatched: true });
-    } else {
-      this.end({ kind: 'not-run', reason: 'deadline-before-dispatch', detail });
+    this.context.suspicion.recordAnswered(this.call.fingerprint);
+    if (this.call.service.idempotent && failures.isLocalFailure(answer)) {
+      this.failures.recordFailedAnswer(answer, server);
+      this.retry();
+      return;
+    }
+    this.cancelActive('cancelled');
+    this.finish({ kind: 'answered', answer, server });
+  }
+
+  private endLost(
+    outcome: Extract<callTypes.AttemptOutcome, { kind: 'lost' }>,
+    server: string,
+  ): void {
+    this.failures.recordLost(outcome);
+    if (outcome.reason === 'connection-lost' || outcome.reason === 'answer-truncated') {
+      this.context.suspicion.recordLoss(this.call.fingerprint, server);
     }
+    const isTooLarge = outcome.reason === 'answer-too-large';
+    if (this.call.service.idempotent && !isTooLarge) this.retry();
+    else if (this.active.size === 0) this.finish(this.failures.toOutcome());
   }
 
-  private end(outcome: callTypes.CallOutcome): void {
+  private retry(): void {
+    if (this.ended || this.active.size > 0) return;
+    const spent = this.call.retriesSpent + this.retries;
+    const isAllowed =
+      spent < MAX_RETRIES_SPENT &&
+      !this.context.suspicion.isSuspect(this.call.fingerprint) &&
+      this.context.balancer.takeRetry();
+    if (!isAllowed) {
+      this.finish(this.failures.toOutcome());
+      return;
+    }
+    this.retries += 1;
+    this.sendNext();
+  }
+
+  private expire(): void {
+    if (this.ended) return;
+    const mayHaveRun = [...this.active].some((attempt) => attempt.sent);
+    this.cancelActive('timed-out');
+    if (mayHaveRun) this.failures.recordTimeout();
+    this.finish(this.failures.toOutcomeAtDeadline());
+  }
+
+  private cancelActive(result: policyTypes.AttemptResult): void {
+    [...this.active].forEach((attempt) => {
+      this.active.delete(attempt);
+      attempt.handle?.cancel();
+      this.context.balancer.recordEnd(attempt.started, result);
+    });
+  }
+
+  private finish(outcome: callTypes.CallOutcome | undefined): void {
     if (this.ended) return;
     this.ended = true;
     this.deadlineTimer?.dispose();
-    this.onOutcome(outcome);
+    this.hedgeTimer?.dispose();
+    const { admission } = this.context.balancer;
+    if (this.admittedAtMs === undefined) admission.withdraw(this.ticket);
+    this.onEnd(outcome);
+    if (this.admittedAtMs !== undefined) {
+      admission.leave(this.context.clock.monotonicMs() - this.admittedAtMs);
+    }
   }
 }
--- /dev/null
+++ b/src/common/call/ServerAvailability.ts
@@ -0,0 +1,54 @@
+import type * as types from '../Types';
+
+/** Time for which a drain signal keeps new work away, in milliseconds. It doubles when seen again. */
+const FIRST_DRAIN_MS = 60_000;
+const LONGEST_DRAIN_MS = 600_000;
+
+/** Age from which on a drain signal may be contradicted by the server's own answer. */
+const MINIMUM_DRAIN_MS = 1_000;
+
+/** Whether a backend server may receive new work, by the signals of its leaving. */
+export class ServerAvailability {
+  private listedAsLeaving = false;
+
+  private drainingSinceMs = Number.NEGATIVE_INFINITY;
+
+  private drainingUntilMs = Number.NEGATIVE_INFINITY;
+
+  private drainMs = FIRST_DRAIN_MS;
+
+  public constructor(private readonly clock: types.IClock) {}
+
+  /** Whether any signal says that the server is leaving. */
+  public get isLeaving(): boolean {
+    return this.listedAsLeaving || this.clock.monotonicMs() < this.drainingUntilMs;
+  }
+
+  /** Takes what the platform's list says. */
+  public setListed(state: 'live' | 'leaving'): void {
+    this.listedAsLeaving = state === 'leaving';
+  }
+
+  /** Takes a drain signal of the server itself or of a peer. Returns whether it is news. */
+  public recordDraining(): boolean {
+    const nowMs = this.clock.monotonicMs();
+    const isNews = nowMs >= this.drainingUntilMs;
+    if (isNews) {
+      const isRepeated = this.drainingUntilMs !== Number.NEGATIVE_INFINITY;
+      this.drainMs = isRepeated ? Math.min(LONGEST_DRAIN_MS, this.drainMs * 2) : FIRST_DRAIN_MS;
+      this.drainingSinceMs = nowMs;
+    }
+    this.drainingUntilMs = nowMs + this.drainMs;
+    return isNews;
+  }
+
+  /** Takes the server's own statement that it is not draining. Returns whether it came back. */
+  public recordReady(): boolean {
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs >= this.drainingUntilMs) return false;
+    // Answers that were written before the signal may still arrive after it.
+    if (nowMs - this.drainingSinceMs < MINIMUM_DRAIN_MS) return false;
+    this.drainingUntilMs = Number.NEGATIVE_INFINITY;
+    return true;
+  }
+}
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,46 +1,201 @@
+import * as emitter from '../Emitter';
+import * as ejector from '../policy/Ejector';
+import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
 import * as serverState from '../policy/ServerState';
+import type * as policyTypes from '../policy/Types';
 import type * as tableTypes from '../table/Types';
 import type * as types from '../Types';
+import * as admissionQueue from './AdmissionQueue';
+import * as concurrencyLimit from './ConcurrencyLimit';
+import * as hedgeDelay from './HedgeDelay';
+import * as serverAvailability from './ServerAvailability';
+
+/** Why a server gets no new work. */
+export type AvoidanceReason = 'weight-zero' | 'leaving' | 'ejected' | 'connection-limit';
+
+/** An attempt that the balancer counts as in flight. */
+export interface IStartedAttempt {
+  readonly server: serverState.ServerState;
+  readonly number: number;
+  readonly startMs: number;
+}
+
+interface IServer {
+  readonly state: serverState.ServerState;
+  readonly availability: serverAvailability.ServerAvailability;
+}
 
 /** The state of one service at this daemon, and the choice of its servers. */
 export class ServiceBalancer {
-  private readonly states = new Map<string, serverState.ServerState>();
+  public readonly admission: admissionQueue.AdmissionQueue;
+
+  public readonly hedgeDelay = new hedgeDelay.HedgeDelay();
+
+  /** Bounds all extra attempts, retries and hedges, to a fraction of first attempts. */
+  private readonly retryBudget: ratioBudget.RatioBudget;
+
+  /** Bounds hedges to a smaller fraction of first attempts. */
+  private readonly hedgeBudget: ratioBudget.RatioBudget;
+
+  private readonly servers = new Map<string, IServer>();
+
+  private readonly ejector: ejector.Ejector;
+
+  private readonly limit = new concurrencyLimit.ConcurrencyLimit();
+
+  private readonly drainingEmitter = new emitter.Emitter<string>();
+
+  private maxDaemons = 1;
+
+  /** Fires with the address of a server that this daemon found draining; to be shared. */
+  public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
 
   public constructor(
     private readonly policy: selectionPolicy.SelectionPolicy,
     private readonly clock: types.IClock,
-  ) {}
+  ) {
+    this.ejector = new ejector.Ejector(clock);
+    this.retryBudget = new ratioBudget.RatioBudget(0, clock);
+    this.hedgeBudget = new ratioBudget.RatioBudget(0, clock);
+    this.admission = new admissionQueue.AdmissionQueue(this.limit, clock);
+  }
 
   /** The servers of the table in force. */
-  public get servers(): readonly serverState.ServerState[] {
-    return [...this.states.values()];
+  public get states(): readonly serverState.ServerState[] {
+    return [...this.servers.values()].map(({ state }) => state);
   }
 
   /** Returns the server for the next attempt, or undefined if none may be used. */
   public choose(excluded: ReadonlySet<string>): serverState.ServerState | undefined {
-    const candidates = this.servers.filter(
-      (server) => this.isUsable(server) && !excluded.has(server.address),
-    );
+    const candidates: serverState.ServerState[] = [];
+    this.servers.forEach(({ state }, address) => {
+      if (!excluded.has(address) && this.avoidanceOf(address) === undefined) candidates.push(state);
+    });
     if (candidates.length === 0) return undefined;
     const chosen = this.policy.choose(candidates, this.clock.monotonicMs());
-    return this.states.get(chosen.address);
+    return this.servers.get(chosen.address)?.state;
+  }
+
+  /** Why a server gets no new work, or undefined if it may be used. */
+  public avoidanceOf(address: string): AvoidanceReason | undefined {
+    const server = this.servers.get(address);
+    if (server === undefined || server.state.weight === 0) return 'weight-zero';
+    if (server.availability.isLeaving) return 'leaving';
+    if (this.ejector.isEjected(address)) return 'ejected';
+    if (server.state.inFlight >= this.connectionShare(server.state)) return 'connection-limit';
+    return undefined;
+  }
+
+  /** Takes over the rows of a new table. Known servers keep their estimates. */
+  public update(table: tableTypes.ITable, service: tableTypes.IServiceRow): void {
+    const rows = table.servers.get(service.name) ?? [];
+    const isFirst = this.servers.size === 0;
+    this.maxDaemons = table.maxDaemons;
+    this.retryBudget.setFraction(service.retryFraction);
+    this.hedgeBudget.setFraction(service.hedgeFraction);
+    this.replaceServers(rows, isFirst);
+    const totalSlots = rows.reduce((sum, row) => sum + row.slots, 0);
+    const connections = this.states.reduce((sum, state) => sum + this.connectionShare(state), 0);
+    this.limit.setBounds(totalSlots, connections, table.maxDaemons);
+  }
+
+  /** Counts the first attempt of a call, which earns a fraction of an extra attempt. */
+  public recordFirstAttempt(): void {
+    this.retryBudget.deposit();
+    this.hedgeBudget.deposit();
+  }
+
+  /** Takes the permit for a retry. Returns false if the budget is spent. */
+  public takeRetry(): boolean {
+    return this.retryBudget.take();
+  }
+
+  /** Takes the permit for a hedge. Returns false if a budget is spent. */
+  public takeHedge(): boolean {
+    // Hedges count against both budgets: at depth 14, two separate budgets would multiply.
+    return this.hedgeBudget.available && this.retryBudget.take() && this.hedgeBudget.take();
+  }
+
+  public recordStart(server: serverState.ServerState): IStartedAttempt {
+    const startMs = this.clock.monotonicMs();
+    const state = server;
+    state.warmth = this.ejector.warmthOf(server.address);
+    return { server, number: state.recordStart(startMs), startMs };
+  }
+
+  public recordEnd(attempt: IStartedAttempt, result: policyTypes.AttemptResult): void {
+    const nowMs = this.clock.monotonicMs();
+    const state = attempt.server;
+    state.recordEnd(attempt.number, result, nowMs);
+    if (result === 'answered') {
+      this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
+      this.ejector.recordSuccess(state.address);
+    } else if (result === 'failed' || result === 'refused') {
+      this.ejector.recordFailure(state.address);
+    } else if (result === 'timed-out') {
+      this.limit.recordTimeout();
+    }
+    state.warmth = this.ejector.warmthOf(state.address);
+  }
+
+  /** Takes a load report that came with an answer or as the reply to a probe. */
+  public recordReport(address: string, report: policyTypes.ILoadReport): void {
+    const server = this.servers.get(address);
+    if (server === undefined) return;
+    server.state.recordReport(report, this.clock.monotonicMs());
+    if (report.draining) {
+      this.recordDraining(address);
+      return;
+    }
+    if (server.availability.recordReady()) this.ejector.startWarmUp(address);
+    this.limit.recordReport(report, server.state.slots, this.admission.inFlight);
+  }
+
+  /** Takes a drain signal that this daemon saw itself. */
+  public recordDraining(address: string): void {
+    if (this.servers.get(address)?.availability.recordDraining() === true) {
+      this.drainingEmitter.fire(address);
+    }
+  }
+
+  /** Takes a drain signal that a peer saw. */
+  public mergeDraining(address: string): void {
+    this.servers.get(address)?.availability.recordDraining();
+  }
+
+  /** Takes the state of a server on the platform's list of VMs. */
+  public setListed(address: string, state: 'live' | 'leaving'): void {
+    this.servers.get(address)?.availability.setListed(state);
+  }
+
+  /** Forgets all load reports, since they describe a time before the process was paused. */
+  public dropReports(): void {
+    this.states.forEach((state) => state.dropReport());
   }
 
-  /** Takes over the servers of a new table. Known servers keep their estimates. */
-  public update(rows: readonly tableTypes.IServerRow[]): void {
+  private replaceServers(rows: readonly tableTypes.IServerRow[], isFirst: boolean): void {
     const listed = new Set(rows.map((row) => row.address));
-    [...this.states.keys()]
+    [...this.servers.keys()]
       .filter((address) => !listed.has(address))
-      .forEach((address) => this.states.delete(address));
+      .forEach((address) => this.servers.delete(address));
+    this.ejector.setServers([...listed]);
     rows.forEach((row) => {
-      const known = this.states.get(row.address);
-      if (known === undefined) this.states.set(row.address, new serverState.ServerState(row));
-      else known.row = row;
+      const known = this.servers.get(row.address);
+      if (known !== undefined) {
+        known.state.row = row;
+        return;
+      }
+      this.servers.set(row.address, {
+        state: new serverState.ServerState(row),
+        availability: new serverAvailability.ServerAvailability(this.clock),
+      });
+      // At the start of a daemon all servers are new to it, but not cold.
+      if (!isFirst) this.ejector.startWarmUp(row.address);
     });
   }
 
-  private isUsable(server: serverState.ServerState): boolean {
-    return server.weight > 0 && server.report?.draining !== true;
+  private connectionShare(server: serverState.ServerState): number {
+    return Math.max(1, Math.floor(server.row.maxConnections / this.maxDaemons));
   }
 }
--- /dev/null
+++ b/src/common/policy/Ejector.ts
@@ -0,0 +1,105 @@
+import type * as types from '../Types';
+
+/** Failures in a row after which a server is ejected. */
+const FAILURES_TO_EJECT = 3;
+
+const FIRST_EJECTION_MS = 1_000;
+const LONGEST_EJECTION_MS = 30_000;
+
+/** Time after a return in which the share of work grows to the normal one, in milliseconds. */
+const WARM_UP_MS = 10_000;
+
+/** Share of the normal load at the start of the warm-up. */
+const FIRST_WARMTH = 0.1;
+
+interface IEntry {
+  failuresInRow: number;
+  ejections: number;
+  ejectedUntilMs: number;
+  warmSinceMs: number;
+}
+
+/**
+ * Takes servers that keep failing out of the choice for a time that doubles with each ejection.
+ * At most half of the servers are out at once: when most look bad, the observation is more
+ * likely wrong than the servers.
+ */
+export class Ejector {
+  private readonly entries = new Map<string, IEntry>();
+
+  private serverCount = 0;
+
+  public constructor(private readonly clock: types.IClock) {}
+
+  public setServers(addresses: readonly string[]): void {
+    const listed = new Set(addresses);
+    [...this.entries.keys()]
+      .filter((address) => !listed.has(address))
+      .forEach((address) => this.entries.delete(address));
+    this.serverCount = addresses.length;
+  }
+
+  public isEjected(address: string): boolean {
+    const entry = this.entries.get(address);
+    return entry !== undefined && entry.ejectedUntilMs > this.clock.monotonicMs();
+  }
+
+  /** Share of the normal load that a server gets, in (0, 1]. */
+  public warmthOf(address: string): number {
+    const entry = this.entries.get(address);
+    if (entry === undefined) return 1;
+    const warmMs = this.clock.monotonicMs() - entry.warmSinceMs;
+    if (warmMs >= WARM_UP_MS) return 1;
+    return Math.max(FIRST_WARMTH, warmMs / WARM_UP_MS);
+  }
+
+  /** Starts the warm-up of a server that is new or was away. */
+  public startWarmUp(address: string): void {
+    this.entryOf(address).warmSinceMs = this.clock.monotonicMs();
+  }
+
+  public recordSuccess(address: string): void {
+    const entry = this.entries.get(address);
+    if (entry === undefined) return;
+    entry.failuresInRow = 0;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - entry.warmSinceMs >= WARM_UP_MS) this.entries.delete(address);
+  }
+
+  public recordFailure(address: string): void {
+    const entry = this.entryOf(address);
+    entry.failuresInRow += 1;
+    if (entry.failuresInRow < FAILURES_TO_EJECT || this.isEjected(address)) return;
+    if (this.countEjected() + 1 > this.serverCount / 2) return;
+    this.eject(entry);
+  }
+
+  private eject(entry: IEntry): void {
+    const nowMs = this.clock.monotonicMs();
+    const durationMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** entry.ejections);
+    Object.assign(entry, {
+      ejectedUntilMs: nowMs + durationMs,
+      ejections: entry.ejections + 1,
+      // One failure after the return ejects the server again.
+      failuresInRow: FAILURES_TO_EJECT - 1,
+      warmSinceMs: nowMs + durationMs,
+    });
+  }
+
+  private countEjected(): number {
+    return [...this.entries.keys()].filter((address) => this.isEjected(address)).length;
+  }
+
+  private entryOf(address: string): IEntry {
+    const known = this.entries.get(address);
+    if (known !== undefined) return known;
+    const entry = {
+      failuresInRow: 0,
+      ejections: 0,
+      ejectedUntilMs: Number.NEGATIVE_INFINITY,
+      warmSinceMs: Number.NEGATIVE_INFINITY,
+    };
+    this.entries.set(address, entry);
+    return entry;
+  }
+}
--- /dev/null
+++ b/src/common/policy/RatioBudget.ts
@@ -0,0 +1,57 @@
+import type * as types from '../Types';
+
+/** Most permits that can be saved up, so that a long quiet time allows no burst. */
+const MAX_SAVED = 10;
+
+/** Permits granted per second without any traffic, for services with few calls. */
+const MINIMUM_PER_SECOND = 0.1;
+
+/**
+ * Bounds extra attempts (retries or hedges) to a fraction of first attempts, so that extra
+ * load cannot grow with the failure rate.
+ */
+export class RatioBudget {
+  private saved = 1;
+
+  private refilledAtMs: number;
+
+  public constructor(
+    private fraction: number,
+    private readonly clock: types.IClock,
+  ) {
+    this.refilledAtMs = clock.monotonicMs();
+  }
+
+  /** Whether an extra attempt may start now. */
+  public get available(): boolean {
+    this.refill();
+    return this.saved >= 1;
+  }
+
+  public setFraction(fraction: number): void {
+    this.fraction = fraction;
+  }
+
+  /** Counts a first attempt. */
+  public deposit(): void {
+    this.saved = Math.min(MAX_SAVED, this.saved + this.fraction);
+  }
+
+  /** Takes a permit for an extra attempt. Returns false if there is none. */
+  public take(): boolean {
+    if (!this.available) return false;
+    this.saved -= 1;
+    return true;
+  }
+
+  private refill(): void {
+    if (this.fraction === 0) {
+      this.saved = 0;
+      return;
+    }
+    const nowMs = this.clock.monotonicMs();
+    const earned = ((nowMs - this.refilledAtMs) / 1_000) * MINIMUM_PER_SECOND;
+    this.saved = Math.min(MAX_SAVED, this.saved + earned);
+    this.refilledAtMs = nowMs;
+  }
+}
--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -76,4 +76,11 @@
     this.reportedAtMs = nowMs;
     this.startedSinceReport = 0;
   }
+
+  /** Forgets the load report. */
+  public dropReport(): void {
+    this.report = undefined;
+    this.reportedAtMs = Number.NEGATIVE_INFINITY;
+    this.startedSinceReport = 0;
+  }
 }
--- /dev/null
+++ b/src/common/suspicion/RequestSuspicion.ts
@@ -0,0 +1,64 @@
+import * as lruCache from 'lru-cache';
+
+import * as emitter from '../Emitter';
+import type * as types from '../Types';
+import type * as suspicionTypes from './Types';
+
+/** Distinct servers lost with the same request in flight from which on it is refused. */
+const SERVERS_TO_REFUSE = 2;
+
+/** Time after which a loss no longer counts, in milliseconds. */
+export const SUSPICION_LIFETIME_MS = 60_000;
+
+const MAX_FINGERPRINTS = 1_000;
+
+/** Finds requests that crash the servers that run them. */
+export class RequestSuspicion {
+  /** For each fingerprint, the time of the loss by server, in monotonic milliseconds. */
+  private readonly losses = new lruCache.LRUCache<string, Map<string, number>>({
+    max: MAX_FINGERPRINTS,
+  });
+
+  private readonly lossEmitter = new emitter.Emitter<suspicionTypes.ISuspicion>();
+
+  /** Fires when this daemon lost a server with a request in flight; to be shared with peers. */
+  public readonly onLoss: types.Event<suspicionTypes.ISuspicion> = this.lossEmitter.event;
+
+  public constructor(private readonly clock: types.IClock) {}
+
+  /** Whether the request has to be refused. */
+  public isSuspect(fingerprint: string): boolean {
+    return this.serversLost(fingerprint).length >= SERVERS_TO_REFUSE;
+  }
+
+  /** Servers that were lost with the request in flight, within the lifetime of a suspicion. */
+  public serversLost(fingerprint: string): readonly string[] {
+    const servers = this.losses.get(fingerprint);
+    if (servers === undefined) return [];
+    const oldestMs = this.clock.monotonicMs() - SUSPICION_LIFETIME_MS;
+    return [...servers].filter(([, lostAtMs]) => lostAtMs > oldestMs).map(([server]) => server);
+  }
+
+  /** Records that the connection to `server` broke while the request was in flight on it. */
+  public recordLoss(fingerprint: string, server: string): void {
+    this.add(fingerprint, server, this.clock.monotonicMs());
+    this.lossEmitter.fire({ fingerprint, servers: this.serversLost(fingerprint) });
+  }
+
+  /** Takes what a peer observed `ageMs` milliseconds ago. */
+  public merge(suspicion: suspicionTypes.ISuspicion, ageMs: number): void {
+    const lostAtMs = this.clock.monotonicMs() - ageMs;
+    suspicion.servers.forEach((server) => this.add(suspicion.fingerprint, server, lostAtMs));
+  }
+
+  /** Clears a request that was answered: it was in flight by chance when a server was lost. */
+  public recordAnswered(fingerprint: string): void {
+    if (this.losses.size > 0) this.losses.delete(fingerprint);
+  }
+
+  private add(fingerprint: string, server: string, lostAtMs: number): void {
+    const servers = this.losses.get(fingerprint) ?? new Map<string, number>();
+    servers.set(server, Math.max(servers.get(server) ?? Number.NEGATIVE_INFINITY, lostAtMs));
+    this.losses.set(fingerprint, servers);
+  }
+}
--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -8,6 +8,7 @@
 import * as memberTable from '../common/membership/MemberTable';
 import type * as membershipTypes from '../common/membership/Types';
 import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
+import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import * as tableHolder from '../common/table/TableHolder';
 import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
@@ -40,6 +41,8 @@
 
   private readonly transport: httpTransport.HttpTransport;
 
+  private readonly suspicion: requestSuspicion.RequestSuspicion;
+
   private readonly callers: callerServer.CallerServer;
 
   private readonly peers: peerServer.PeerServer;
@@ -66,6 +69,7 @@
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
   ) {
+    this.suspicion = new requestSuspicion.RequestSuspicion(clock);
     this.incarnation = random.nextInteger(2 ** 48);
     this.members = new memberTable.MemberTable(options.peerAddress);
     this.platform = new platformClient.PlatformClient(options.platformUrl);
@@ -78,7 +82,7 @@
         },
         balancerOf: (service) => balancers.get(service),
       },
-      new callCoordinator.CallCoordinator(this.transport, clock),
+      new callCoordinator.CallCoordinator(this.transport, this.suspicion, clock),
       clock,
     );
     this.peers = new peerServer.PeerServer({
@@ -129,14 +133,14 @@
     [...this.balancers.keys()]
       .filter((name) => !table.services.has(name))
       .forEach((name) => this.balancers.delete(name));
-    table.services.forEach((_service, name) => {
+    table.services.forEach((service, name) => {
       const balancer =
         this.balancers.get(name) ??
         new serviceBalancer.ServiceBalancer(
           new leastInFlightPolicy.LeastInFlightPolicy(this.random),
           this.clock,
         );
-      balancer.update(table.servers.get(name) ?? []);
+      balancer.update(table, service);
       this.balancers.set(name, balancer);
     });
     this.logger.info({ tableVersion: table.version }, 'table in force');
