--- /dev/null
+++ b/src/common/call/AdmissionQueue.test.ts
@@ -0,0 +1,80 @@
+import * as manualClock from '../ManualClock';
+import * as admissionQueue from './AdmissionQueue';
+import * as concurrencyLimit from './ConcurrencyLimit';
+
+interface IRig {
+  readonly clock: manualClock.ManualClock;
+  readonly queue: admissionQueue.AdmissionQueue;
+  readonly events: string[];
+  enter(name: string, options?: { nested?: boolean; timeoutMs?: number }): string;
+}
+
+function makeRig(): IRig {
+  const clock = new manualClock.ManualClock();
+  const limit = new concurrencyLimit.ConcurrencyLimit();
+  // One slot in all gives the lowest limit, two calls at once.
+  limit.setBounds(1, 1, 1);
+  const queue = new admissionQueue.AdmissionQueue(limit, clock);
+  const events: string[] = [];
+  const enter: IRig['enter'] = (name, { nested = false, timeoutMs = 1_000 } = {}) =>
+    queue.enter({
+      nested,
+      deadlineMs: clock.monotonicMs() + timeoutMs,
+      onAdmitted: () => events.push(`${name} admitted`),
+      onShed: () => events.push(`${name} shed`),
+    });
+  return { clock, queue, events, enter };
+}
+
+test('admits up to the limit and queues the rest', () => {
+  const rig = makeRig();
+  expect(['a', 'b', 'c'].map((name) => rig.enter(name))).toEqual([
+    'admitted',
+    'admitted',
+    'waiting',
+  ]);
+});
+
+test('admits nested calls first', () => {
+  const rig = makeRig();
+  ['a', 'b', 'outer'].forEach((name) => rig.enter(name));
+  rig.enter('nested', { nested: true });
+  rig.queue.leave(10);
+  expect(rig.events).toEqual(['nested admitted']);
+});
+
+test('refuses a call whose expected wait takes more than half of its time', () => {
+  const rig = makeRig();
+  ['a', 'b'].forEach((name) => rig.enter(name));
+  for (let count = 0; count < 100; count += 1) {
+    rig.queue.leave(100);
+    rig.enter('next');
+  }
+  expect(rig.enter('patient', { timeoutMs: 1_000 })).toBe('waiting');
+  expect(rig.enter('urgent', { timeoutMs: 50 })).toBe('refused');
+});
+
+test('sheds a call that waited for half of its time', () => {
+  const rig = makeRig();
+  ['a', 'b', 'late', 'fresh'].forEach((name) => rig.enter(name));
+  rig.clock.advance(600);
+  rig.enter('newest');
+  rig.queue.leave(10);
+  expect(rig.events).toEqual(['late shed', 'fresh shed', 'newest admitted']);
+});
+
+test('forgets a call that its caller gave up', () => {
+  const rig = makeRig();
+  ['a', 'b'].forEach((name) => rig.enter(name));
+  const ticket = {
+    nested: false,
+    deadlineMs: 1_000,
+    onAdmitted: () => rig.events.push('withdrawn admitted'),
+    onShed: () => rig.events.push('withdrawn shed'),
+  };
+  rig.queue.enter(ticket);
+  rig.queue.withdraw(ticket);
+  rig.queue.leave(10);
+  expect(rig.events).toEqual([]);
+  expect(rig.queue.inFlight).toBe(1);
+});
--- /dev/null
+++ b/src/common/call/ConcurrencyLimit.test.ts
@@ -0,0 +1,37 @@
+import * as concurrencyLimit from './ConcurrencyLimit';
+
+const FREE = { inFlight: 1, queued: 0, draining: false };
+const CONGESTED = { inFlight: 3, queued: 30, draining: false };
+
+function makeLimit(): concurrencyLimit.ConcurrencyLimit {
+  const limit = new concurrencyLimit.ConcurrencyLimit();
+  limit.setBounds(30, 100, 20);
+  return limit;
+}
+
+function report(
+  limit: concurrencyLimit.ConcurrencyLimit,
+  load: typeof FREE,
+  times: number,
+  inFlight = limit.value,
+): void {
+  for (let count = 0; count < times; count += 1) limit.recordReport(load, 3, inFlight);
+}
+
+test('falls while servers are congested, but keeps the share of the daemon', () => {
+  const limit = makeLimit();
+  report(limit, CONGESTED, 1_000);
+  expect(limit.value).toBe(3);
+});
+
+test('rises to the connections of the daemon while servers are free', () => {
+  const limit = makeLimit();
+  for (let count = 0; count < 1_000; count += 1) report(limit, FREE, 1);
+  expect(limit.value).toBe(100);
+});
+
+test('does not rise while it is not in use', () => {
+  const limit = makeLimit();
+  report(limit, FREE, 1_000, 0);
+  expect(limit.value).toBe(8);
+});
