Claim, complete and hand over request keys between daemons

Cause: a key is decided on only by the process that issued it, so the daemon that receives a request must claim the key there before it dispatches.

Change: KeyGateway claims at the local authority or over gRPC, in at most four rounds within the caller's deadline, and completes in at most seven. The rounds of a claim also bridge the gap of a hand-over. A daemon contacts only known or recently departed members. A claim given up after a lost reply is completed as 'not-run', so that it does not stay in progress. The claim covers the service as well as the fingerprint, which does not contain it. KeyGateway.refuse takes the claim before a refusal states 'not run'. Issuers whose keys have all expired are left out of a hand-over, so that a chain of planned stops does not accumulate them. PeerServer takes the handler of these messages as an optional second argument.

Ruled out: resending a hand-over to another successor after a failure, since the first may have taken over with its acknowledgement lost.

The daemon is not wired yet.

--- a/src/common/keys/KeyAuthority.ts
+++ b/src/common/keys/KeyAuthority.ts
@@ -16,7 +16,8 @@
   maxStoredAnswerBytes: 1_024 * 1_024,
 };
 
-function sizeOf(answer: callTypes.IAnswer): number {
+/** Bytes that a stored answer counts for. */
+export function answerSize(answer: callTypes.IAnswer): number {
   const headerSize = answer.headers.reduce((total, text) => total + text.length, 0);
   return 1 + headerSize + answer.body.length;
 }
@@ -59,7 +60,7 @@
     this.takeOvers = new keyTakeOver.KeyTakeOver(issuer.incarnation, clock);
     this.answers = new lruCache.LRUCache({
       maxSize: limits.maxCachedAnswerBytes,
-      sizeCalculation: sizeOf,
+      sizeCalculation: answerSize,
     });
   }
 
@@ -132,11 +133,17 @@
     this.closedAtMs ??= this.clock.monotonicMs();
   }
 
-  /** What a successor needs to take over. Empty until this authority is closed. */
+  /**
+   * What a successor needs to take over. Empty until this authority is closed. Leaves out issuers
+   * whose keys have all expired, so that repeated hand-overs do not accumulate them.
+   */
   public transfers(): readonly keyTypes.IKeyTransfer[] {
     const { closedAtMs } = this;
     if (closedAtMs === undefined) return [];
-    return [...this.ledgers.values()].map((ledger) => ({
+    const live = [...this.ledgers.values()].filter(
+      (ledger) => !ledger.isExpired(ledger.lastIssueMs, ledger.issuerTimeMs(closedAtMs)),
+    );
+    return live.map((ledger) => ({
       issuer: ledger.issuer,
       secret: ledger.secret,
       // Rounded up, because messages carry whole milliseconds and the time must not go back.
@@ -176,6 +183,7 @@
       ledger.add(sequence, { attempt, fingerprint, issuedAtMs, outcome: outcome?.kind });
       if (outcome?.kind === 'answered') this.store(cacheKeyOf(ledger, sequence), outcome.answer);
     });
+    ledger.lastIssueMs = transfer.issuerClockMs;
     this.ledgers.set(ledger.name, ledger);
   }
 
@@ -184,6 +192,7 @@
     const { address, incarnation } = this.issuer;
     const content = { issuer: address, incarnation, sequence: this.nextSequence, issuedAtMs };
     this.nextSequence += 1;
+    this.own.lastIssueMs = issuedAtMs;
     const key = requestKeyCodec.RequestKeyCodec.sign(content, this.own.secret);
     return requestKeyCodec.RequestKeyCodec.encode(key);
   }
@@ -217,7 +226,7 @@
   }
 
   private store(cacheKey: string, answer: callTypes.IAnswer | undefined): void {
-    if (answer === undefined || sizeOf(answer) > this.limits.maxStoredAnswerBytes) return;
+    if (answer === undefined || answerSize(answer) > this.limits.maxStoredAnswerBytes) return;
     this.answers.set(cacheKey, answer);
   }
 
--- a/src/common/keys/KeyLedger.ts
+++ b/src/common/keys/KeyLedger.ts
@@ -19,6 +19,9 @@
 
   private readonly groups = new Map<number, Map<number, IHeldRecord>>();
 
+  /** No key was issued after this time on the issuer's clock. */
+  public lastIssueMs = Number.NEGATIVE_INFINITY;
+
   private nextDropMs = 0;
 
   private count = 0;
--- /dev/null
+++ b/src/node/keys/KeyGateway.ts
@@ -0,0 +1,171 @@
+import * as crypto from 'node:crypto';
+
+import type * as keyAuthority from '../../common/keys/KeyAuthority';
+import * as requestKeyCodec from '../../common/keys/RequestKeyCodec';
+import type * as keyTypes from '../../common/keys/Types';
+import type * as types from '../../common/Types';
+import * as backoff from './Backoff';
+import * as keyMessages from './KeyMessages';
+import * as refusals from './KeyRefusals';
+import type * as gatewayTypes from './Types';
+
+/** Delays of 50, 100 and 200 ms bridge a lost reply and the gap of a hand-over. */
+const CLAIM_ROUNDS = 4;
+/** Delays of 50 to 1600 ms, so that a completion is tried for more than 3 s. */
+const COMPLETION_ROUNDS = 7;
+
+type Verdict = keyTypes.ClaimVerdict | { readonly kind: 'unreachable'; readonly detail: string };
+
+/** Claims and completes request keys, at this daemon or at the one that issued them. */
+export class KeyGateway {
+  private readonly completions = new Set<Promise<boolean>>();
+
+  /** @param ownAddress Peer address of this daemon. */
+  public constructor(
+    private readonly ownAddress: string,
+    private readonly authority: keyAuthority.KeyAuthority,
+    private readonly peers: gatewayTypes.IKeyPeers,
+    private readonly directory: gatewayTypes.IIssuerDirectory,
+    private readonly clock: types.IClock,
+    private readonly random: types.IRandom,
+  ) {}
+
+  /**
+   * Claims the key of a request. Call it before the request is dispatched, once for each request
+   * received. After any result but `granted`, the request must not be dispatched.
+   */
+  public async claim(request: gatewayTypes.IKeyedRequest): Promise<gatewayTypes.KeyClaim> {
+    const decoded = requestKeyCodec.RequestKeyCodec.decode(request.key);
+    if (!decoded.ok) return refusals.invalidKey(decoded.error.kind);
+    const held = { key: request.key, attempt: crypto.randomUUID() };
+    const verdict = await this.claimInRounds(request, decoded.value, held.attempt);
+    if (verdict.kind === 'granted') return { kind: 'granted', claim: held };
+    if (verdict.kind !== 'unreachable') return refusals.toRefusal(verdict);
+    // The claim may have been recorded although its reply was lost. This daemon does not use it,
+    // so the key would stay in progress until it expires.
+    this.completeLater(held, { kind: 'not-run' });
+    return refusals.unavailable(verdict.detail);
+  }
+
+  /**
+   * Decides on a refusal made before the key was claimed. Another daemon may be running the same
+   * request, so "not run" is stated only after the claim was granted to this refusal.
+   */
+  public async refuse(
+    request: gatewayTypes.IKeyedRequest,
+    refusal: gatewayTypes.NotRun,
+  ): Promise<Exclude<gatewayTypes.KeyClaim, { kind: 'granted' }>> {
+    const claimed = await this.claim(request);
+    if (claimed.kind !== 'granted') return claimed;
+    this.completeLater(claimed.claim, { kind: 'not-run' });
+    return refusal;
+  }
+
+  /**
+   * Records the outcome of a granted claim, with bounded retries. The caller's answer need not
+   * wait for it.
+   * @returns Whether the outcome was recorded.
+   */
+  public complete(claim: gatewayTypes.IHeldClaim, outcome: keyTypes.KeyOutcome): Promise<boolean> {
+    const completion = this.completeInRounds(claim, outcome);
+    this.completions.add(completion);
+    return completion.finally(() => this.completions.delete(completion));
+  }
+
+  /** Resolves when no completion is being sent. For a planned stop. */
+  public async settle(): Promise<void> {
+    await Promise.allSettled([...this.completions]);
+  }
+
+  private completeLater(claim: gatewayTypes.IHeldClaim, outcome: keyTypes.KeyOutcome): void {
+    this.complete(claim, outcome).catch(() => undefined);
+  }
+
+  private async claimInRounds(
+    request: gatewayTypes.IKeyedRequest,
+    key: keyTypes.IRequestKey,
+    attempt: string,
+  ): Promise<Verdict> {
+    let mayBeRecorded = false;
+    let detail = 'the issuer of the key is not a known daemon';
+    for (let round = 0; round < CLAIM_ROUNDS; round += 1) {
+      if (round > 0) {
+        const delayMs = backoff.delayMs(round, this.random);
+        if (this.clock.monotonicMs() + delayMs >= request.deadlineMs) break;
+
+        await backoff.wait(this.clock, delayMs);
+      }
+      const candidates = this.candidatesOf(key);
+      if (candidates.length === 0) break;
+      for (let index = 0; index < candidates.length; index += 1) {
+        const address = candidates[index] as string;
+
+        const verdict = await this.claimAt(address, request, attempt);
+        if (verdict.kind !== 'unreachable' && verdict.kind !== 'not-issuer') return verdict;
+        mayBeRecorded ||= verdict.kind === 'unreachable';
+        detail =
+          verdict.kind === 'unreachable' ? verdict.detail : `${address} is no longer the issuer`;
+      }
+    }
+    return mayBeRecorded ? { kind: 'unreachable', detail } : { kind: 'not-issuer' };
+  }
+
+  private async claimAt(
+    address: string,
+    request: gatewayTypes.IKeyedRequest,
+    attempt: string,
+  ): Promise<Verdict> {
+    const { key } = request;
+    // The fingerprint of a request does not cover the service it is sent to.
+    const fingerprint = `${request.service} ${request.fingerprint}`;
+    if (address === this.ownAddress) return this.authority.claim(key, attempt, fingerprint);
+    const reply = await this.peers.claimKey(address, { key, attempt, fingerprint });
+    if (!reply.ok) return { kind: 'unreachable', detail: `${address}: ${reply.error.message}` };
+    const verdict = keyMessages.fromClaimReply(reply.value);
+    return verdict ?? { kind: 'unreachable', detail: `${address}: verdict not understood` };
+  }
+
+  private async completeInRounds(
+    claim: gatewayTypes.IHeldClaim,
+    outcome: keyTypes.KeyOutcome,
+  ): Promise<boolean> {
+    const decoded = requestKeyCodec.RequestKeyCodec.decode(claim.key);
+    if (!decoded.ok) return false;
+    for (let round = 0; round < COMPLETION_ROUNDS; round += 1) {
+      if (round > 0) {
+        await backoff.wait(this.clock, backoff.delayMs(round, this.random));
+      }
+      const candidates = this.candidatesOf(decoded.value);
+      for (let index = 0; index < candidates.length; index += 1) {
+        if (await this.completeAt(candidates[index] as string, claim, outcome)) return true;
+      }
+    }
+    return false;
+  }
+
+  private async completeAt(
+    address: string,
+    claim: gatewayTypes.IHeldClaim,
+    outcome: keyTypes.KeyOutcome,
+  ): Promise<boolean> {
+    const { key, attempt } = claim;
+    if (address === this.ownAddress) return this.authority.complete(key, attempt, outcome);
+    const fields = keyMessages.toOutcomeFields(refusals.withoutLargeAnswer(outcome));
+    const reply = await this.peers.completeKey(address, { key, attempt, ...fields });
+    return reply.ok && reply.value.recorded;
+  }
+
+  /**
+   * Daemons that may decide on a key: its successor if the keys were moved, then its issuer.
+   * Others are not contacted, because the address in a forged key can be any address.
+   */
+  private candidatesOf(key: keyTypes.IRequestKey): readonly string[] {
+    const issuer = { address: key.issuer, incarnation: key.incarnation };
+    const name = requestKeyCodec.RequestKeyCodec.encodeIssuer(issuer);
+    const successor = this.directory.successorOf(name);
+    const addresses = successor === undefined ? [key.issuer] : [successor, key.issuer];
+    return [...new Set(addresses)].filter(
+      (address) => address === this.ownAddress || this.directory.isKnown(address),
+    );
+  }
+}
--- /dev/null
+++ b/src/node/keys/KeyRefusals.ts
@@ -0,0 +1,62 @@
+import * as keyAuthority from '../../common/keys/KeyAuthority';
+import type * as keyTypes from '../../common/keys/Types';
+import type * as types from './Types';
+
+type Refusal = Exclude<types.KeyClaim, { kind: 'granted' }>;
+
+function unknown(reason: types.Unknown['reason'], detail: string): types.Unknown {
+  return { kind: 'unknown', reason, detail, dispatched: false };
+}
+
+/** A text that is not a key was never granted, and never will be. */
+export function invalidKey(detail: string): types.NotRun {
+  return { kind: 'not-run', reason: 'request-key-invalid', detail };
+}
+
+export function unavailable(detail: string): types.Unknown {
+  return unknown('key-issuer-unavailable', detail);
+}
+
+function fromOutcome(outcome: keyTypes.KeyOutcome): Refusal {
+  switch (outcome.kind) {
+    case 'not-run': {
+      const detail = 'an earlier request with this key was refused; obtain a new key';
+      return { kind: 'not-run', reason: 'already-refused', detail };
+    }
+    case 'answered':
+      if (outcome.answer !== undefined) return { kind: 'answered', answer: outcome.answer };
+      return unknown('earlier-outcome-unknown', 'answered earlier; the answer is not stored');
+    default:
+      return unknown('earlier-outcome-unknown', 'the outcome of the earlier attempt is unknown');
+  }
+}
+
+/** What the caller of a request gets whose claim was not granted. */
+export function toRefusal(verdict: Exclude<keyTypes.ClaimVerdict, { kind: 'granted' }>): Refusal {
+  switch (verdict.kind) {
+    case 'in-progress':
+      return unknown('attempt-in-progress', 'another request with this key is in progress');
+    case 'completed':
+      return fromOutcome(verdict.outcome);
+    case 'different-content': {
+      const detail = 'the key was used for a request with other content';
+      return { kind: 'not-run', reason: 'request-key-reused', detail };
+    }
+    case 'invalid-key':
+      return invalidKey('the authentication code does not match');
+    case 'expired-key':
+      return unknown('request-key-expired', 'the key is older than 15 minutes');
+    case 'too-many-claims':
+      return unavailable('the issuer holds as many claims as it may');
+    default:
+      return unavailable('the process that issued the key is not there any more');
+  }
+}
+
+/** An answer that the issuer would not store is not sent to it. */
+export function withoutLargeAnswer(outcome: keyTypes.KeyOutcome): keyTypes.KeyOutcome {
+  if (outcome.kind !== 'answered' || outcome.answer === undefined) return outcome;
+  const limit = keyAuthority.DEFAULT_LIMITS.maxStoredAnswerBytes;
+  const isLarge = keyAuthority.answerSize(outcome.answer) > limit;
+  return isLarge ? { kind: 'answered', answer: undefined } : outcome;
+}
--- a/src/node/peer/PeerClient.ts
+++ b/src/node/peer/PeerClient.ts
@@ -33,6 +33,30 @@
     return this.call(client.fetchTable.bind(client), request);
   }
 
+  public claimKey(
+    address: string,
+    request: peer.ClaimKeyRequest,
+  ): Promise<Reply<peer.ClaimKeyReply>> {
+    const client = this.clientOf(address);
+    return this.call(client.claimKey.bind(client), request);
+  }
+
+  public completeKey(
+    address: string,
+    request: peer.CompleteKeyRequest,
+  ): Promise<Reply<peer.CompleteKeyReply>> {
+    const client = this.clientOf(address);
+    return this.call(client.completeKey.bind(client), request);
+  }
+
+  public handOverKeys(
+    address: string,
+    request: peer.HandOverKeysRequest,
+  ): Promise<Reply<peer.HandOverKeysReply>> {
+    const client = this.clientOf(address);
+    return this.call(client.handOverKeys.bind(client), request);
+  }
+
   public dispose(): void {
     this.clients.forEach((client) => client.close());
     this.clients.clear();
--- a/src/node/peer/PeerServer.ts
+++ b/src/node/peer/PeerServer.ts
@@ -1,5 +1,6 @@
 import * as grpc from '@grpc/grpc-js';
 
+import type * as keyTypes from '../keys/Types';
 import * as peer from './generated/peer';
 
 /** What a daemon does with the messages of its peers. */
@@ -8,13 +9,21 @@
   fetchTable(request: peer.FetchTableRequest): Promise<peer.FetchTableReply>;
 }
 
+function unary<TRequest, TReply>(
+  reply: ((request: TRequest) => TReply) | undefined,
+): grpc.handleUnaryCall<TRequest, TReply> {
+  return (call, callback) => {
+    if (reply === undefined) callback({ code: grpc.status.UNIMPLEMENTED });
+    else callback(null, reply(call.request));
+  };
+}
+
 /** Receives the messages of peers. */
 export class PeerServer {
   private readonly server = new grpc.Server();
 
-  public constructor(handler: IPeerHandler) {
-    const unimplemented: grpc.handleUnaryCall<unknown, never> = (_call, callback) =>
-      callback({ code: grpc.status.UNIMPLEMENTED });
+  /** @param keys Handler of the messages about request keys; refused as unimplemented without. */
+  public constructor(handler: IPeerHandler, keys?: keyTypes.IKeyPeerHandler) {
     this.server.addService(peer.PeerService, {
       exchange: (
         call: grpc.ServerUnaryCall<peer.ExchangeRequest, peer.ExchangeReply>,
@@ -29,9 +38,9 @@
           (error: Error) => callback({ code: grpc.status.INTERNAL, details: error.message }),
         );
       },
-      claimKey: unimplemented,
-      completeKey: unimplemented,
-      handOverKeys: unimplemented,
+      claimKey: unary(keys?.claimKey.bind(keys)),
+      completeKey: unary(keys?.completeKey.bind(keys)),
+      handOverKeys: unary(keys?.handOverKeys.bind(keys)),
     });
   }
 
