Explore request keys, table versions and probe permits exhaustively

Change: spec/ states each part as a pure transition function.

Findings about the design: 1. Design 5.5 has a daemon claim a key before it dispatches, and leaves open what it may answer before the claim. A refusal such as 'overloaded' or 'no-backend-server' that is given without the claim is false when another daemon runs the same request (mutant refuse-before-claim, 6 events), and the caller then obtains a new key and the request runs twice. Smallest repair: a request with a key is refused as 'not run' only with the claim granted to the refusal (KeyGateway.refuse); if the claim fails, the caller gets that result instead. 2. A hand-over must name the successor's process, not its address (mutant hand-over-to-any-incarnation, 6 events), and a successor must not forget a predecessor once its keys expired (forget-take-over, 13 events). Both are in KeyAuthority. 3. A permit that is free two seconds after a timeout keeps the budget only if the probe that timed out can no longer arrive. A closed TCP connection goes on repeating its unacknowledged bytes during a partition (mutant no-reset-after-timeout, 19 events). Smallest repair: reset the connection of a probe that timed out (socket.resetAndDestroy). The same assumption is needed for a process that ends during a partition on a VM that survives (long-packet-life-after-exit, 17 events); nothing in a process can ensure it. 4. No process keeps a table version beyond its own life: when every holder is replaced while the configuration service is stale, the fleet goes back to an older version. A test in spec/ shows this limit.

--- /dev/null
+++ b/spec/Parts.test.ts
@@ -0,0 +1,60 @@
+import * as explorer from './Explorer';
+import * as parts from './Parts';
+import * as tableSpecification from './TableSpecification';
+
+// An error in one explorer could hide states, and with them violations.
+test.each(parts.PARTS)('both explorers agree on $name within small bounds', (part) => {
+  const result = part.compare();
+  expect(result.graph).toEqual({
+    states: result.explorer.states,
+    steps: result.explorer.steps,
+    broken: [],
+  });
+  expect(result.explorer.violation).toBeUndefined();
+});
+
+const MUTANTS = parts.PARTS.flatMap((part) =>
+  Object.keys(part.mutants).map((name) => ({ name, part })),
+);
+
+// A rule whose removal goes unnoticed is not covered by the invariants.
+test.each(MUTANTS)('mutant $name breaks an invariant', ({ name, part }) => {
+  const violation = part.exploreSmall(name).violation ?? part.explore(name).violation;
+  expect(violation).toBeDefined();
+});
+
+function readyVersion(state: tableSpecification.ITableState): number {
+  return Math.max(
+    0,
+    ...state.daemons.map(({ ready, active }) => (ready ? (active?.version ?? 0) : 0)),
+  );
+}
+
+// A limit of the design: no process keeps a version beyond its own life, so a version is lost when
+// every holder is replaced while the configuration service is stale.
+test('the highest version of the fleet can decrease, but not before a replacement', () => {
+  const bounds = { daemons: 2, maxVersion: 2, maxReplacements: 1 };
+  const inner = new tableSpecification.TableSpecification(undefined, bounds);
+  interface IHistory {
+    readonly state: tableSpecification.ITableState;
+    readonly highest: number;
+  }
+  const { violation } = explorer.explore<IHistory, tableSpecification.TableEvent>({
+    name: 'highest version of the fleet',
+    initial: { state: inner.initial, highest: 0 },
+    invariants: [
+      {
+        name: 'does not decrease',
+        holds: (_before, { state, highest }) =>
+          state.daemons.some(({ ready }) => !ready) || readyVersion(state) >= highest,
+      },
+    ],
+    eventsOf: ({ state }) => inner.eventsOf(state),
+    next: ({ state, highest }, event) => {
+      const next = inner.next(state, event);
+      return { state: next, highest: Math.max(highest, readyVersion(next)) };
+    },
+  });
+  const replaced = violation?.events.filter(({ type }) => type === 'replace');
+  expect(replaced).toHaveLength(1);
+});
--- /dev/null
+++ b/spec/Parts.ts
@@ -0,0 +1,95 @@
+import * as explorer from './Explorer';
+import * as keyProtocol from './KeyProtocol';
+import * as keySpecification from './KeySpecification';
+import * as probeSpecification from './ProbeSpecification';
+import * as stateGraph from './StateGraph';
+import * as tableSpecification from './TableSpecification';
+import type * as specTypes from './Types';
+
+/** Result of exploring one part, without the states. */
+export interface IPartResult {
+  readonly states: number;
+  readonly steps: number;
+  readonly depth: number;
+  readonly truncated: boolean;
+  readonly violation: specTypes.IViolation<specTypes.ISpecificationEvent> | undefined;
+}
+
+/** A part of the specification, as the command line shows it. */
+export interface IPart {
+  readonly name: string;
+  readonly bounds: string;
+  readonly invariants: readonly string[];
+  /** What each mutant does instead of the rule it removes, by name. */
+  readonly mutants: Readonly<Record<string, string>>;
+  /** Explores the part, without the rule that `mutant` removes. */
+  explore(mutant?: string): IPartResult;
+  /** As `explore`, within smaller bounds that suffice for most mutants. */
+  exploreSmall(mutant: string): IPartResult;
+  /** Explores the part by both explorers, within bounds that the graph tools can handle. */
+  compare(): {
+    readonly explorer: IPartResult;
+    readonly graph: stateGraph.IStateGraph;
+  };
+}
+
+function makePart<TState, TEvent extends specTypes.ISpecificationEvent>(options: {
+  readonly bounds: string;
+  readonly mutants: Readonly<Record<string, string>>;
+  readonly build: (mutant?: string) => specTypes.ISpecification<TState, TEvent>;
+  readonly buildSmall: (mutant: string) => specTypes.ISpecification<TState, TEvent>;
+  readonly buildForComparison: () => specTypes.ISpecification<TState, TEvent>;
+}): IPart {
+  const { name, invariants } = options.build();
+  return {
+    name,
+    bounds: options.bounds,
+    invariants: invariants.map((invariant) => invariant.name),
+    mutants: options.mutants,
+    explore: (mutant) => explorer.explore(options.build(mutant)),
+    exploreSmall: (mutant) => explorer.explore(options.buildSmall(mutant)),
+    compare: () => ({
+      explorer: explorer.explore(options.buildForComparison()),
+      graph: stateGraph.exploreGraph(options.buildForComparison()),
+    }),
+  };
+}
+
+const SMALL_TABLE_BOUNDS = { daemons: 2, maxVersion: 1, maxReplacements: 1 };
+
+export const PARTS: readonly IPart[] = [
+  makePart({
+    bounds: '1 key, 3 attempts, 2 contents, 3 processes, 2 crashes',
+    mutants: keyProtocol.KEY_MUTANTS,
+    build: (mutant) =>
+      keySpecification.keySpecification(mutant as keyProtocol.KeyMutant | undefined),
+    buildSmall: (mutant) => keySpecification.keySpecification(mutant as keyProtocol.KeyMutant, 2),
+    buildForComparison: () => keySpecification.keySpecification(undefined, 1),
+  }),
+  makePart({
+    bounds: '2 publishers, 3 versions, 2 daemons, 1 replacement of each',
+    mutants: tableSpecification.TABLE_MUTANTS,
+    build: (mutant) =>
+      new tableSpecification.TableSpecification(
+        mutant as tableSpecification.TableMutant | undefined,
+      ),
+    buildSmall: (mutant) =>
+      new tableSpecification.TableSpecification(
+        mutant as tableSpecification.TableMutant,
+        SMALL_TABLE_BOUNDS,
+      ),
+    buildForComparison: () =>
+      new tableSpecification.TableSpecification(undefined, SMALL_TABLE_BOUNDS),
+  }),
+  makePart({
+    bounds: '3 daemons with 1 permit each, ticks of 500 ms, unlimited time',
+    mutants: probeSpecification.PROBE_MUTANTS,
+    build: (mutant) =>
+      new probeSpecification.ProbeSpecification(
+        mutant as probeSpecification.ProbeMutant | undefined,
+      ),
+    buildSmall: (mutant) =>
+      new probeSpecification.ProbeSpecification(mutant as probeSpecification.ProbeMutant, 2),
+    buildForComparison: () => new probeSpecification.ProbeSpecification(undefined, 2),
+  }),
+];
--- /dev/null
+++ b/spec/main.ts
@@ -0,0 +1,91 @@
+import * as commander from 'commander';
+
+import * as parts from './Parts';
+import type * as specTypes from './Types';
+
+const EXIT_VIOLATION = 1;
+const EXIT_USAGE = 2;
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function describe(event: specTypes.ISpecificationEvent): string {
+  const { type, ...details } = event;
+  const members = Object.entries(details).map(
+    ([name, value]) => `${name}=${JSON.stringify(value)}`,
+  );
+  return [type, ...members].join(' ');
+}
+
+function printResult(part: parts.IPart, result: parts.IPartResult, elapsedMs: number): boolean {
+  const { states, steps, depth, truncated, violation } = result;
+  print(`${part.name}: ${states} states, ${steps} steps, depth ${depth}, ${elapsedMs} ms`);
+  print(`  bounds: ${part.bounds}`);
+  if (truncated) print('  INCOMPLETE: the bound on states was reached');
+  if (violation === undefined) {
+    const verdict = truncated ? 'not refuted' : 'holds';
+    part.invariants.forEach((name) => print(`  ${verdict}: ${name}`));
+    return !truncated;
+  }
+  print(`  BROKEN: ${violation.invariant}`);
+  violation.events.forEach((event, index) => print(`  ${index + 1}. ${describe(event)}`));
+  print(`  last state: ${JSON.stringify(violation.lastState)}`);
+  return false;
+}
+
+function explorePart(part: parts.IPart, mutant?: string): boolean {
+  const startMs = performance.now();
+  const result = part.explore(mutant);
+  return printResult(part, result, Math.round(performance.now() - startMs));
+}
+
+function comparePart(part: parts.IPart): boolean {
+  const { explorer, graph } = part.compare();
+  const agrees =
+    explorer.states === graph.states &&
+    explorer.steps === graph.steps &&
+    explorer.violation === undefined &&
+    graph.broken.length === 0;
+  const verdict = agrees ? 'agrees' : 'DIFFERS';
+  print(`  xstate graph ${verdict} within small bounds: ${graph.states} states`);
+  return agrees;
+}
+
+function runAll(): number {
+  const holds = parts.PARTS.map((part) => {
+    const isHeld = explorePart(part);
+    return comparePart(part) && isHeld;
+  });
+  return holds.every(Boolean) ? 0 : EXIT_VIOLATION;
+}
+
+function runMutant(name: string): number {
+  const part = parts.PARTS.find(({ mutants }) => name in mutants);
+  if (part === undefined) {
+    process.stderr.write(`unknown mutant "${name}"; --list-mutants lists the names\n`);
+    return EXIT_USAGE;
+  }
+  print(`mutant ${name}: ${part.mutants[name]}`);
+  return explorePart(part, name) ? 0 : EXIT_VIOLATION;
+}
+
+function listMutants(): number {
+  parts.PARTS.forEach((part) => {
+    print(`${part.name}:`);
+    Object.entries(part.mutants).forEach(([name, effect]) => print(`  ${name}: ${effect}`));
+  });
+  return 0;
+}
+
+const program = new commander.Command('model')
+  .description('Explores the specification of the core protocol.')
+  .option('--mutant <name>', 'remove one rule; exits 1 with a shortest trace if that is noticed')
+  .option('--list-mutants', 'list the mutants')
+  .action((options: { mutant?: string; listMutants?: boolean }) => {
+    if (options.listMutants === true) process.exitCode = listMutants();
+    else if (options.mutant !== undefined) process.exitCode = runMutant(options.mutant);
+    else process.exitCode = runAll();
+  });
+
+program.parse();
