Add gossip, facts, the probe budget and sliced table parsing

Cause: the fleet exchanged every record with random peers without a bound, kept members for ever, read the configuration service in a fixed second and had no facts and no probe budget. Change: MemberTable (incarnation and heartbeat rules, suspicion, removal, departed addresses, lagging VM list, pauses), FactStore, GossipBudget, MessageComposer and GossipAgent decide without I/O what is sent; src/node/fleet sends it. Messages carry heartbeats of other members as pairs of 32-bit identifier and count (7 bytes instead of about 70), because 22 full records in 1.5 KB cannot refresh 200 members in 5 s. ReadSchedule spreads the reads of the fleet. TableParser reports a missing table row together with other problems, no longer reports the servers of a faulty service row, and rejects max_connections below max_daemons, which would leave each daemon no connection. Ruled out: incarnations that are only random, since a daemon that never saw the earlier process cannot tell which of two records is old.

The demo waits 3 s, because the first reads after a start are spread over 1.25 s.

--- /dev/null
+++ b/src/common/membership/GossipAgent.test.ts
@@ -0,0 +1,136 @@
+import * as manualClock from '../ManualClock';
+import * as seededRandom from '../SeededRandom';
+import * as gossipAgent from './GossipAgent';
+import * as gossipBudget from './GossipBudget';
+import * as messageComposer from './MessageComposer';
+import type * as membershipTypes from './Types';
+
+function addressOf(index: number): string {
+  return `10.0.${Math.floor(index / 250)}.${index % 250}:7000`;
+}
+
+function record(index: number, heartbeat = 1): membershipTypes.IMember {
+  const base = { address: addressOf(index), incarnation: 5, heartbeat, failureDomain: 'domain-1' };
+  return { ...base, leaving: false, tableVersion: 1 };
+}
+
+function sizeOf(message: gossipAgent.IExchangeMessage): number {
+  const members = message.members.reduce(
+    (sum, member) => sum + messageComposer.sizeOfMember(member),
+    0,
+  );
+  return messageComposer.BASE_BYTES + members + message.heartbeats.length * 7;
+}
+
+function setUp(members = 0) {
+  const clock = new manualClock.ManualClock();
+  const table = { version: 3, hash: 'abc' };
+  const options = { address: '10.9.9.9:7000', failureDomain: 'a', incarnation: 50, sizeOf };
+  const agent = new gossipAgent.GossipAgent(
+    { ...options, tableState: () => table },
+    clock,
+    new seededRandom.SeededRandom(1),
+  );
+  for (let index = 0; index < members; index += 1) agent.members.merge(record(index));
+  return { clock, agent };
+}
+
+test('no second carries more than 8 KB, whatever peers and intervals ask for', () => {
+  const { clock, agent } = setUp(200);
+  const empty = agent.emptyMessage;
+  for (let second = 0; second < 10; second += 1) {
+    const before = agent.budget.totalBytes;
+    for (let step = 0; step < 10; step += 1) {
+      clock.advance(100);
+      agent.takeExchange();
+      agent.receive({ ...empty, sender: record(step, second * 10 + step) });
+    }
+    const limit = gossipBudget.BYTES_PER_SECOND + gossipBudget.BURST_BYTES;
+    expect(agent.budget.totalBytes - before).toBeLessThanOrEqual(limit);
+  }
+});
+
+test('a spent budget ends the exchanges of the interval, and refills', () => {
+  const { clock, agent } = setUp(5);
+  agent.budget.spend(gossipBudget.BURST_BYTES);
+  expect(agent.takeExchange()).toBeUndefined();
+  clock.advance(1_000);
+  expect(agent.takeExchange()).toBeDefined();
+});
+
+test('every record of 200 members is sent within 60 messages', () => {
+  const { clock, agent } = setUp(200);
+  const sent = new Set<string>();
+  for (let count = 0; count < 60; count += 1) {
+    clock.advance(500);
+    for (let index = 0; index < 200; index += 1) agent.members.merge(record(index, count + 2));
+    const message = agent.takeExchange()?.message;
+    expect(sizeOf(message as gossipAgent.IExchangeMessage)).toBeLessThanOrEqual(
+      messageComposer.MAX_MESSAGE_BYTES,
+    );
+    message?.members.forEach(({ address }) => sent.add(address));
+  }
+  expect(sent.size).toBe(200);
+});
+
+test('members without progress are not passed on', () => {
+  const { clock, agent } = setUp(3);
+  clock.advance(1_900);
+  agent.members.advance();
+  clock.advance(1_900);
+  agent.members.merge(record(1, 2));
+  clock.advance(1_900);
+  const message = agent.takeExchange()?.message;
+  expect(message?.members.map(({ address }) => address)).toEqual([addressOf(1)]);
+});
+
+test('a new urgent fact goes to 4 peers at once, and is forwarded once', () => {
+  const { clock, agent } = setUp(10);
+  const fact = { kind: 'draining', subject: 's', origin: 'o', sequence: 1, ageMs: 0 } as const;
+  const message = { ...agent.emptyMessage, sender: record(1), urgent: true };
+  let signals = 0;
+  agent.onUrgent(() => {
+    signals += 1;
+  });
+  const receive = (sequence: number) =>
+    agent.receive({ ...message, facts: [{ ...fact, sequence, lifetimeMs: 60_000, details: [] }] });
+  expect(receive(1).facts).toEqual([]);
+  const push = agent.takeUrgent();
+  expect(new Set(push?.targets).size).toBe(4);
+  expect(push?.message).toMatchObject({ urgent: true, facts: [{ subject: 's' }] });
+  clock.advance(1_000);
+  receive(1);
+  receive(2);
+  expect(signals).toBe(1);
+  expect(agent.takeUrgent()).toBeUndefined();
+  expect(agent.takeExchange()?.message.facts).toMatchObject([{ sequence: 2, ageMs: 0 }]);
+});
+
+test('facts that each daemon sees for itself wait for the regular exchange', () => {
+  const { agent } = setUp(10);
+  agent.facts.record({ kind: 'slow', subject: 's', lifetimeMs: 60_000, details: [] });
+  expect(agent.takeUrgent()).toBeUndefined();
+  expect(agent.takeExchange()?.message.facts).toHaveLength(1);
+});
+
+test('a daemon that leaves says so at once', () => {
+  const { agent } = setUp(10);
+  agent.leave();
+  expect(agent.takeUrgent()?.message.sender.leaving).toBe(true);
+});
+
+test('a process that looks older than its predecessor takes a higher incarnation', () => {
+  const { agent } = setUp(1);
+  agent.members.merge({ ...agent.ownRecord, incarnation: 60 });
+  expect(agent.takeExchange()?.message.sender.incarnation).toBe(61);
+});
+
+test('departed addresses are tried when no peer is left, so that a partition heals', () => {
+  const { clock, agent } = setUp(1);
+  for (let step = 0; step < 62; step += 1) {
+    clock.advance(500);
+    agent.members.advance();
+  }
+  expect(agent.members.peers).toEqual([]);
+  expect(agent.takeExchange()?.targets).toEqual([addressOf(0)]);
+});
--- /dev/null
+++ b/src/common/membership/GossipBudget.ts
@@ -0,0 +1,37 @@
+import type * as types from '../Types';
+
+/** Refill of the bucket. */
+export const BYTES_PER_SECOND = 6_144;
+/** Size of the bucket. No second carries more than the refill and a full bucket: 8 KB. */
+export const BURST_BYTES = 2_048;
+
+/** Bounds the bytes that a daemon sends to its peers (token bucket). */
+export class GossipBudget {
+  private tokens = BURST_BYTES;
+
+  private filledAtMs: number;
+
+  private spentBytes = 0;
+
+  public constructor(private readonly clock: types.IClock) {
+    this.filledAtMs = clock.monotonicMs();
+  }
+
+  /** Bytes that may be sent now. Below 0 after a reply that could not be withheld. */
+  public get availableBytes(): number {
+    const elapsedMs = this.clock.monotonicMs() - this.filledAtMs;
+    return Math.min(BURST_BYTES, this.tokens + (elapsedMs * BYTES_PER_SECOND) / 1_000);
+  }
+
+  /** Bytes sent since the start. */
+  public get totalBytes(): number {
+    return this.spentBytes;
+  }
+
+  /** Records that a message was sent. */
+  public spend(bytes: number): void {
+    this.tokens = this.availableBytes - bytes;
+    this.filledAtMs = this.clock.monotonicMs();
+    this.spentBytes += bytes;
+  }
+}
--- /dev/null
+++ b/src/common/membership/MemberTable.test.ts
@@ -0,0 +1,155 @@
+import * as manualClock from '../ManualClock';
+import * as memberRules from './MemberRules';
+import * as memberTable from './MemberTable';
+import type * as membershipTypes from './Types';
+
+const OWN = '10.0.0.1:7000';
+const OTHER = '10.0.0.2:7000';
+
+function record(change: Partial<membershipTypes.IMember> = {}): membershipTypes.IMember {
+  const base = { address: OTHER, incarnation: 5, heartbeat: 1, failureDomain: 'a' };
+  return { ...base, leaving: false, tableVersion: 1, ...change };
+}
+
+function setUp() {
+  const clock = new manualClock.ManualClock();
+  const table = new memberTable.MemberTable(OWN, clock);
+  const pass = (durationMs: number) => {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 500) {
+      clock.advance(500);
+      table.advance();
+    }
+  };
+  const state = () => table.statuses[0]?.state;
+  return { clock, table, pass, state };
+}
+
+test('a silent member is suspected after 5 s, removed after 30 s, remembered 10 minutes', () => {
+  const { table, pass, state } = setUp();
+  table.merge(record());
+  pass(4_500);
+  expect(state()).toBe('live');
+  pass(500);
+  expect(state()).toBe('suspected');
+  pass(24_500);
+  expect(table.count).toBe(2);
+  pass(500);
+  expect(table.count).toBe(1);
+  expect(table.isKnown(OTHER)).toBe(true);
+  pass(599_500);
+  expect(table.isKnown(OTHER)).toBe(true);
+  pass(500);
+  expect(table.isKnown(OTHER)).toBe(false);
+});
+
+test('a repeated heartbeat is no sign of life', () => {
+  const { table, pass, state } = setUp();
+  table.merge(record({ heartbeat: 9 }));
+  pass(4_000);
+  table.merge(record({ heartbeat: 9 }));
+  table.merge(record({ heartbeat: 8 }));
+  pass(1_000);
+  expect(state()).toBe('suspected');
+  table.merge(record({ heartbeat: 10 }));
+  expect(state()).toBe('live');
+});
+
+test('a late record of an old incarnation never replaces or revives a member', () => {
+  const { table, pass } = setUp();
+  table.merge(record({ incarnation: 6, heartbeat: 1 }));
+  table.merge(record({ incarnation: 5, heartbeat: 900 }));
+  expect(table.recordOf(OTHER)?.incarnation).toBe(6);
+  pass(31_000);
+  table.merge(record({ incarnation: 5, heartbeat: 901 }));
+  table.merge(record({ incarnation: 6, heartbeat: 1 }));
+  expect(table.count).toBe(1);
+  table.merge(record({ incarnation: 6, heartbeat: 2 }));
+  expect(table.count).toBe(2);
+});
+
+test('a restart is reported once and starts from the new record', () => {
+  const { table } = setUp();
+  const kinds: string[] = [];
+  table.onChanged(({ kind }) => kinds.push(kind));
+  table.merge(record({ heartbeat: 70, leaving: true, tableVersion: 8 }));
+  table.merge(record({ incarnation: 6, heartbeat: 1, tableVersion: 0 }));
+  table.merge(record({ incarnation: 6, heartbeat: 2, tableVersion: 0 }));
+  expect(kinds).toEqual(['joined', 'restarted']);
+  expect(table.recordOf(OTHER)).toMatchObject({ leaving: false, tableVersion: 0 });
+});
+
+test('a leaving member is no peer and is removed after 5 s of silence', () => {
+  const { table, pass } = setUp();
+  table.merge(record({ leaving: true }));
+  expect(table.peers).toEqual([]);
+  expect(table.statuses[0]?.state).toBe('leaving');
+  pass(5_000);
+  expect(table.count).toBe(1);
+});
+
+test('the VM list adds peers, and marks leaving daemons and backend servers', () => {
+  const { table } = setUp();
+  const vm = (address: string, role: 'daemon' | 'backend-server', state: 'live' | 'leaving') => ({
+    ...{ address, role, state },
+    failureDomain: 'a',
+  });
+  table.updateList({
+    revision: 1,
+    vms: [
+      vm(OWN, 'daemon', 'live'),
+      vm(OTHER, 'daemon', 'live'),
+      vm('10.0.0.3:7000', 'daemon', 'leaving'),
+      vm('10.0.9.1:8080', 'backend-server', 'leaving'),
+      vm('10.0.9.2:8080', 'backend-server', 'live'),
+    ],
+  });
+  expect(table.peers).toEqual([OTHER]);
+  expect([...table.leavingServers]).toEqual(['10.0.9.1:8080']);
+  // Daemons that were only listed may have been replaced already.
+  expect(table.count).toBe(1);
+  table.merge(record({ address: '10.0.0.4:7000' }));
+  table.updateList({ revision: 2, vms: [] });
+  expect(table.peers).toEqual(['10.0.0.4:7000']);
+});
+
+test('after a pause members are suspected, not removed, whether the pause is reported or not', () => {
+  const { clock, table, state } = setUp();
+  table.merge(record());
+  clock.pause(3_600_000);
+  table.advance();
+  expect(state()).toBe('suspected');
+  expect(table.count).toBe(2);
+  table.merge(record({ heartbeat: 2 }));
+  expect(state()).toBe('live');
+  table.markStale();
+  expect(state()).toBe('suspected');
+});
+
+test('heartbeats without records advance their member, except when two share an identifier', () => {
+  const { table, pass, state } = setUp();
+  table.merge(record());
+  const id = memberRules.identifierOf(record());
+  pass(6_000);
+  table.mergeHeartbeat(id, 1);
+  expect(state()).toBe('suspected');
+  table.mergeHeartbeat(id, 2);
+  expect(state()).toBe('live');
+  table.mergeHeartbeat(id + 1, 3);
+  expect(table.recordOf(OTHER)?.heartbeat).toBe(2);
+});
+
+test('records of this daemon are not members, but tell of an earlier process', () => {
+  const { table } = setUp();
+  table.merge(record({ address: OWN, incarnation: 77 }));
+  expect(table.count).toBe(1);
+  expect(table.reportedOwnIncarnation).toBe(77);
+});
+
+test('incarnations grow with the start time and stay exact', () => {
+  const first = memberRules.newIncarnation(new Date(1_800_000_000_000), 0.999);
+  const second = memberRules.newIncarnation(new Date(1_800_000_000_001), 0);
+  expect(second).toBeGreaterThan(first);
+  expect(Number.isSafeInteger(memberRules.newIncarnation(new Date(4_000_000_000_000), 0.999))).toBe(
+    true,
+  );
+});
--- /dev/null
+++ b/src/common/table/ReadSchedule.ts
@@ -0,0 +1,34 @@
+import type * as types from '../Types';
+
+/**
+ * Reads a second of the whole fleet that the interval aims at. The limit is 200 (a tenth of
+ * what the configuration service takes); the difference covers daemons that by chance read
+ * more in one second than in the next.
+ */
+const READS_PER_SECOND = 160;
+/** Shortest time between two reads of a daemon. Table and VM list alternate. */
+const SHORTEST_INTERVAL_MS = 500;
+/** Fleet size that is assumed before the first table tells it. */
+const ASSUMED_DAEMONS = 200;
+/** Jitter as a fraction of the interval. It only lengthens the interval. */
+const JITTER = 0.2;
+
+/** Time between the reads of one daemon, such that the fleet keeps to the rate limit. */
+export class ReadSchedule {
+  public constructor(private readonly random: types.IRandom) {}
+
+  /** Delay of the first read, so that daemons that start together do not read together. */
+  public firstDelayMs(): number {
+    return ReadSchedule.intervalMs(ASSUMED_DAEMONS) * this.random.next();
+  }
+
+  /** Delay from one read to the next, whether the read succeeded or not. */
+  public nextDelayMs(maxDaemons: number | undefined): number {
+    const intervalMs = ReadSchedule.intervalMs(maxDaemons ?? ASSUMED_DAEMONS);
+    return intervalMs * (1 + JITTER * this.random.next());
+  }
+
+  private static intervalMs(maxDaemons: number): number {
+    return Math.max(SHORTEST_INTERVAL_MS, (maxDaemons * 1_000) / READS_PER_SECOND);
+  }
+}
--- /dev/null
+++ b/src/common/table/TableDiff.ts
@@ -0,0 +1,80 @@
+import type * as tableTypes from './Types';
+
+/** One member that differs. Values are as a reader sees them. */
+export interface IMemberDifference {
+  readonly member: string;
+  readonly before: string;
+  readonly after: string;
+}
+
+/** One row that was added, removed or changed. */
+export interface IRowDifference {
+  readonly change: 'added' | 'removed' | 'changed';
+  readonly kind: 'service' | 'server';
+  readonly service: string;
+  /** Address of a server; absent for a service. */
+  readonly address?: string;
+  /** Empty unless the row was changed. */
+  readonly members: readonly IMemberDifference[];
+}
+
+/** What another table changes. */
+export interface ITableDifference {
+  readonly versions: { readonly before: number; readonly after: number };
+  readonly maxDaemons: { readonly before: number; readonly after: number };
+  /** Services in the order of their names, each followed by its servers. */
+  readonly rows: readonly IRowDifference[];
+}
+
+type Row = tableTypes.IServiceRow | tableTypes.IServerRow;
+type RowIdentity = Pick<IRowDifference, 'kind' | 'service' | 'address'>;
+
+function compareMembers(before: Row, after: Row): readonly IMemberDifference[] {
+  const values = after as unknown as Record<string, unknown>;
+  return Object.entries(before)
+    .filter(([member, value]) => values[member] !== value)
+    .map(([member, value]) => ({ member, before: `${value}`, after: `${values[member]}` }));
+}
+
+function compareRow(
+  identity: RowIdentity,
+  before: Row | undefined,
+  after: Row | undefined,
+): readonly IRowDifference[] {
+  if (before === undefined && after === undefined) return [];
+  if (before === undefined) return [{ change: 'added', ...identity, members: [] }];
+  if (after === undefined) return [{ change: 'removed', ...identity, members: [] }];
+  const members = compareMembers(before, after);
+  return members.length === 0 ? [] : [{ change: 'changed', ...identity, members }];
+}
+
+function compareServers(
+  service: string,
+  before: tableTypes.ITable,
+  after: tableTypes.ITable,
+): readonly IRowDifference[] {
+  const byAddress = (table: tableTypes.ITable) =>
+    new Map((table.servers.get(service) ?? []).map((server) => [server.address, server]));
+  const [previous, current] = [byAddress(before), byAddress(after)];
+  const addresses = [...new Set([...previous.keys(), ...current.keys()])];
+  return addresses.flatMap((address) =>
+    compareRow({ kind: 'server', service, address }, previous.get(address), current.get(address)),
+  );
+}
+
+/** Compares two tables row by row. */
+export function diffTables(before: tableTypes.ITable, after: tableTypes.ITable): ITableDifference {
+  const names = [...new Set([...before.services.keys(), ...after.services.keys()])].sort();
+  return {
+    versions: { before: before.version, after: after.version },
+    maxDaemons: { before: before.maxDaemons, after: after.maxDaemons },
+    rows: names.flatMap((service) => [
+      ...compareRow(
+        { kind: 'service', service },
+        before.services.get(service),
+        after.services.get(service),
+      ),
+      ...compareServers(service, before, after),
+    ]),
+  };
+}
--- a/src/common/table/TableHolder.ts
+++ b/src/common/table/TableHolder.ts
@@ -23,13 +23,19 @@
   /** Offers published text, and puts it in force if it is valid and newer. */
   public offer(text: string): tableTypes.TableOffer {
     if (text === this.tableInForce?.text) return { kind: 'unchanged' };
-    const parsed = tableParser.TableParser.parse(text);
-    if (!parsed.ok) return { kind: 'invalid', problems: parsed.error };
-    return this.offerTable(parsed.value);
+    return this.offerParsed(tableParser.TableParser.parse(text));
   }
 
-  private offerTable(table: tableTypes.ITable): tableTypes.TableOffer {
+  /** Offers the result of a parse that ran in slices. Other tables may have come first. */
+  public offerParsed(
+    parsed: types.Result<tableTypes.ITable, readonly tableTypes.ITableProblem[]>,
+  ): tableTypes.TableOffer {
+    if (!parsed.ok) return { kind: 'invalid', problems: parsed.error };
+    const table = parsed.value;
     const inForce = this.tableInForce;
+    if (table.hash === inForce?.hash && table.version === inForce.version) {
+      return { kind: 'unchanged' };
+    }
     if (inForce !== undefined && table.version < inForce.version) {
       const versions = { offeredVersion: table.version, versionInForce: inForce.version };
       return { kind: 'older', ...versions };
--- a/src/common/table/TableParser.ts
+++ b/src/common/table/TableParser.ts
@@ -1,5 +1,6 @@
 import * as crypto from 'node:crypto';
 
+import * as csvStream from 'csv-parse';
 import * as csv from 'csv-parse/sync';
 
 import type * as types from '../Types';
@@ -9,6 +10,27 @@
 /** Size limit of a value of the configuration service, in bytes. */
 export const MAX_TABLE_BYTES = 1024 * 1024;
 
+/** Rows checked, and characters split into cells, before other work gets its turn. */
+const SLICE_ROWS = 40;
+const SLICE_CHARACTERS = 4_096;
+
+const CSV_OPTIONS = {
+  bom: true,
+  info: true,
+  relax_column_count: true,
+  skip_empty_lines: true,
+  trim: true,
+} as const;
+
+type ParseResult = types.Result<tableTypes.ITable, readonly tableTypes.ITableProblem[]>;
+
+/** A row as the CSV library returns it. */
+interface ICsvRow {
+  /** Lines read up to the end of the row. */
+  readonly info: { readonly lines: number };
+  readonly record: readonly string[];
+}
+
 interface IRecord {
   readonly line: number;
   readonly cells: Readonly<Record<string, string>>;
@@ -22,24 +44,47 @@
 
   private readonly servers = new Map<string, tableTypes.IServerRow[]>();
 
+  /** Rows of kind service, also those with a problem, so that their servers report no other. */
+  private readonly serviceNames = new Set<string>();
+
+  /** Service and address of each server. */
+  private readonly serverKeys = new Set<string>();
+
   private header: { version: number; maxDaemons: number } | undefined;
 
+  private tableRows = 0;
+
   private constructor(private readonly text: string) {}
 
   /** Checks `text` and returns the table, or all problems in the order of their lines. */
-  public static parse(
+  public static parse(text: string): ParseResult {
+    const parser = new TableParser(text);
+    const records = parser.toRecords(parser.readRows());
+    records.forEach((record) => parser.readRow(record));
+    return parser.finish(records);
+  }
+
+  /**
+   * As `parse`, but returns to the event loop again and again, since a table at target size
+   * would hold up calls for 10 ms and more.
+   * @param pause Resolves when other work has had its turn.
+   */
+  public static async parseInSlices(
     text: string,
-  ): types.Result<tableTypes.ITable, readonly tableTypes.ITableProblem[]> {
-    return new TableParser(text).run();
+    pause: () => Promise<void>,
+  ): Promise<ParseResult> {
+    const parser = new TableParser(text);
+    const records = parser.toRecords(await parser.readRowsInSlices(pause));
+    for (let start = 0; start < records.length; start += SLICE_ROWS) {
+      records.slice(start, start + SLICE_ROWS).forEach((record) => parser.readRow(record));
+      await pause();
+    }
+    return parser.finish(records);
   }
 
-  private run(): types.Result<tableTypes.ITable, readonly tableTypes.ITableProblem[]> {
-    const records = this.readRecords();
-    records.forEach((record) => this.readRow(record));
+  private finish(records: readonly IRecord[]): ParseResult {
     this.checkReferences(records);
-    if (this.header === undefined && this.problems.length === 0) {
-      this.report(1, 'kind', '', 'one row of kind "table"');
-    }
+    if (this.tableRows === 0) this.report(1, 'kind', '', 'one row of kind "table"');
     if (this.problems.length > 0 || this.header === undefined) {
       return { ok: false, error: [...this.problems].sort((a, b) => a.line - b.line) };
     }
@@ -55,34 +100,56 @@
     };
   }
 
-  private readRecords(): IRecord[] {
-    if (Buffer.byteLength(this.text) > MAX_TABLE_BYTES) {
-      this.report(1, 'kind', `${Buffer.byteLength(this.text)} bytes`, 'at most 1048576 bytes');
-      return [];
-    }
-    let rows: { info: { lines: number }; record: string[] }[];
+  private readRows(): readonly ICsvRow[] {
+    if (this.isTooLong()) return [];
     try {
-      rows = csv.parse(this.text, {
-        bom: true,
-        info: true,
-        relax_column_count: true,
-        skip_empty_lines: true,
-        trim: true,
-      }) as unknown as { info: { lines: number }; record: string[] }[];
+      return csv.parse(this.text, CSV_OPTIONS) as unknown as ICsvRow[];
     } catch (error) {
-      this.report(1, '', (error as Error).message, 'comma-separated values');
-      return [];
+      return this.reportSyntax(error as Error);
+    }
+  }
+
+  private async readRowsInSlices(pause: () => Promise<void>): Promise<readonly ICsvRow[]> {
+    if (this.isTooLong()) return [];
+    const rows: ICsvRow[] = [];
+    const stream = csvStream.parse(CSV_OPTIONS);
+    let failure: Error | undefined;
+    stream.on('data', (row: ICsvRow) => rows.push(row));
+    stream.on('error', (error) => {
+      failure = error;
+    });
+    const closed = new Promise<void>((resolve) => {
+      stream.on('close', resolve);
+    });
+    for (let start = 0; start < this.text.length && !stream.destroyed; start += SLICE_CHARACTERS) {
+      stream.write(this.text.slice(start, start + SLICE_CHARACTERS));
+      await pause();
     }
-    const [head, ...body] = rows;
+    if (!stream.destroyed) stream.end();
+    await closed;
+    return failure === undefined ? rows : this.reportSyntax(failure);
+  }
+
+  private isTooLong(): boolean {
+    const bytes = Buffer.byteLength(this.text);
+    if (bytes <= MAX_TABLE_BYTES) return false;
+    this.report(1, 'kind', `${bytes} bytes`, `at most ${MAX_TABLE_BYTES} bytes`);
+    return true;
+  }
+
+  private reportSyntax(error: Error): [] {
+    const { lines } = error as Error & { lines?: number };
+    this.report(lines ?? 1, '', error.message, 'comma-separated values');
+    return [];
+  }
+
+  private toRecords([head, ...body]: readonly ICsvRow[]): readonly IRecord[] {
     const names = head?.record ?? [];
-    this.checkHeader(names);
+    if (this.problems.length === 0) this.checkHeader(names);
     return body.map((row) => ({ line: row.info.lines, cells: this.readCells(names, row) }));
   }
 
-  private readCells(
-    names: readonly string[],
-    row: { info: { lines: number }; record: string[] },
-  ): Record<string, string> {
+  private readCells(names: readonly string[], row: ICsvRow): Record<string, string> {
     if (row.record.length > names.length) {
       const extra = row.record.slice(names.length).join(',');
       this.report(row.info.lines, '', extra, `at most ${names.length} cells`);
@@ -104,6 +171,8 @@
 
   private readRow(record: IRecord): void {
     const kind = record.cells.kind ?? '';
+    if (kind === 'table') this.tableRows += 1;
+    if (kind === 'service') this.serviceNames.add(record.cells.name ?? '');
     if (!columns.isRowKind(kind)) {
       this.report(record.line, 'kind', kind, 'table, service or server');
       return;
@@ -136,11 +205,13 @@
   }
 
   private addServer(record: IRecord, server: tableTypes.IServerRow): void {
-    const siblings = this.servers.get(server.service) ?? [];
-    if (siblings.some((sibling) => sibling.address === server.address)) {
+    const key = `${server.service} ${server.address}`;
+    if (this.serverKeys.has(key)) {
       this.report(record.line, 'address', server.address, 'an address once for each service');
       return;
     }
+    this.serverKeys.add(key);
+    const siblings = this.servers.get(server.service) ?? [];
     siblings.push(server);
     this.servers.set(server.service, siblings);
   }
@@ -148,13 +219,27 @@
   private checkReferences(records: readonly IRecord[]): void {
     records.forEach((record) => {
       const { cells } = record;
-      if (cells.kind === 'server' && !this.services.has(cells.service ?? '')) {
-        this.report(record.line, 'service', cells.service ?? '', 'the name of a service row');
+      if (cells.kind === 'server') {
+        if (!this.serviceNames.has(cells.service ?? '')) {
+          this.report(record.line, 'service', cells.service ?? '', 'the name of a service row');
+        }
+        this.checkConnections(record);
       }
       if (cells.kind === 'service') this.checkBudget(record);
     });
   }
 
+  private checkConnections(record: IRecord): void {
+    const found = record.cells.max_connections ?? '';
+    const maxDaemons = this.header?.maxDaemons;
+    if (maxDaemons === undefined || !/^[1-9]\d*$/.test(found)) return;
+    // Each daemon may hold the quotient of the two, rounded down; 0 would exclude the server.
+    if (Number(found) < maxDaemons) {
+      const accepted = `at least max_daemons (${maxDaemons})`;
+      this.report(record.line, 'max_connections', found, accepted);
+    }
+  }
+
   private checkBudget(record: IRecord): void {
     const service = this.services.get(record.cells.name ?? '');
     const maxDaemons = this.header?.maxDaemons;
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -93,7 +93,7 @@
     vms.map((_, index) => startDaemon(index, folder, `http://127.0.0.1:${platformPort}`)),
   );
   await new Promise((resolve) => {
-    setTimeout(resolve, 1_500);
+    setTimeout(resolve, 3_000);
   });
   const summary: ISummary = {
     answered: 0,
--- /dev/null
+++ b/src/node/fleet/Messages.ts
@@ -0,0 +1,65 @@
+import type * as gossipAgent from '../../common/membership/GossipAgent';
+import type * as membershipTypes from '../../common/membership/Types';
+import * as peer from '../peer/generated/peer';
+
+const TO_WIRE: Record<membershipTypes.FactKind, peer.FactKind> = {
+  draining: peer.FactKind.FACT_KIND_DRAINING,
+  slow: peer.FactKind.FACT_KIND_SLOW,
+  refusing: peer.FactKind.FACT_KIND_REFUSING,
+  silent: peer.FactKind.FACT_KIND_SILENT,
+  'suspect-request': peer.FactKind.FACT_KIND_SUSPECT_REQUEST,
+  'keys-moved': peer.FactKind.FACT_KIND_KEYS_MOVED,
+};
+
+const FROM_WIRE = new Map(
+  Object.entries(TO_WIRE).map(([kind, wire]) => [wire, kind as membershipTypes.FactKind]),
+);
+
+/** Converts a message to its form on the network. */
+export function toWire(message: gossipAgent.IExchangeMessage): peer.ExchangeRequest {
+  return {
+    sender: message.sender,
+    tableVersion: message.table.version,
+    tableHash: message.table.hash,
+    members: [...message.members],
+    facts: message.facts.map((fact) => ({
+      ...fact,
+      kind: TO_WIRE[fact.kind],
+      details: [...fact.details],
+    })),
+    heartbeatIds: message.heartbeats.map(({ id }) => id),
+    heartbeats: message.heartbeats.map(({ heartbeat }) => heartbeat),
+    urgent: message.urgent,
+  };
+}
+
+/** Facts of a kind that this version does not know are left out. */
+function factsOf(records: readonly peer.FactRecord[]): membershipTypes.IFact[] {
+  return records.flatMap((record) => {
+    const kind = FROM_WIRE.get(record.kind);
+    return kind === undefined ? [] : [{ ...record, kind }];
+  });
+}
+
+/** Converts a message or a reply from its form on the network. Undefined without a sender. */
+export function fromWire(
+  received: Omit<peer.ExchangeRequest, 'urgent'> & { readonly urgent?: boolean },
+): gossipAgent.IExchangeMessage | undefined {
+  if (received.sender === undefined || received.sender.address === '') return undefined;
+  return {
+    sender: received.sender,
+    table: { version: received.tableVersion, hash: received.tableHash },
+    members: received.members,
+    heartbeats: received.heartbeatIds.map((id, index) => ({
+      id,
+      heartbeat: received.heartbeats[index] ?? 0,
+    })),
+    facts: factsOf(received.facts),
+    urgent: received.urgent ?? false,
+  };
+}
+
+/** Bytes of the encoded message. The framing of HTTP/2 and TCP is not included. */
+export function sizeOf(message: gossipAgent.IExchangeMessage): number {
+  return peer.ExchangeRequest.encode(toWire(message)).finish().length;
+}
