--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -3,6 +3,7 @@
 import * as callCoordinator from '../common/call/CallCoordinator';
 import * as serviceBalancer from '../common/call/ServiceBalancer';
 import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
+import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
 import * as httpTransport from './dispatch/HttpTransport';
@@ -23,6 +24,8 @@
 
   private readonly transport: httpTransport.HttpTransport;
 
+  private readonly suspicion: requestSuspicion.RequestSuspicion;
+
   private readonly callers: callerServer.CallerServer;
 
   private readonly peers: peerServer.PeerServer;
@@ -37,6 +40,7 @@
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
   ) {
+    this.suspicion = new requestSuspicion.RequestSuspicion(clock);
     this.fleet = new fleetModule.Fleet(options, this.peerClient, logger, clock, random);
     this.transport = new httpTransport.HttpTransport(clock);
     const { balancers, fleet } = this;
@@ -47,7 +51,7 @@
         },
         balancerOf: (service) => balancers.get(service),
       },
-      new callCoordinator.CallCoordinator(this.transport, clock),
+      new callCoordinator.CallCoordinator(this.transport, this.suspicion, clock),
       clock,
     );
     this.peers = new peerServer.PeerServer({
@@ -79,14 +83,14 @@
     [...this.balancers.keys()]
       .filter((name) => !table.services.has(name))
       .forEach((name) => this.balancers.delete(name));
-    table.services.forEach((_service, name) => {
+    table.services.forEach((service, name) => {
       const balancer =
         this.balancers.get(name) ??
         new serviceBalancer.ServiceBalancer(
           new leastInFlightPolicy.LeastInFlightPolicy(this.random),
           this.clock,
         );
-      balancer.update(table.servers.get(name) ?? []);
+      balancer.update(table, service);
       this.balancers.set(name, balancer);
     });
     this.logger.info({ tableVersion: table.version }, 'table in force');
