Add the virtual-time bench, the baseline policies and the probing policy

Cause: nothing measured the choice of a backend server. Change: an event-driven simulation with 17 daemons (ServiceBalancer, CallCoordinator, policy) on a heap-based clock, simulated servers and network, 13 scenarios, an oracle, the command `bench`, policies random, round-robin, two-choices, probing (Prequal's rules) and a first load-aware policy, and a Prober that sends probes under a budget.

The work of a call is drawn with its arrival and is the same for every attempt, so that a hedge cannot draw a shorter one. An unanswered call counts with its deadline in every quantile.

--- /dev/null
+++ b/src/bench/virtual/Companies.ts
@@ -0,0 +1,34 @@
+import type * as benchTypes from './Types';
+
+/** One-way latency within a failure domain, for both companies. */
+const NEAR_MS = 0.25;
+const DAEMONS = 17;
+const FAILURE_DOMAINS = 3;
+
+/** The prompt idempotent reads of each company, at the sizes of design section 1.7. */
+export const COMPANIES: ReadonlyMap<string, benchTypes.ICompany> = new Map(
+  [
+    {
+      name: 'ogunleye',
+      service: 'status-tracking',
+      servers: 10,
+      slots: 3,
+      maxConnections: 200,
+      daemons: DAEMONS,
+      failureDomains: FAILURE_DOMAINS,
+      nearMs: NEAR_MS,
+      farMs: 1.5,
+    },
+    {
+      name: 'gulf-crescent',
+      service: 'failure-domain-board',
+      servers: 14,
+      slots: 4,
+      maxConnections: 250,
+      daemons: DAEMONS,
+      failureDomains: FAILURE_DOMAINS,
+      nearMs: NEAR_MS,
+      farMs: 1,
+    },
+  ].map((company) => [company.name, company]),
+);
--- /dev/null
+++ b/src/bench/virtual/Recorder.ts
@@ -0,0 +1,96 @@
+import type * as callTypes from '../../common/call/Types';
+import type * as simulatedTransport from './SimulatedTransport';
+import type * as benchTypes from './Types';
+
+/** Size of a probe and its reply on the network, headers of HTTP and TCP included (estimate). */
+const PROBE_BYTES = 600;
+
+function quantile(sorted: Float64Array, fraction: number): number {
+  const index = Math.min(sorted.length - 1, Math.ceil(fraction * sorted.length) - 1);
+  return Number((sorted[Math.max(0, index)] ?? 0).toFixed(3));
+}
+
+/** Probes in the busiest second, whichever moment it begins at. */
+function maxInOneSecond(timesMs: readonly number[]): number {
+  let first = 0;
+  let most = 0;
+  timesMs.forEach((atMs, index) => {
+    while ((timesMs[first] as number) <= atMs - 1_000) first += 1;
+    most = Math.max(most, index - first + 1);
+  });
+  return most;
+}
+
+/** Collects what became of the calls of one run. */
+export class Recorder {
+  public readonly traffic: simulatedTransport.ITraffic = {
+    attempts: 0,
+    leafAttempts: 0,
+    probeTimesMs: [],
+  };
+
+  private readonly latencies: number[] = [];
+
+  private calls = 0;
+
+  private answered = 0;
+
+  private refusedNotRun = 0;
+
+  private late = 0;
+
+  private answeredLate = 0;
+
+  /** Records the outcome of a call that counts in the figures. */
+  public record(
+    call: callTypes.ICall,
+    startedMs: number,
+    endedMs: number,
+    outcome: callTypes.CallOutcome,
+  ): void {
+    this.calls += 1;
+    const isAnswered = outcome.kind === 'answered';
+    // An unanswered call counts as the whole deadline, so that failing fast improves no quantile.
+    this.latencies.push((isAnswered ? endedMs : call.deadlineMs) - startedMs);
+    if (isAnswered) {
+      this.answered += 1;
+      if (endedMs > call.deadlineMs) this.answeredLate += 1;
+    } else if (outcome.kind === 'not-run' && outcome.reason !== 'deadline-before-dispatch') {
+      this.refusedNotRun += 1;
+    } else {
+      this.late += 1;
+    }
+  }
+
+  public result(
+    window: { readonly fromMs: number; readonly toMs: number },
+    daemons: number,
+    allCalls: number,
+    depth: number,
+    probeBudgetPerSecond: number | null,
+  ): benchTypes.IRunResult {
+    const latenciesMs = Float64Array.from(this.latencies).sort();
+    const { probeTimesMs, attempts, leafAttempts } = this.traffic;
+    const isMeasured = (atMs: number): boolean => atMs >= window.fromMs && atMs < window.toMs;
+    const probes = probeTimesMs.filter(isMeasured).length;
+    const probesPerSecond = (probes / (window.toMs - window.fromMs)) * 1_000;
+    const round = (value: number): number => Number(value.toFixed(4));
+    const figures = {
+      calls: this.calls,
+      answered: this.answered,
+      refusedNotRun: this.refusedNotRun,
+      late: this.late,
+      answeredLate: this.answeredLate,
+      p50Ms: quantile(latenciesMs, 0.5),
+      p99Ms: quantile(latenciesMs, 0.99),
+      p999Ms: quantile(latenciesMs, 0.999),
+      probesPerSecond: round(probesPerSecond),
+      maxProbesInOneSecond: maxInOneSecond(probeTimesMs),
+      probeBudgetPerSecond,
+      probesPerAnsweredCall: round(probes / Math.max(1, this.answered)),
+      attemptsPerCall: round((depth > 1 ? leafAttempts : attempts) / Math.max(1, allCalls)),
+      controlBytesPerSecond: round((probesPerSecond * PROBE_BYTES) / daemons),
+    };
+    return { figures, latenciesMs };
+  }
+}
--- /dev/null
+++ b/src/bench/virtual/Scenarios.ts
@@ -0,0 +1,158 @@
+import type * as simulatedServer from './SimulatedServer';
+import type * as benchTypes from './Types';
+
+/** Time after which a moving disturbance chooses other servers. */
+const MOVE_MS = 2_000;
+const AFFECTED_FRACTION = 0.1;
+const STRAGGLER_SPEED = 1 / 20;
+const BURST_EVERY_MS = 60;
+const BURST_MIN_MS = 5;
+const BURST_MAX_MS = 50;
+const BURST_SPEED = 1 / 10;
+const DAWN_AT_MS = 10_000;
+const DAWN_RISE_MS = 1_000;
+
+function every(world: benchTypes.IWorld, intervalMs: number, action: () => void): void {
+  world.clock.setTimer(intervalMs, () => {
+    action();
+    every(world, intervalMs, action);
+  });
+}
+
+function pick(
+  world: benchTypes.IWorld,
+  fraction: number,
+): readonly simulatedServer.SimulatedServer[] {
+  const rest = [...world.servers];
+  const count = Math.max(1, Math.round(rest.length * fraction));
+  return Array.from({ length: count }, () => {
+    const [taken] = rest.splice(world.random.nextInteger(rest.length), 1);
+    return taken as simulatedServer.SimulatedServer;
+  });
+}
+
+/** Applies `enter` to other servers every two seconds, and `leave` to the servers before. */
+function move(
+  world: benchTypes.IWorld,
+  fraction: number,
+  enter: (server: simulatedServer.SimulatedServer) => void,
+  leave: (server: simulatedServer.SimulatedServer) => void,
+): void {
+  let affected: readonly simulatedServer.SimulatedServer[] = [];
+  every(world, MOVE_MS, () => {
+    affected.forEach(leave);
+    affected = pick(world, fraction);
+    affected.forEach(enter);
+  });
+}
+
+function burst(world: benchTypes.IWorld): void {
+  const [server] = pick(world, 1 / world.servers.length);
+  const durationMs = BURST_MIN_MS + world.random.next() * (BURST_MAX_MS - BURST_MIN_MS);
+  server?.setSpeed(BURST_SPEED);
+  world.clock.setTimer(durationMs, () => server?.setSpeed(1));
+}
+
+function lie(world: benchTypes.IWorld): void {
+  move(
+    world,
+    AFFECTED_FRACTION,
+    (server) => {
+      server.setReportMode('idle');
+      server.setSpeed(STRAGGLER_SPEED);
+    },
+    (server) => {
+      server.setSpeed(1);
+      server.setReportMode('frozen');
+    },
+  );
+}
+
+function dawnLoadAt(nowMs: number): number {
+  const risen = Math.min(1, Math.max(0, (nowMs - DAWN_AT_MS) / DAWN_RISE_MS));
+  return 0.1 + 0.9 * risen;
+}
+
+const ALL: readonly benchTypes.IScenario[] = [
+  { name: 'steady', busy: 0.75 },
+  { name: 'dawn', busy: 0.8, loadAt: dawnLoadAt },
+  {
+    name: 'straggler',
+    busy: 0.6,
+    disturb: (world) =>
+      move(
+        world,
+        AFFECTED_FRACTION,
+        (server) => server.setSpeed(STRAGGLER_SPEED),
+        (server) => server.setSpeed(1),
+      ),
+  },
+  {
+    name: 'noisy',
+    busy: 0.5,
+    disturb: (world) => every(world, BURST_EVERY_MS, () => burst(world)),
+  },
+  {
+    name: 'fastfail',
+    busy: 0.6,
+    disturb: (world) =>
+      move(
+        world,
+        AFFECTED_FRACTION,
+        (server) => Object.assign(server, { refusing: true }),
+        (server) => Object.assign(server, { refusing: false }),
+      ),
+  },
+  // The slow servers report no load, and every server that was slow reports its past load for ever.
+  { name: 'lying', busy: 0.6, disturb: lie },
+  {
+    name: 'drain',
+    busy: 0.6,
+    disturb: (world) =>
+      move(
+        world,
+        AFFECTED_FRACTION,
+        (server) => Object.assign(server, { draining: true }),
+        (server) => Object.assign(server, { draining: false }),
+      ),
+  },
+  { name: 'batch', busy: 0.7, longLoad: 0.3 },
+  {
+    name: 'partition',
+    busy: 0.25,
+    disturb: (world) => {
+      every(world, 8_000, () => {
+        world.isolate(world.servers[0]?.row.failureDomain);
+        world.clock.setTimer(MOVE_MS, () => world.isolate(undefined));
+      });
+    },
+  },
+  { name: 'crasher', busy: 0.5, crasherEveryMs: 4_000 },
+  {
+    name: 'silent',
+    busy: 0.6,
+    disturb: (world) =>
+      every(world, MOVE_MS, () =>
+        pick(world, AFFECTED_FRACTION).forEach((server) =>
+          world.silenceConnections(server.row.address),
+        ),
+      ),
+  },
+  {
+    name: 'restart',
+    busy: 0.6,
+    disturb: (world) => {
+      let index = 0;
+      every(world, 500, () => {
+        world.replaceDaemon(index % world.company.daemons);
+        index += 1;
+      });
+    },
+  },
+  { name: 'deep', busy: 0.5, depth: 14 },
+];
+
+/** The scenarios by name. */
+export const SCENARIOS: ReadonlyMap<string, benchTypes.IScenario> = new Map(
+  ALL.map((scenario) => [scenario.name, scenario]),
+);
--- /dev/null
+++ b/src/bench/virtual/SimulatedNetwork.ts
@@ -0,0 +1,70 @@
+import type * as callTypes from '../../common/call/Types';
+import type * as simulatedServer from './SimulatedServer';
+import type * as benchTypes from './Types';
+
+/** Starts a nested call of `call`, and reports whether it failed. */
+export type NestedRunner = (
+  call: benchTypes.ISimulatedCall,
+  onEnd: (failed: boolean) => void,
+) => void;
+
+/** The servers and the network between them and the daemons. */
+export class SimulatedNetwork {
+  public runNestedCall: NestedRunner | undefined;
+
+  private isolated: string | undefined;
+
+  private readonly byAddress: ReadonlyMap<string, simulatedServer.SimulatedServer>;
+
+  private readonly onTheWay = new Map<string, number>();
+
+  public constructor(
+    private readonly company: benchTypes.ICompany,
+    private readonly depth: number,
+    public readonly servers: readonly simulatedServer.SimulatedServer[],
+  ) {
+    this.byAddress = new Map(servers.map((server) => [server.row.address, server]));
+  }
+
+  public serverAt(address: string): simulatedServer.SimulatedServer {
+    const server = this.byAddress.get(address);
+    if (server === undefined) throw new Error(`no simulated server at ${address}`);
+    return server;
+  }
+
+  public latencyMs(from: string, to: string): number {
+    return from === to ? this.company.nearMs : this.company.farMs;
+  }
+
+  /** Whether the link between two failure domains drops everything. */
+  public isCut(from: string, to: string): boolean {
+    return from !== to && (from === this.isolated || to === this.isolated);
+  }
+
+  public isolate(failureDomain: string | undefined): void {
+    this.isolated = failureDomain;
+  }
+
+  /** Whether the call is the innermost one of a chain, which the servers refuse. */
+  public isLeaf(call: callTypes.ICall): boolean {
+    return this.depth > 1 && call.depth === this.depth - 1;
+  }
+
+  public runNested(call: benchTypes.ISimulatedCall, onEnd: (failed: boolean) => void): void {
+    if (this.depth <= 1 || this.runNestedCall === undefined) onEnd(false);
+    else this.runNestedCall(call, onEnd);
+  }
+
+  /** Requests sent to the server that have not reached it. Only the oracle may ask. */
+  public onTheWayTo(address: string): number {
+    return this.onTheWay.get(address) ?? 0;
+  }
+
+  public sent(address: string): void {
+    this.onTheWay.set(address, this.onTheWayTo(address) + 1);
+  }
+
+  public arrived(address: string): void {
+    this.onTheWay.set(address, this.onTheWayTo(address) - 1);
+  }
+}
--- /dev/null
+++ b/src/bench/virtual/SimulatedServer.ts
@@ -0,0 +1,138 @@
+import type * as policyTypes from '../../common/policy/Types';
+import type * as tableTypes from '../../common/table/Types';
+import type * as types from '../../common/Types';
+
+/** What a server states about its load: the truth, its load at one moment, or no load at all. */
+export type ReportMode = 'true' | 'frozen' | 'idle';
+
+/** Why a job ended. */
+export type JobEnd = 'done' | 'crashed';
+
+interface Job {
+  remainingMs: number;
+  updatedAtMs: number;
+  timer: types.IDisposable | undefined;
+  readonly crashes: boolean;
+  readonly onEnd: (end: JobEnd) => void;
+}
+
+/** A simulated backend server: slots, a FIFO queue, and a speed that changes under way. */
+export class SimulatedServer {
+  public refusing = false;
+
+  public draining = false;
+
+  private speed = 1;
+
+  private down = false;
+
+  private frozen: policyTypes.ILoadReport | undefined;
+
+  private mode: ReportMode = 'true';
+
+  private readonly running = new Set<Job>();
+
+  private queue: Job[] = [];
+
+  public constructor(
+    public readonly row: tableTypes.IServerRow,
+    private readonly clock: types.IClock,
+  ) {}
+
+  public get accepts(): boolean {
+    return !this.refusing && !this.draining && !this.down;
+  }
+
+  public get isDown(): boolean {
+    return this.down;
+  }
+
+  public get relativeSpeed(): number {
+    return this.speed;
+  }
+
+  /** Requests that run or wait. */
+  public get load(): number {
+    return this.running.size + this.queue.length;
+  }
+
+  public get report(): policyTypes.ILoadReport {
+    const truth = {
+      inFlight: this.running.size,
+      queued: this.queue.length,
+      draining: this.draining,
+    };
+    if (this.mode === 'frozen') return { ...(this.frozen ?? truth), draining: this.draining };
+    if (this.mode === 'idle') return { inFlight: 0, queued: 0, draining: this.draining };
+    return truth;
+  }
+
+  public setReportMode(mode: ReportMode): void {
+    this.mode = 'true';
+    this.frozen = this.report;
+    this.mode = mode;
+  }
+
+  /** Sets the speed relative to normal, for running work too. */
+  public setSpeed(speed: number): void {
+    this.running.forEach((job) => this.settle(job));
+    this.speed = speed;
+    this.running.forEach((job) => this.arm(job));
+  }
+
+  /** Accepts work. The returned function cancels it, whether it waits or runs. */
+  public submit(workMs: number, crashes: boolean, onEnd: (end: JobEnd) => void): () => void {
+    const updatedAtMs = this.clock.monotonicMs();
+    const job: Job = { remainingMs: workMs, updatedAtMs, timer: undefined, crashes, onEnd };
+    this.queue.push(job);
+    this.startNext();
+    return () => this.remove(job);
+  }
+
+  /** Breaks all work, and stays down for `durationMs`. */
+  public crash(durationMs: number): void {
+    const lost = [...this.running, ...this.queue];
+    this.running.forEach((job) => job.timer?.dispose());
+    this.running.clear();
+    this.queue = [];
+    this.down = true;
+    this.clock.setTimer(durationMs, () => {
+      this.down = false;
+    });
+    lost.forEach((job) => job.onEnd('crashed'));
+  }
+
+  private startNext(): void {
+    while (this.running.size < this.row.slots && this.queue.length > 0) {
+      const job = this.queue.shift() as Job;
+      this.running.add(job);
+      this.arm(job);
+    }
+  }
+
+  private arm(job: Job): void {
+    Object.assign(job, { updatedAtMs: this.clock.monotonicMs() });
+    job.timer?.dispose();
+    const timer = this.clock.setTimer(job.remainingMs / this.speed, () => this.finish(job));
+    Object.assign(job, { timer });
+  }
+
+  private settle(job: Job): void {
+    const nowMs = this.clock.monotonicMs();
+    const doneMs = (nowMs - job.updatedAtMs) * this.speed;
+    Object.assign(job, { remainingMs: Math.max(0, job.remainingMs - doneMs), updatedAtMs: nowMs });
+  }
+
+  private finish(job: Job): void {
+    this.running.delete(job);
+    this.startNext();
+    job.onEnd('done');
+  }
+
+  private remove(job: Job): void {
+    job.timer?.dispose();
+    this.running.delete(job);
+    this.queue = this.queue.filter((other) => other !== job);
+    this.startNext();
+  }
+}
--- /dev/null
+++ b/src/cli/commands/bench.ts
@@ -0,0 +1,109 @@
+import * as fs from 'node:fs/promises';
+
+import * as commander from 'commander';
+
+import * as companies from '../../bench/virtual/Companies';
+import * as comparison from '../../bench/virtual/Comparison';
+import * as report from '../../bench/virtual/Report';
+import * as scenarios from '../../bench/virtual/Scenarios';
+import type * as simulation from '../../bench/virtual/Simulation';
+import * as policyFactory from '../../common/policy/PolicyFactory';
+
+const DEFAULT_DURATION_SECONDS = 30;
+const DEFAULT_PROBES_PER_SECOND = 170;
+
+interface BenchFlags {
+  readonly seed: number;
+  readonly policy: string;
+  readonly company: string;
+  readonly seconds: number;
+  readonly probes: number;
+  readonly virtual?: boolean;
+  readonly report?: string;
+}
+
+function write(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function writeTable(result: comparison.IComparison): void {
+  const header = ['policy', 'answered', 'notRun', 'late', 'p50Ms', 'p99Ms', 'p999Ms', 'probes/s'];
+  const pad = (cells: readonly (string | number)[]): string =>
+    cells
+      .map((cell, index) => (index === 0 ? String(cell).padEnd(16) : String(cell).padStart(10)))
+      .join('');
+  write(pad(header));
+  result.results.forEach(({ figures }, name) => {
+    const { answered, refusedNotRun, late, p50Ms, p99Ms, p999Ms, probesPerSecond } = figures;
+    write(pad([name, answered, refusedNotRun, late, p50Ms, p99Ms, p999Ms, probesPerSecond]));
+  });
+}
+
+async function writeReport(
+  path: string,
+  options: simulation.ISimulationOptions,
+  result: comparison.IComparison,
+): Promise<void> {
+  const title = `${options.scenario.name}, ${options.company.name}, seed ${options.seed}`;
+  const drawing = report.drawSvg({
+    title: `Share of calls slower than a latency: ${title}`,
+    xName: 'latency (ms)',
+    yName: 'share of calls',
+    xType: 'log',
+    yType: 'log',
+    curves: [...result.results].map(([name, run]) => report.tailCurve(name, run.latenciesMs)),
+  });
+  const content = path.endsWith('.svg') ? drawing : report.toHtml(title, [drawing]);
+  await fs.writeFile(path, content);
+}
+
+async function bench(scenarioName: string, flags: BenchFlags): Promise<void> {
+  const scenario = scenarios.SCENARIOS.get(scenarioName);
+  const company = companies.COMPANIES.get(flags.company);
+  if (scenario === undefined || company === undefined) throw new Error('unknown scenario');
+  const options = {
+    scenario,
+    company,
+    policy: flags.policy,
+    seed: flags.seed,
+    durationMs: flags.seconds * 1_000,
+    probesPerSecond: flags.probes,
+  };
+  const result = comparison.compare(options);
+  writeTable(result);
+  if (flags.report !== undefined) await writeReport(flags.report, options, result);
+  write(JSON.stringify(comparison.toJson(options, result)));
+}
+
+function toNumber(text: string): number {
+  const value = Number(text);
+  if (!Number.isFinite(value) || value < 0) {
+    throw new commander.InvalidArgumentError('expected a number that is not negative');
+  }
+  return value;
+}
+
+/** Adds the command `bench`. */
+export function register(program: commander.Command): void {
+  const scenario = new commander.Argument('<scenario>', 'load and faults to run').choices([
+    ...scenarios.SCENARIOS.keys(),
+  ]);
+  const policy = new commander.Option('--policy <name>', 'policy to compare')
+    .choices([...policyFactory.POLICY_NAMES, 'oracle'])
+    .default('load-aware');
+  const company = new commander.Option('--company <name>', 'sizes of the fleet')
+    .choices([...companies.COMPANIES.keys()])
+    .default('ogunleye');
+  program
+    .command('bench')
+    .description('Measure the choice of a backend server against baselines and an oracle')
+    .addArgument(scenario)
+    .option('--seed <n>', 'seed of load, faults and choices', toNumber, 1)
+    .addOption(policy)
+    .option('--virtual', 'run on a virtual clock (the only kind at present)')
+    .addOption(company)
+    .option('--seconds <n>', 'virtual seconds of load', toNumber, DEFAULT_DURATION_SECONDS)
+    .option('--probes <n>', 'probes per second of the fleet', toNumber, DEFAULT_PROBES_PER_SECOND)
+    .option('--report <file>', 'write curves as an SVG or HTML page')
+    .action(bench);
+}
--- /dev/null
+++ b/src/common/policy/PolicyFactory.ts
@@ -0,0 +1,29 @@
+import type * as types from '../Types';
+import * as leastInFlightPolicy from './LeastInFlightPolicy';
+import * as loadAwarePolicy from './LoadAwarePolicy';
+import * as probingPolicy from './ProbingPolicy';
+import * as randomPolicy from './RandomPolicy';
+import * as roundRobinPolicy from './RoundRobinPolicy';
+import type * as selectionPolicy from './SelectionPolicy';
+import * as twoChoicesPolicy from './TwoChoicesPolicy';
+
+type Factory = (random: types.IRandom) => selectionPolicy.SelectionPolicy;
+
+const FACTORIES: ReadonlyMap<string, Factory> = new Map<string, Factory>([
+  ['random', (random) => new randomPolicy.RandomPolicy(random)],
+  ['round-robin', (random) => new roundRobinPolicy.RoundRobinPolicy(random)],
+  ['two-choices', (random) => new twoChoicesPolicy.TwoChoicesPolicy(random)],
+  ['least-in-flight', (random) => new leastInFlightPolicy.LeastInFlightPolicy(random)],
+  ['probing', (random) => new probingPolicy.ProbingPolicy(random)],
+  ['load-aware', (random) => new loadAwarePolicy.LoadAwarePolicy(random)],
+]);
+
+/** The names that settings accept, the default last. */
+export const POLICY_NAMES: readonly string[] = [...FACTORIES.keys()];
+
+/** Creates the policy of that name. Settings are checked before, so another name is a fault. */
+export function createPolicy(name: string, random: types.IRandom): selectionPolicy.SelectionPolicy {
+  const factory = FACTORIES.get(name);
+  if (factory === undefined) throw new Error(`unknown selection policy: ${name}`);
+  return factory(random);
+}
--- a/src/common/policy/Types.ts
+++ b/src/common/policy/Types.ts
@@ -36,3 +36,18 @@
   readonly service: string;
   readonly address: string;
 }
+
+/** The right to send one probe. Exactly one of its methods is called, once. */
+export interface IProbePermit {
+  /** The reply to the probe arrived. */
+  replied(): void;
+  /** No usable reply arrived in time. */
+  timedOut(): void;
+}
+
+/** The daemon's share of a service's measuring budget. */
+export interface IProbeBudget {
+  readonly hasFree: boolean;
+  /** Takes a permit, or returns undefined if none is free. */
+  take(): IProbePermit | undefined;
+}
