--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -51,9 +51,11 @@
   /** Fires with the address of a server that this daemon found draining; to be shared. */
   public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
 
+  /** @param ejects Whether servers that fail are ejected. The bench runs its baselines without. */
   public constructor(
     private readonly policy: selectionPolicy.SelectionPolicy,
     private readonly clock: types.IClock,
+    private readonly ejects = true,
   ) {
     this.ejector = new ejector.Ejector(clock);
     this.retryBudget = new ratioBudget.RatioBudget(0, clock);
@@ -132,7 +134,7 @@
       this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
       this.ejector.recordSuccess(state.address);
     } else if (result === 'failed' || result === 'refused') {
-      this.ejector.recordFailure(state.address);
+      if (this.ejects) this.ejector.recordFailure(state.address);
     } else if (result === 'timed-out') {
       this.limit.recordTimeout();
     }
