Bench: services of their own for long reads and failing leaves; stall and mixed

Cause: the bench did not build against retries, hedges and suspicion, and nested calls ran on the servers under test, so that their ejection hid the retries.

--- a/src/bench/virtual/Arrivals.ts
+++ b/src/bench/virtual/Arrivals.ts
@@ -45,11 +45,13 @@
     const long = atMs === this.nextLongMs;
     const crashes = atMs === this.nextCrasherMs;
     const daemon = this.random.nextInteger(this.company.daemons);
-    const workMs = exponential(this.random, long ? MEAN_LONG_MS : MEAN_WORK_MS);
+    const worksMs = Array.from({ length: this.scenario.depth ?? 1 }, () =>
+      exponential(this.random, long ? MEAN_LONG_MS : MEAN_WORK_MS),
+    );
     if (crashes) this.nextCrasherMs = this.crasherAfter(atMs);
     else if (long) this.nextLongMs = atMs + exponential(this.random, this.longGapMs);
     else this.nextPromptMs = atMs + this.promptGap();
-    return { atMs, daemon, workMs, long, crashes };
+    return { atMs, daemon, worksMs, long, crashes };
   }
 
   /** A caller repeats a crashing call after 100 ms, three times in a row. */
--- a/src/bench/virtual/BenchTable.ts
+++ b/src/bench/virtual/BenchTable.ts
@@ -1,7 +1,14 @@
 import type * as tableTypes from '../../common/table/Types';
 import type * as benchTypes from './Types';
 
-const DEADLINE_MS = 2_000;
+/** Service of the long reads, where they are a service of their own. */
+export const LONG_SERVICE = 'historic-records';
+/** Service that the innermost call of a chain goes to. Its servers refuse everything. */
+export const FAILING_SERVICE = 'failing-leaf';
+
+const PROMPT_DEADLINE_MS = 2_000;
+const LEISURE_DEADLINE_MS = 10_000;
+const FAILING_SERVERS = 4;
 const HEDGE_FRACTION = 0.05;
 const RETRY_FRACTION = 0.1;
 const MAX_BYTES = 1_000_000;
@@ -11,37 +18,62 @@
   return `domain-${(index % company.failureDomains) + 1}`;
 }
 
-function serviceRow(company: benchTypes.ICompany, probesPerSecond: number): tableTypes.IServiceRow {
+function serviceRow(name: string, workClass: tableTypes.WorkClass): tableTypes.IServiceRow {
   return {
-    name: company.service,
-    workClass: 'prompt',
+    name,
+    workClass,
     idempotent: true,
     requestKey: 'none',
-    deadlineMs: DEADLINE_MS,
-    probesPerSecond,
-    hedgeFraction: HEDGE_FRACTION,
+    deadlineMs: workClass === 'prompt' ? PROMPT_DEADLINE_MS : LEISURE_DEADLINE_MS,
+    probesPerSecond: 0,
+    hedgeFraction: 0,
     retryFraction: RETRY_FRACTION,
     maxRequestBytes: MAX_BYTES,
     maxAnswerBytes: MAX_BYTES,
   };
 }
 
-/** The table of a simulated fleet: one service of the company. */
-export function tableOf(company: benchTypes.ICompany, probesPerSecond: number): tableTypes.ITable {
-  const rows = Array.from({ length: company.servers }, (_item, index) => ({
-    service: company.service,
-    address: `10.0.0.${index + 1}:8080`,
+function serverRows(
+  service: string,
+  company: benchTypes.ICompany,
+  network: number,
+  count: number,
+): readonly tableTypes.IServerRow[] {
+  return Array.from({ length: count }, (_item, index) => ({
+    service,
+    address: `10.0.${network}.${index + 1}:8080`,
     failureDomain: domainOf(index, company),
     weight: 1,
     slots: company.slots,
     maxConnections: company.maxConnections,
   }));
+}
+
+/** The table of a simulated fleet: the service measured, and those that the scenario adds. */
+export function tableOf(
+  company: benchTypes.ICompany,
+  scenario: benchTypes.IScenario,
+  probesPerSecond: number,
+  hedged: boolean,
+): tableTypes.ITable {
+  const { service } = company;
+  const hedgeFraction = hedged ? HEDGE_FRACTION : 0;
+  const rows = [{ ...serviceRow(service, 'prompt'), probesPerSecond, hedgeFraction }];
+  const servers = new Map([[service, serverRows(service, company, 0, company.servers)]]);
+  if (scenario.longService === true) {
+    rows.push(serviceRow(LONG_SERVICE, 'leisure'));
+    servers.set(LONG_SERVICE, serverRows(LONG_SERVICE, company, 0, company.servers));
+  }
+  if (scenario.depth !== undefined) {
+    rows.push({ ...serviceRow(FAILING_SERVICE, 'prompt'), hedgeFraction });
+    servers.set(FAILING_SERVICE, serverRows(FAILING_SERVICE, company, 1, FAILING_SERVERS));
+  }
   return {
     version: 1,
     hash: 'bench',
     maxDaemons: company.daemons,
-    services: new Map([[company.service, serviceRow(company, probesPerSecond)]]),
-    servers: new Map([[company.service, rows]]),
+    services: new Map(rows.map((row) => [row.name, row])),
+    servers,
     text: '',
   };
 }
--- a/src/bench/virtual/Comparison.test.ts
+++ b/src/bench/virtual/Comparison.test.ts
@@ -4,7 +4,7 @@
 import * as simulation from './Simulation';
 import type * as benchTypes from './Types';
 
-function optionsOf(scenario: string, policy: string, seed = 1): simulation.ISimulationOptions {
+function optionsOf(scenario: string, policy: string, seed = 1): benchTypes.ISimulationOptions {
   return {
     scenario: scenarios.SCENARIOS.get(scenario) as benchTypes.IScenario,
     company: companies.COMPANIES.get('ogunleye') as benchTypes.ICompany,
@@ -12,6 +12,7 @@
     seed,
     durationMs: 5_000,
     probesPerSecond: 170,
+    allFeatures: false,
   };
 }
 
--- a/src/bench/virtual/Comparison.ts
+++ b/src/bench/virtual/Comparison.ts
@@ -31,7 +31,7 @@
 }
 
 /** Runs every policy of the comparison on the same calls and faults. */
-export function compare(options: simulation.ISimulationOptions): IComparison {
+export function compare(options: benchTypes.ISimulationOptions): IComparison {
   const names = [...new Set([options.policy, 'probing', 'oracle', ...BASELINES])];
   const results = new Map(
     names.map((policy) => [policy, new simulation.Simulation({ ...options, policy }).run()]),
@@ -47,7 +47,7 @@
 }
 
 /** The comparison as one JSON value, for the last line of the output. */
-export function toJson(options: simulation.ISimulationOptions, comparison: IComparison): object {
+export function toJson(options: benchTypes.ISimulationOptions, comparison: IComparison): object {
   const { results, policy, bestBaseline, p99Ratio, gapClosed } = comparison;
   return {
     scenario: options.scenario.name,
--- a/src/bench/virtual/Exchange.ts
+++ b/src/bench/virtual/Exchange.ts
@@ -73,7 +73,7 @@
       this.reply(() => this.end({ kind: 'not-sent', detail: 'connection refused' }));
       return;
     }
-    if (!this.server.accepts || this.network.isLeaf(this.call)) {
+    if (!this.server.accepts) {
       const { report } = this.server;
       this.reply(() => {
         this.listener.onLoadReport(report);
--- a/src/bench/virtual/Recorder.ts
+++ b/src/bench/virtual/Recorder.ts
@@ -66,8 +66,8 @@
     window: { readonly fromMs: number; readonly toMs: number },
     daemons: number,
     allCalls: number,
-    depth: number,
-    probeBudgetPerSecond: number | null,
+    nesting: 'single' | 'nested',
+    budget: { readonly probesPerSecond: number | null },
   ): benchTypes.IRunResult {
     const latenciesMs = Float64Array.from(this.latencies).sort();
     const { probeTimesMs, attempts, leafAttempts } = this.traffic;
@@ -86,9 +86,11 @@
       p999Ms: quantile(latenciesMs, 0.999),
       probesPerSecond: round(probesPerSecond),
       maxProbesInOneSecond: maxInOneSecond(probeTimesMs),
-      probeBudgetPerSecond,
+      probeBudgetPerSecond: budget.probesPerSecond,
       probesPerAnsweredCall: round(probes / Math.max(1, this.answered)),
-      attemptsPerCall: round((depth > 1 ? leafAttempts : attempts) / Math.max(1, allCalls)),
+      attemptsPerCall: round(
+        (nesting === 'nested' ? leafAttempts : attempts) / Math.max(1, allCalls),
+      ),
       controlBytesPerSecond: round((probesPerSecond * PROBE_BYTES) / daemons),
     };
     return { figures, latenciesMs };
--- a/src/bench/virtual/Scenarios.ts
+++ b/src/bench/virtual/Scenarios.ts
@@ -9,6 +9,7 @@
 const BURST_MIN_MS = 5;
 const BURST_MAX_MS = 50;
 const BURST_SPEED = 1 / 10;
+const DRAIN_EVERY_MS = 5_000;
 const DAWN_AT_MS = 10_000;
 const DAWN_RISE_MS = 1_000;
 
@@ -47,12 +48,28 @@
 }
 
 function burst(world: benchTypes.IWorld): void {
+  const [server] = pick(world, 1 / world.servers.length);
+  const durationMs = BURST_MIN_MS + world.random.next() * (BURST_MAX_MS - BURST_MIN_MS);
+  server?.setSpeedOfNewWork(BURST_SPEED);
+  world.clock.setTimer(durationMs, () => server?.setSpeedOfNewWork(1));
+}
+
+function stall(world: benchTypes.IWorld): void {
   const [server] = pick(world, 1 / world.servers.length);
   const durationMs = BURST_MIN_MS + world.random.next() * (BURST_MAX_MS - BURST_MIN_MS);
   server?.setSpeed(BURST_SPEED);
   world.clock.setTimer(durationMs, () => server?.setSpeed(1));
 }
 
+function drain(world: benchTypes.IWorld): void {
+  const [server] = pick(world, 1 / world.servers.length);
+  if (server === undefined) return;
+  server.draining = true;
+  world.clock.setTimer(MOVE_MS, () => {
+    server.draining = false;
+  });
+}
+
 function lie(world: benchTypes.IWorld): void {
   move(
     world,
@@ -87,11 +104,18 @@
         (server) => server.setSpeed(1),
       ),
   },
+  // As in the model of design section 5.2: work that starts in a burst is slow to its end.
   {
     name: 'noisy',
     busy: 0.5,
     disturb: (world) => every(world, BURST_EVERY_MS, () => burst(world)),
   },
+  // As noisy, but all work is slow during the burst, and none after it.
+  {
+    name: 'stall',
+    busy: 0.5,
+    disturb: (world) => every(world, BURST_EVERY_MS, () => stall(world)),
+  },
   {
     name: 'fastfail',
     busy: 0.6,
@@ -108,15 +132,11 @@
   {
     name: 'drain',
     busy: 0.6,
-    disturb: (world) =>
-      move(
-        world,
-        AFFECTED_FRACTION,
-        (server) => Object.assign(server, { draining: true }),
-        (server) => Object.assign(server, { draining: false }),
-      ),
+    disturb: (world) => every(world, DRAIN_EVERY_MS, () => drain(world)),
   },
-  { name: 'batch', busy: 0.7, longLoad: 0.3 },
+  { name: 'batch', busy: 0.7, longLoad: 0.3, longService: true },
+  // As batch, but the long reads belong to the same service, so that daemons cannot tell them apart.
+  { name: 'mixed', busy: 0.7, longLoad: 0.3 },
   {
     name: 'partition',
     busy: 0.25,
--- a/src/bench/virtual/SimulatedDaemon.ts
+++ b/src/bench/virtual/SimulatedDaemon.ts
@@ -4,33 +4,60 @@
 import * as prober from '../../common/policy/Prober';
 import type * as selectionPolicy from '../../common/policy/SelectionPolicy';
 import type * as policyTypes from '../../common/policy/Types';
+import * as requestSuspicion from '../../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
 import type * as simulatedTransport from './SimulatedTransport';
 
+/** What a daemon needs for each service. */
+export interface IServiceParts {
+  createPolicy(service: tableTypes.IServiceRow): selectionPolicy.SelectionPolicy;
+  createBudget(service: tableTypes.IServiceRow): policyTypes.IProbeBudget;
+}
+
+interface IService {
+  readonly balancer: serviceBalancer.ServiceBalancer;
+  readonly prober: prober.Prober;
+}
+
 /** One daemon process of the virtual bench: the product's own classes on a simulated transport. */
 export class SimulatedDaemon {
-  private readonly balancer: serviceBalancer.ServiceBalancer;
+  public readonly suspicion: requestSuspicion.RequestSuspicion;
 
-  private readonly coordinator: callCoordinator.CallCoordinator;
+  private readonly services = new Map<string, IService>();
 
-  private readonly prober: prober.Prober;
+  private readonly coordinator: callCoordinator.CallCoordinator;
 
   public constructor(
     public readonly transport: simulatedTransport.SimulatedTransport,
-    policy: selectionPolicy.SelectionPolicy,
-    budget: policyTypes.IProbeBudget,
-    rows: readonly tableTypes.IServerRow[],
+    parts: IServiceParts,
+    table: tableTypes.ITable,
+    ejects: boolean,
     clock: types.IClock,
   ) {
-    this.balancer = new serviceBalancer.ServiceBalancer(policy, clock);
-    this.balancer.update(rows);
-    this.coordinator = new callCoordinator.CallCoordinator(transport, clock);
-    this.prober = new prober.Prober(this.balancer, policy, budget, transport, clock);
+    this.suspicion = new requestSuspicion.RequestSuspicion(clock);
+    this.coordinator = new callCoordinator.CallCoordinator(transport, this.suspicion, clock);
+    table.services.forEach((service) => {
+      const policy = parts.createPolicy(service);
+      const balancer = new serviceBalancer.ServiceBalancer(policy, clock, ejects);
+      const budget = parts.createBudget(service);
+      balancer.update(table, service);
+      this.services.set(service.name, {
+        balancer,
+        prober: new prober.Prober(balancer, policy, budget, transport, clock),
+      });
+    });
+  }
+
+  /** The balancers of all services. */
+  public get balancers(): readonly serviceBalancer.ServiceBalancer[] {
+    return [...this.services.values()].map(({ balancer }) => balancer);
   }
 
   public start(call: callTypes.ICall, onOutcome: (outcome: callTypes.CallOutcome) => void): void {
-    this.coordinator.start(call, this.balancer, onOutcome);
-    this.prober.onCall();
+    const service = this.services.get(call.service.name);
+    if (service === undefined) throw new Error(`unknown service ${call.service.name}`);
+    this.coordinator.start(call, service.balancer, onOutcome);
+    service.prober.onCall();
   }
 }
--- a/src/bench/virtual/SimulatedNetwork.ts
+++ b/src/bench/virtual/SimulatedNetwork.ts
@@ -1,4 +1,3 @@
-import type * as callTypes from '../../common/call/Types';
 import type * as simulatedServer from './SimulatedServer';
 import type * as benchTypes from './Types';
 
@@ -20,7 +19,6 @@
 
   public constructor(
     private readonly company: benchTypes.ICompany,
-    private readonly depth: number,
     public readonly servers: readonly simulatedServer.SimulatedServer[],
   ) {
     this.byAddress = new Map(servers.map((server) => [server.row.address, server]));
@@ -45,13 +43,8 @@
     this.isolated = failureDomain;
   }
 
-  /** Whether the call is the innermost one of a chain, which the servers refuse. */
-  public isLeaf(call: callTypes.ICall): boolean {
-    return this.depth > 1 && call.depth === this.depth - 1;
-  }
-
   public runNested(call: benchTypes.ISimulatedCall, onEnd: (failed: boolean) => void): void {
-    if (this.depth <= 1 || this.runNestedCall === undefined) onEnd(false);
+    if (call.nestedWorkMs.length === 0 || this.runNestedCall === undefined) onEnd(false);
     else this.runNestedCall(call, onEnd);
   }
 
--- a/src/bench/virtual/SimulatedServer.test.ts
+++ b/src/bench/virtual/SimulatedServer.test.ts
@@ -11,7 +11,9 @@
   readonly server: simulatedServer.SimulatedServer;
 } {
   const clock = new heapClock.HeapClock();
-  const row = benchTable.tableOf(company, 0).servers.get(company.service)?.[0];
+  const row = benchTable
+    .tableOf(company, { name: 'test', busy: 0 }, 0, false)
+    .servers.get(company.service)?.[0];
   if (row === undefined) throw new Error('no row');
   return { clock, server: new simulatedServer.SimulatedServer({ ...row, slots }, clock) };
 }
--- a/src/bench/virtual/SimulatedServer.ts
+++ b/src/bench/virtual/SimulatedServer.ts
@@ -10,6 +10,7 @@
 
 interface Job {
   remainingMs: number;
+  speed: number;
   updatedAtMs: number;
   timer: types.IDisposable | undefined;
   readonly crashes: boolean;
@@ -22,6 +23,7 @@
 
   public draining = false;
 
+  /** Speed of work that starts now. */
   private speed = 1;
 
   private down = false;
@@ -77,13 +79,25 @@
   public setSpeed(speed: number): void {
     this.running.forEach((job) => this.settle(job));
     this.speed = speed;
-    this.running.forEach((job) => this.arm(job));
+    this.running.forEach((job) => this.arm(job, speed));
+  }
+
+  /** Sets the speed for work that starts from now on. Running work keeps its speed to its end. */
+  public setSpeedOfNewWork(speed: number): void {
+    this.speed = speed;
   }
 
   /** Accepts work. The returned function cancels it, whether it waits or runs. */
   public submit(workMs: number, crashes: boolean, onEnd: (end: JobEnd) => void): () => void {
     const updatedAtMs = this.clock.monotonicMs();
-    const job: Job = { remainingMs: workMs, updatedAtMs, timer: undefined, crashes, onEnd };
+    const job: Job = {
+      remainingMs: workMs,
+      speed: this.speed,
+      updatedAtMs,
+      timer: undefined,
+      crashes,
+      onEnd,
+    };
     this.queue.push(job);
     this.startNext();
     return () => this.remove(job);
@@ -106,20 +120,19 @@
     while (this.running.size < this.row.slots && this.queue.length > 0) {
       const job = this.queue.shift() as Job;
       this.running.add(job);
-      this.arm(job);
+      this.arm(job, this.speed);
     }
   }
 
-  private arm(job: Job): void {
-    Object.assign(job, { updatedAtMs: this.clock.monotonicMs() });
+  private arm(job: Job, speed: number): void {
     job.timer?.dispose();
-    const timer = this.clock.setTimer(job.remainingMs / this.speed, () => this.finish(job));
-    Object.assign(job, { timer });
+    const timer = this.clock.setTimer(job.remainingMs / speed, () => this.finish(job));
+    Object.assign(job, { timer, speed, updatedAtMs: this.clock.monotonicMs() });
   }
 
   private settle(job: Job): void {
     const nowMs = this.clock.monotonicMs();
-    const doneMs = (nowMs - job.updatedAtMs) * this.speed;
+    const doneMs = (nowMs - job.updatedAtMs) * job.speed;
     Object.assign(job, { remainingMs: Math.max(0, job.remainingMs - doneMs), updatedAtMs: nowMs });
   }
 
--- a/src/bench/virtual/SimulatedTransport.ts
+++ b/src/bench/virtual/SimulatedTransport.ts
@@ -2,6 +2,7 @@
 import type * as policyTypes from '../../common/policy/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
+import * as benchTable from './BenchTable';
 import * as exchange from './Exchange';
 import type * as simulatedNetwork from './SimulatedNetwork';
 import type * as benchTypes from './Types';
@@ -39,7 +40,7 @@
     const reused = pool.pop();
     const connection = reused ?? { silent: false };
     this.traffic.attempts += 1;
-    if (this.network.isLeaf(call)) this.traffic.leafAttempts += 1;
+    if (row.service === benchTable.FAILING_SERVICE) this.traffic.leafAttempts += 1;
     const running = new exchange.Exchange(
       call as benchTypes.ISimulatedCall,
       this.failureDomain,
--- a/src/bench/virtual/Simulation.ts
+++ b/src/bench/virtual/Simulation.ts
@@ -1,43 +1,28 @@
 import type * as callTypes from '../../common/call/Types';
-import * as policyFactory from '../../common/policy/PolicyFactory';
-import type * as selectionPolicy from '../../common/policy/SelectionPolicy';
-import type * as policyTypes from '../../common/policy/Types';
 import * as seededRandom from '../../common/SeededRandom';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
 import * as arrivals from './Arrivals';
 import * as benchTable from './BenchTable';
+import * as daemonFactory from './DaemonFactory';
 import * as heapClock from './HeapClock';
-import * as oraclePolicy from './OraclePolicy';
-import * as permitBudget from './PermitBudget';
 import * as recorder from './Recorder';
-import * as simulatedDaemon from './SimulatedDaemon';
+import type * as simulatedDaemon from './SimulatedDaemon';
 import * as simulatedNetwork from './SimulatedNetwork';
 import * as simulatedServer from './SimulatedServer';
-import * as simulatedTransport from './SimulatedTransport';
 import type * as benchTypes from './Types';
 
 /** Calls that start earlier warm the estimates up and are not measured. */
 const WARM_UP_MS = 3_000;
-const DEADLINE_MS = 2_000;
-
-/** What to simulate. */
-export interface ISimulationOptions {
-  readonly scenario: benchTypes.IScenario;
-  readonly company: benchTypes.ICompany;
-  readonly policy: string;
-  readonly seed: number;
-  /** Time during which calls arrive, the warm-up included. */
-  readonly durationMs: number;
-  /** Probes per second of the fleet. Without effect for policies that have no budget. */
-  readonly probesPerSecond: number;
-}
+/** Time for a fact to reach all daemons: two exchanges between failure domains. */
+const FACT_DELAY_MS = 3;
 
 /** Streams that differ in purpose, so that a policy's draws change neither load nor faults. */
 enum Stream {
   Arrivals = 1,
   Faults = 2,
   Policies = 3,
+  Nested = 4,
 }
 
 function randomOf(seed: number, stream: Stream): types.IRandom {
@@ -60,30 +45,44 @@
 
   private readonly network: simulatedNetwork.SimulatedNetwork;
 
+  private readonly factory: daemonFactory.DaemonFactory;
+
   private readonly daemons: simulatedDaemon.SimulatedDaemon[];
 
   private readonly table: tableTypes.ITable;
 
   private readonly recorder = new recorder.Recorder();
 
-  private readonly policyRandom: types.IRandom;
-
-  private readonly depth: number;
+  private readonly nestedRandom: types.IRandom;
 
   private callCount = 0;
 
   private allCalls = 0;
 
-  public constructor(private readonly options: ISimulationOptions) {
+  public constructor(private readonly options: benchTypes.ISimulationOptions) {
     const { company, scenario, seed } = options;
     this.company = company;
-    this.depth = scenario.depth ?? 1;
     this.random = randomOf(seed, Stream.Faults);
-    this.policyRandom = randomOf(seed, Stream.Policies);
-    this.table = benchTable.tableOf(company, options.probesPerSecond);
-    this.servers = this.rows.map((row) => new simulatedServer.SimulatedServer(row, this.clock));
-    this.network = new simulatedNetwork.SimulatedNetwork(company, this.depth, this.servers);
+    this.nestedRandom = randomOf(seed, Stream.Nested);
+    this.table = benchTable.tableOf(
+      company,
+      scenario,
+      options.probesPerSecond,
+      daemonFactory.isProduct(options),
+    );
+    this.servers = this.createServers(company.service);
+    const failing = this.createServers(benchTable.FAILING_SERVICE);
+    failing.forEach((server) => Object.assign(server, { refusing: true }));
+    this.network = new simulatedNetwork.SimulatedNetwork(company, [...this.servers, ...failing]);
     this.network.runNestedCall = (call, onEnd) => this.runNested(call, onEnd);
+    this.factory = new daemonFactory.DaemonFactory(
+      options,
+      this.table,
+      this.network,
+      this.clock,
+      randomOf(seed, Stream.Policies),
+      this.recorder.traffic,
+    );
     this.daemons = Array.from({ length: company.daemons }, (_item, index) =>
       this.createDaemon(index),
     );
@@ -94,14 +93,12 @@
     const source = new arrivals.Arrivals(scenario, this.company, randomOf(seed, Stream.Arrivals));
     scenario.disturb?.(this);
     this.scheduleNext(source);
-    this.clock.runUntil(durationMs + DEADLINE_MS);
-    return this.recorder.result(
-      { fromMs: WARM_UP_MS, toMs: durationMs },
-      this.company.daemons,
-      this.allCalls,
-      this.depth,
-      this.isBudgeted ? this.options.probesPerSecond : null,
-    );
+    this.clock.runUntil(durationMs + this.serviceOf(this.company.service).deadlineMs);
+    const nesting = scenario.depth === undefined ? 'single' : 'nested';
+    const window = { fromMs: WARM_UP_MS, toMs: durationMs };
+    return this.recorder.result(window, this.company.daemons, this.allCalls, nesting, {
+      probesPerSecond: daemonFactory.isBudgeted(this.options) ? this.options.probesPerSecond : null,
+    });
   }
 
   public isolate(failureDomain: string | undefined): void {
@@ -116,44 +113,32 @@
     this.daemons[index] = this.createDaemon(index);
   }
 
-  private get rows(): readonly tableTypes.IServerRow[] {
-    return this.table.servers.get(this.company.service) ?? [];
-  }
-
-  private get isBudgeted(): boolean {
-    return this.options.policy !== 'probing';
+  private createServers(service: string): readonly simulatedServer.SimulatedServer[] {
+    const rows = this.table.servers.get(service) ?? [];
+    return rows.map((row) => new simulatedServer.SimulatedServer(row, this.clock));
   }
 
   private createDaemon(index: number): simulatedDaemon.SimulatedDaemon {
-    const failureDomain = benchTable.domainOf(index, this.company);
-    const { network, clock } = this;
-    const transport = new simulatedTransport.SimulatedTransport(
-      failureDomain,
-      network,
-      clock,
-      this.recorder.traffic,
-    );
-    const policy = this.createPolicy(failureDomain);
-    return new simulatedDaemon.SimulatedDaemon(
-      transport,
-      policy,
-      this.createBudget(),
-      this.rows,
-      clock,
+    const daemon = this.factory.create(benchTable.domainOf(index, this.company));
+    // Daemons push facts to each other immediately.
+    const share = (merge: (peer: simulatedDaemon.SimulatedDaemon) => void): void => {
+      this.clock.setTimer(FACT_DELAY_MS, () =>
+        this.daemons.filter((peer) => peer !== daemon).forEach(merge),
+      );
+    };
+    daemon.suspicion.onLoss((loss) => share((peer) => peer.suspicion.merge(loss, FACT_DELAY_MS)));
+    daemon.balancers.forEach((balancer, position) =>
+      balancer.onDraining((address) =>
+        share((peer) => peer.balancers[position]?.mergeDraining(address)),
+      ),
     );
+    return daemon;
   }
 
-  private createPolicy(failureDomain: string): selectionPolicy.SelectionPolicy {
-    if (this.options.policy === 'oracle') {
-      return new oraclePolicy.OraclePolicy(this.network, failureDomain, this.policyRandom);
-    }
-    return policyFactory.createPolicy(this.options.policy, this.policyRandom);
-  }
-
-  private createBudget(): policyTypes.IProbeBudget {
-    if (!this.isBudgeted) return new permitBudget.UnlimitedBudget();
-    const share = Math.floor(this.options.probesPerSecond / this.company.daemons);
-    return new permitBudget.PermitBudget(share, this.clock);
+  private serviceOf(name: string): tableTypes.IServiceRow {
+    const service = this.table.services.get(name);
+    if (service === undefined) throw new Error(`no service ${name} in the table of the bench`);
+    return service;
   }
 
   private scheduleNext(source: arrivals.Arrivals): void {
@@ -167,31 +152,39 @@
 
   private receive(arrival: benchTypes.IArrival): void {
     const startedMs = this.clock.monotonicMs();
-    const call = this.callOf(arrival.workMs, arrival.crashes, 0, startedMs + DEADLINE_MS);
-    const isMeasured = startedMs >= WARM_UP_MS && !arrival.long && !arrival.crashes;
+    const { long, crashes, worksMs } = arrival;
+    const isOwnService = long && this.options.scenario.longService === true;
+    const service = this.serviceOf(isOwnService ? benchTable.LONG_SERVICE : this.company.service);
+    const call = this.createCall(service, worksMs, crashes, 0, startedMs + service.deadlineMs);
+    const isMeasured = startedMs >= WARM_UP_MS && !long && !crashes;
     this.allCalls += 1;
     this.daemons[arrival.daemon]?.start(call, (outcome) => {
-      if (!isMeasured) return;
-      this.recorder.record(call, startedMs, this.clock.monotonicMs(), outcome);
+      if (isMeasured) this.recorder.record(call, startedMs, this.clock.monotonicMs(), outcome);
     });
   }
 
-  private runNested(call: benchTypes.ISimulatedCall, onEnd: (failed: boolean) => void): void {
-    const inner = this.callOf(call.workMs, false, call.depth + 1, call.deadlineMs);
-    const daemon = this.daemons[this.random.nextInteger(this.daemons.length)];
-    daemon?.start(inner, (outcome) => onEnd(isFailure(outcome)));
+  private runNested(outer: benchTypes.ISimulatedCall, onEnd: (failed: boolean) => void): void {
+    const isLeaf = outer.nestedWorkMs.length === 1;
+    const service = this.serviceOf(isLeaf ? benchTable.FAILING_SERVICE : this.company.service);
+    const depth = outer.depth + 1;
+    const inner = this.createCall(service, outer.nestedWorkMs, false, depth, outer.deadlineMs);
+    const daemon = this.daemons[this.nestedRandom.nextInteger(this.daemons.length)];
+    const { retriesSpent } = outer;
+    daemon?.start({ ...inner, retriesSpent }, (outcome) => onEnd(isFailure(outcome)));
   }
 
-  private callOf(
-    workMs: number,
+  private createCall(
+    service: tableTypes.IServiceRow,
+    worksMs: readonly number[],
     crashes: boolean,
     depth: number,
     deadlineMs: number,
   ): benchTypes.ISimulatedCall {
     this.callCount += 1;
+    const [workMs = 0, ...nestedWorkMs] = worksMs;
     return {
       requestId: `call-${this.callCount}`,
-      service: this.table.services.get(this.company.service) as tableTypes.IServiceRow,
+      service,
       table: this.table,
       method: 'GET',
       path: '/',
@@ -202,6 +195,7 @@
       retriesSpent: 0,
       fingerprint: crashes ? 'crasher' : `call-${this.callCount}`,
       workMs,
+      nestedWorkMs,
       crashes,
     };
   }
--- a/src/bench/virtual/Types.ts
+++ b/src/bench/virtual/Types.ts
@@ -21,6 +21,8 @@
 export interface ISimulatedCall extends callTypes.ICall {
   /** Time that the call takes on a server of normal speed. The same for every attempt. */
   readonly workMs: number;
+  /** Work of the calls nested in this one, the outermost first. */
+  readonly nestedWorkMs: readonly number[];
   /** Whether each server that runs the call crashes. */
   readonly crashes: boolean;
 }
@@ -30,7 +32,8 @@
   readonly atMs: number;
   /** Index of the daemon that receives it. */
   readonly daemon: number;
-  readonly workMs: number;
+  /** Work of the call itself, then of the calls nested in it. */
+  readonly worksMs: readonly number[];
   /** Whether it is a long read, which the figures leave out. */
   readonly long: boolean;
   readonly crashes: boolean;
@@ -59,9 +62,11 @@
   loadAt?(nowMs: number): number;
   /** Fraction of the offered load that is long reads. */
   readonly longLoad?: number;
+  /** Whether the long reads are a service of their own, of class leisure, on the same servers. */
+  readonly longService?: boolean;
   /** Time between calls that crash servers. */
   readonly crasherEveryMs?: number;
-  /** Number of nested calls of each call, the first included. The last one is refused. */
+  /** Number of nested calls of each call, the first included. The last one goes to a failing service. */
   readonly depth?: number;
   disturb?(world: IWorld): void;
 }
@@ -91,3 +96,20 @@
   /** Latencies of all measured calls in ascending order; unanswered ones count as the deadline. */
   readonly latenciesMs: Float64Array;
 }
+
+/** What to simulate. */
+export interface ISimulationOptions {
+  readonly scenario: IScenario;
+  readonly company: ICompany;
+  readonly policy: string;
+  readonly seed: number;
+  /** Time during which calls arrive, the warm-up included. */
+  readonly durationMs: number;
+  /** Probes per second of the fleet. Without effect for policies that have no budget. */
+  readonly probesPerSecond: number;
+  /**
+   * Whether the policies compared with also hedge and eject servers. Without it they are the
+   * choice of a server alone, with retries. The default policy always runs with all features.
+   */
+  readonly allFeatures: boolean;
+}
--- a/src/cli/commands/bench.ts
+++ b/src/cli/commands/bench.ts
@@ -6,7 +6,7 @@
 import * as comparison from '../../bench/virtual/Comparison';
 import * as report from '../../bench/virtual/Report';
 import * as scenarios from '../../bench/virtual/Scenarios';
-import type * as simulation from '../../bench/virtual/Simulation';
+import type * as benchTypes from '../../bench/virtual/Types';
 import * as policyFactory from '../../common/policy/PolicyFactory';
 
 const DEFAULT_DURATION_SECONDS = 30;
@@ -19,6 +19,7 @@
   readonly seconds: number;
   readonly probes: number;
   readonly virtual?: boolean;
+  readonly allFeatures?: boolean;
   readonly report?: string;
 }
 
@@ -41,7 +42,7 @@
 
 async function writeReport(
   path: string,
-  options: simulation.ISimulationOptions,
+  options: benchTypes.ISimulationOptions,
   result: comparison.IComparison,
 ): Promise<void> {
   const title = `${options.scenario.name}, ${options.company.name}, seed ${options.seed}`;
@@ -68,6 +69,7 @@
     seed: flags.seed,
     durationMs: flags.seconds * 1_000,
     probesPerSecond: flags.probes,
+    allFeatures: flags.allFeatures === true,
   };
   const result = comparison.compare(options);
   writeTable(result);
@@ -90,7 +92,7 @@
   ]);
   const policy = new commander.Option('--policy <name>', 'policy to compare')
     .choices([...policyFactory.POLICY_NAMES, 'oracle'])
-    .default('load-aware');
+    .default(policyFactory.DEFAULT_POLICY);
   const company = new commander.Option('--company <name>', 'sizes of the fleet')
     .choices([...companies.COMPANIES.keys()])
     .default('ogunleye');
@@ -104,6 +106,7 @@
     .addOption(company)
     .option('--seconds <n>', 'virtual seconds of load', toNumber, DEFAULT_DURATION_SECONDS)
     .option('--probes <n>', 'probes per second of the fleet', toNumber, DEFAULT_PROBES_PER_SECOND)
+    .option('--all-features', 'let the policies compared with hedge and eject servers too')
     .option('--report <file>', 'write curves as an SVG or HTML page')
     .action(bench);
 }
--- a/src/common/policy/PolicyFactory.ts
+++ b/src/common/policy/PolicyFactory.ts
@@ -18,7 +18,9 @@
   ['load-aware', (random) => new loadAwarePolicy.LoadAwarePolicy(random)],
 ]);
 
-/** The names that settings accept, the default last. */
+export const DEFAULT_POLICY = 'load-aware';
+
+/** The names that settings accept. */
 export const POLICY_NAMES: readonly string[] = [...FACTORIES.keys()];
 
 /** Creates the policy of that name. Settings are checked before, so another name is a fault. */
--- a/src/common/policy/Prober.ts
+++ b/src/common/policy/Prober.ts
@@ -8,8 +8,13 @@
 /** Time after which a probe counts as unanswered. */
 const PROBE_TIMEOUT_MS = 500;
 
+/** Time between questions whether a server that left is back. */
+const READMISSION_INTERVAL_MS = 500;
+
 /** Sends the probes that the policy asks for, as far as the budget allows. */
 export class Prober {
+  private readonly askedAtMs = new Map<string, number>();
+
   public constructor(
     private readonly balancer: serviceBalancer.ServiceBalancer,
     private readonly policy: selectionPolicy.SelectionPolicy,
@@ -21,14 +26,27 @@
   /** To be called after each call has begun. */
   public onCall(): void {
     if (!this.budget.hasFree) return;
-    const { servers } = this.balancer;
-    const targets = this.policy.probeTargets(servers, this.clock.monotonicMs());
+    const { states } = this.balancer;
+    const nowMs = this.clock.monotonicMs();
+    const targets = [
+      ...states.filter((state) => this.isToBeReadmitted(state, nowMs)),
+      ...this.policy.probeTargets(states, nowMs),
+    ];
     targets.forEach((target) => {
-      const server = servers.find((state) => state.address === target.address);
+      const server = states.find((state) => state.address === target.address);
       if (server !== undefined) this.probe(server);
     });
   }
 
+  /** A server that left is used again only after it has stated that it is ready. */
+  private isToBeReadmitted(state: serverState.ServerState, nowMs: number): boolean {
+    if (this.balancer.avoidanceOf(state.address) !== 'leaving') return false;
+    const askedAtMs = this.askedAtMs.get(state.address) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs - askedAtMs < READMISSION_INTERVAL_MS) return false;
+    this.askedAtMs.set(state.address, nowMs);
+    return true;
+  }
+
   private probe(server: serverState.ServerState): void {
     const permit = this.budget.take();
     if (permit === undefined) return;
@@ -39,7 +57,7 @@
       }
       permit.replied();
       const nowMs = this.clock.monotonicMs();
-      server.recordReport(report, nowMs);
+      this.balancer.recordReport(server.address, report);
       this.policy.recordProbe(server, nowMs);
     });
   }
