--- /dev/null
+++ b/src/bench/virtual/Simulation.ts
@@ -0,0 +1,202 @@
+import type * as callTypes from '../../common/call/Types';
+import * as seededRandom from '../../common/SeededRandom';
+import type * as tableTypes from '../../common/table/Types';
+import type * as types from '../../common/Types';
+import * as arrivals from './Arrivals';
+import * as benchTable from './BenchTable';
+import * as daemonFactory from './DaemonFactory';
+import * as heapClock from './HeapClock';
+import * as recorder from './Recorder';
+import type * as simulatedDaemon from './SimulatedDaemon';
+import * as simulatedNetwork from './SimulatedNetwork';
+import * as simulatedServer from './SimulatedServer';
+import type * as benchTypes from './Types';
+
+/** Calls that start earlier warm the estimates up and are not measured. */
+const WARM_UP_MS = 3_000;
+/** Time for a fact to reach all daemons: two exchanges between failure domains. */
+const FACT_DELAY_MS = 3;
+
+/** Streams that differ in purpose, so that a policy's draws change neither load nor faults. */
+enum Stream {
+  Arrivals = 1,
+  Faults = 2,
+  Policies = 3,
+  Nested = 4,
+}
+
+function randomOf(seed: number, stream: Stream): types.IRandom {
+  return new seededRandom.SeededRandom(seed * 16 + stream);
+}
+
+function isFailure(outcome: callTypes.CallOutcome): boolean {
+  return outcome.kind !== 'answered' || outcome.answer.status !== 200;
+}
+
+/** Runs one scenario under one policy on a virtual clock. */
+export class Simulation implements benchTypes.IWorld {
+  public readonly clock = new heapClock.HeapClock();
+
+  public readonly random: types.IRandom;
+
+  public readonly company: benchTypes.ICompany;
+
+  public readonly servers: readonly simulatedServer.SimulatedServer[];
+
+  private readonly network: simulatedNetwork.SimulatedNetwork;
+
+  private readonly factory: daemonFactory.DaemonFactory;
+
+  private readonly daemons: simulatedDaemon.SimulatedDaemon[];
+
+  private readonly table: tableTypes.ITable;
+
+  private readonly recorder = new recorder.Recorder();
+
+  private readonly nestedRandom: types.IRandom;
+
+  private callCount = 0;
+
+  private allCalls = 0;
+
+  public constructor(private readonly options: benchTypes.ISimulationOptions) {
+    const { company, scenario, seed } = options;
+    this.company = company;
+    this.random = randomOf(seed, Stream.Faults);
+    this.nestedRandom = randomOf(seed, Stream.Nested);
+    this.table = benchTable.tableOf(
+      company,
+      scenario,
+      options.probesPerSecond,
+      daemonFactory.isProduct(options),
+    );
+    this.servers = this.createServers(company.service);
+    const failing = this.createServers(benchTable.FAILING_SERVICE);
+    failing.forEach((server) => Object.assign(server, { refusing: true }));
+    this.network = new simulatedNetwork.SimulatedNetwork(company, [...this.servers, ...failing]);
+    this.network.runNestedCall = (call, onEnd) => this.runNested(call, onEnd);
+    this.factory = new daemonFactory.DaemonFactory(
+      options,
+      this.table,
+      this.network,
+      this.clock,
+      randomOf(seed, Stream.Policies),
+      this.recorder.traffic,
+    );
+    this.daemons = Array.from({ length: company.daemons }, (_item, index) =>
+      this.createDaemon(index),
+    );
+  }
+
+  public run(): benchTypes.IRunResult {
+    const { scenario, durationMs, seed } = this.options;
+    const source = new arrivals.Arrivals(scenario, this.company, randomOf(seed, Stream.Arrivals));
+    scenario.disturb?.(this);
+    this.scheduleNext(source);
+    this.clock.runUntil(durationMs + this.serviceOf(this.company.service).deadlineMs);
+    const nesting = scenario.depth === undefined ? 'single' : 'nested';
+    const window = { fromMs: WARM_UP_MS, toMs: durationMs };
+    return this.recorder.result(window, this.company.daemons, this.allCalls, nesting, {
+      probesPerSecond: daemonFactory.isBudgeted(this.options) ? this.options.probesPerSecond : null,
+    });
+  }
+
+  public isolate(failureDomain: string | undefined): void {
+    this.network.isolate(failureDomain);
+  }
+
+  public silenceConnections(address: string): void {
+    this.daemons.forEach((daemon) => daemon.transport.silence(address));
+  }
+
+  public replaceDaemon(index: number): void {
+    this.daemons[index] = this.createDaemon(index);
+  }
+
+  private createServers(service: string): readonly simulatedServer.SimulatedServer[] {
+    const rows = this.table.servers.get(service) ?? [];
+    return rows.map((row) => new simulatedServer.SimulatedServer(row, this.clock));
+  }
+
+  private createDaemon(index: number): simulatedDaemon.SimulatedDaemon {
+    const daemon = this.factory.create(benchTable.domainOf(index, this.company));
+    // Daemons push facts to each other immediately.
+    const share = (merge: (peer: simulatedDaemon.SimulatedDaemon) => void): void => {
+      this.clock.setTimer(FACT_DELAY_MS, () =>
+        this.daemons.filter((peer) => peer !== daemon).forEach(merge),
+      );
+    };
+    daemon.suspicion.onLoss((loss) => share((peer) => peer.suspicion.merge(loss, FACT_DELAY_MS)));
+    daemon.balancers.forEach((balancer, position) =>
+      balancer.onDraining((address) =>
+        share((peer) => peer.balancers[position]?.mergeDraining(address)),
+      ),
+    );
+    return daemon;
+  }
+
+  private serviceOf(name: string): tableTypes.IServiceRow {
+    const service = this.table.services.get(name);
+    if (service === undefined) throw new Error(`no service ${name} in the table of the bench`);
+    return service;
+  }
+
+  private scheduleNext(source: arrivals.Arrivals): void {
+    const arrival = source.take();
+    if (arrival.atMs > this.options.durationMs) return;
+    this.clock.setTimer(arrival.atMs - this.clock.monotonicMs(), () => {
+      this.receive(arrival);
+      this.scheduleNext(source);
+    });
+  }
+
+  private receive(arrival: benchTypes.IArrival): void {
+    const startedMs = this.clock.monotonicMs();
+    const { long, crashes, worksMs } = arrival;
+    const isOwnService = long && this.options.scenario.longService === true;
+    const service = this.serviceOf(isOwnService ? benchTable.LONG_SERVICE : this.company.service);
+    const call = this.createCall(service, worksMs, crashes, 0, startedMs + service.deadlineMs);
+    const isMeasured = startedMs >= WARM_UP_MS && !long && !crashes;
+    this.allCalls += 1;
+    this.daemons[arrival.daemon]?.start(call, (outcome) => {
+      if (isMeasured) this.recorder.record(call, startedMs, this.clock.monotonicMs(), outcome);
+    });
+  }
+
+  private runNested(outer: benchTypes.ISimulatedCall, onEnd: (failed: boolean) => void): void {
+    const isLeaf = outer.nestedWorkMs.length === 1;
+    const service = this.serviceOf(isLeaf ? benchTable.FAILING_SERVICE : this.company.service);
+    const depth = outer.depth + 1;
+    const inner = this.createCall(service, outer.nestedWorkMs, false, depth, outer.deadlineMs);
+    const daemon = this.daemons[this.nestedRandom.nextInteger(this.daemons.length)];
+    const { retriesSpent } = outer;
+    daemon?.start({ ...inner, retriesSpent }, (outcome) => onEnd(isFailure(outcome)));
+  }
+
+  private createCall(
+    service: tableTypes.IServiceRow,
+    worksMs: readonly number[],
+    crashes: boolean,
+    depth: number,
+    deadlineMs: number,
+  ): benchTypes.ISimulatedCall {
+    this.callCount += 1;
+    const [workMs = 0, ...nestedWorkMs] = worksMs;
+    return {
+      requestId: `call-${this.callCount}`,
+      service,
+      table: this.table,
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: new Uint8Array(),
+      deadlineMs,
+      depth,
+      retriesSpent: 0,
+      fingerprint: crashes ? 'crasher' : `call-${this.callCount}`,
+      workMs,
+      nestedWorkMs,
+      crashes,
+    };
+  }
+}
