Accept whole answers only, and trust connections by their history

Cause: an answer without a length counted as complete when the server closed the connection early; undici could move a waiting request to a new socket; a connection was reused whatever its age.

Change: Connection wraps one undici Client around exactly one socket and refuses a second connect. A request that finds its idle connection closed ends as not-sent and goes to a new connection inside the transport. AttemptHandler refuses a second start, unframed, truncated and oversized answers, and takes raw headers so that repeated ones survive. ConnectionTrust decides on age, idle time, freshness for non-idempotent requests and silent siblings. Connections per server are limited to floor(maxConnections / maxDaemons). A 503 with request-outcome: not-run counts as the refusal of the server only if it carries no foreign request-id; otherwise a deeper daemon refused a part of the work, and the server itself has run.

Ruled out: a fixed silence timeout. It would cut off slow but correct answers under overload. An idempotent exchange ends as silent once 16 exchanges that began later on the same server have completed and 500 ms passed without a byte. Non-idempotent exchanges wait for their deadline.

A server that closes a connection in the same event-loop round in which the next request is written yields lost: the bytes may have arrived.

--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -42,7 +42,7 @@
   ) {
     this.suspicion = new requestSuspicion.RequestSuspicion(clock);
     this.fleet = new fleetModule.Fleet(options, this.peerClient, logger, clock, random);
-    this.transport = new httpTransport.HttpTransport(clock);
+    this.transport = new httpTransport.HttpTransport(clock, random);
     const { balancers, fleet } = this;
     this.callers = new callerServer.CallerServer(
       {
--- /dev/null
+++ b/src/node/dispatch/Connection.ts
@@ -0,0 +1,80 @@
+import type * as net from 'node:net';
+
+import * as undici from 'undici';
+
+/** Time to open a connection, in milliseconds, before the attempt counts as not sent. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** The pool retires idle connections; undici must not do so earlier on its own. */
+const UNDICI_IDLE_MS = 600_000;
+
+/** One TCP connection to a backend server. It is never opened a second time. */
+export class Connection {
+  /** Exchanges that were begun on this connection. */
+  public exchanges = 0;
+
+  private readonly client: undici.Client;
+
+  private socket: net.Socket | undefined;
+
+  private opened = false;
+
+  public constructor(
+    address: string,
+    /** Number of this connection at `ConnectionTrust`. */
+    public readonly number: number,
+    onClosed: (connection: Connection) => void,
+  ) {
+    const connector = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.client = new undici.Client(`http://${address}`, {
+      pipelining: 1,
+      keepAliveTimeout: UNDICI_IDLE_MS,
+      keepAliveMaxTimeout: UNDICI_IDLE_MS,
+      connect: (options, callback) => this.connect(connector, options, callback),
+    });
+    this.client.on('disconnect', () => onClosed(this));
+    this.client.on('connectionError', () => onClosed(this));
+  }
+
+  /** Bytes received so far. */
+  public get bytesRead(): number {
+    return this.socket?.bytesRead ?? 0;
+  }
+
+  /** Whether bytes of a request still wait to be sent. */
+  public get isSending(): boolean {
+    return (this.socket?.writableLength ?? 0) > 0;
+  }
+
+  public dispatch(
+    options: undici.Dispatcher.DispatchOptions,
+    handler: undici.Dispatcher.DispatchHandler,
+  ): void {
+    this.exchanges += 1;
+    this.client.dispatch(options, handler);
+  }
+
+  /** Closes the connection at once. */
+  public close(): void {
+    this.client.destroy().catch(() => undefined);
+  }
+
+  private connect(
+    connector: undici.buildConnector.connector,
+    options: undici.buildConnector.Options,
+    callback: undici.buildConnector.Callback,
+  ): void {
+    // undici opens a new socket when the old one closed. A request that waits at that moment would
+    // then travel on a connection whose age and history are not those that allowed its use.
+    if (this.opened) {
+      callback(new Error('the connection was closed before the request was sent'), null);
+      return;
+    }
+    this.opened = true;
+    connector(options, (...result) => {
+      const [error, socket] = result;
+      if (error === null) this.socket = socket;
+      callback(...result);
+    });
+  }
+}
--- a/src/node/dispatch/ConnectionPool.ts
+++ b/src/node/dispatch/ConnectionPool.ts
@@ -1,48 +1,130 @@
-import * as undici from 'undici';
-
+import * as connectionTrust from '../../common/connections/ConnectionTrust';
+import type * as connectionTypes from '../../common/connections/Types';
 import type * as types from '../../common/Types';
-
-/** Time to open a connection, in milliseconds, before the attempt counts as not sent. */
-const CONNECT_TIMEOUT_MS = 1_000;
-
-/** Idle connections that are kept for one server. */
-const MAX_IDLE_CONNECTIONS = 16;
+import * as connections from './Connection';
 
 /** Connections to one backend server. Each carries one exchange at a time. */
 export class ConnectionPool implements types.IDisposable {
-  private readonly idle: undici.Client[] = [];
+  private readonly idle: connections.Connection[] = [];
+
+  private readonly busy = new Map<
+    number,
+    { connection: connections.Connection; give: () => void }
+  >();
+
+  private readonly trust: connectionTrust.ConnectionTrust;
+
+  public constructor(
+    private readonly address: string,
+    clock: types.IClock,
+    random: types.IRandom,
+  ) {
+    this.trust = new connectionTrust.ConnectionTrust(clock, random);
+  }
 
-  private readonly busy = new Set<undici.Client>();
+  /** Number of open connections, idle and busy. */
+  public get size(): number {
+    return this.idle.length + this.busy.size;
+  }
+
+  public get idleSize(): number {
+    return this.idle.length;
+  }
 
-  public constructor(private readonly address: string) {}
+  /**
+   * Takes an idle connection, the most recently used first, or opens one.
+   * @param limit Connections that this daemon may hold to the server.
+   * @param onSilent Called if the exchange is to be given up because its connection is silent.
+   * @returns undefined if the limit is reached.
+   */
+  public acquire(
+    idempotent: boolean,
+    limit: number,
+    onSilent: () => void,
+  ): connections.Connection | undefined {
+    const reused = this.takeIdle(idempotent);
+    // An idle connection that may not carry this request makes room for a new one.
+    if (reused === undefined && this.size >= limit) this.discard(this.idle.shift());
+    if (reused === undefined && this.size >= limit) return undefined;
+    return this.lend(reused ?? this.open(), onSilent);
+  }
 
-  /** Takes an idle connection, the most recently used first, or a new one. */
-  public acquire(): undici.Client {
-    let connection = this.idle.pop();
-    while (connection?.destroyed === true) connection = this.idle.pop();
-    const acquired = connection ?? this.open();
-    this.busy.add(acquired);
-    return acquired;
+  /** Opens a connection if the limit allows it. */
+  public acquireNew(limit: number, onSilent: () => void): connections.Connection | undefined {
+    return this.size >= limit ? undefined : this.lend(this.open(), onSilent);
   }
 
-  /** Returns a connection. One that is not reusable is closed at once. */
-  public release(connection: undici.Client, reusable: boolean): void {
-    this.busy.delete(connection);
-    if (reusable && this.idle.length < MAX_IDLE_CONNECTIONS) this.idle.push(connection);
-    else connection.destroy().catch(() => undefined);
+  public recordProgress(connection: connections.Connection): void {
+    this.trust.recordProgress(connection.number);
+  }
+
+  /** Takes back a connection after a complete answer. */
+  public release(connection: connections.Connection, reusable: boolean): void {
+    this.trust.recordEnd(connection.number, 'completed');
+    this.busy.delete(connection.number);
+    if (reusable && !this.trust.isRetired(connection.number)) this.idle.push(connection);
+    else this.discard(connection);
+    this.trust.overtaken().forEach((number) => this.busy.get(number)?.give());
+  }
+
+  /** Closes a connection whose exchange was cancelled or failed, and says how it ended. */
+  public abandon(connection: connections.Connection, failed: boolean): connectionTypes.ExchangeEnd {
+    const end = failed ? 'failed' : this.trust.endOfAbandoned(connection.number);
+    this.trust.recordEnd(connection.number, end);
+    this.busy.delete(connection.number);
+    this.discard(connection);
+    if (end === 'silent') this.closeRetired();
+    return end;
+  }
+
+  /** Closes idle connections that are too old, idle for too long, or no longer trusted. */
+  public closeRetired(): void {
+    this.idle
+      .filter((connection) => this.trust.isRetired(connection.number))
+      .forEach((connection) => this.discard(connection));
+  }
+
+  /** Closes idle connections now, and busy ones after their exchange. */
+  public distrustAll(): void {
+    this.trust.distrustAll();
+    this.closeRetired();
   }
 
   public dispose(): void {
-    [...this.idle, ...this.busy].forEach((connection) => {
-      connection.destroy().catch(() => undefined);
-    });
+    [...this.idle, ...[...this.busy.values()].map(({ connection }) => connection)].forEach(
+      (connection) => this.discard(connection),
+    );
+  }
+
+  private takeIdle(idempotent: boolean): connections.Connection | undefined {
+    this.closeRetired();
+    const newest = this.idle.at(-1);
+    if (newest === undefined || !this.trust.mayCarry(newest.number, idempotent)) return undefined;
+    return this.idle.pop();
+  }
+
+  private lend(connection: connections.Connection, onSilent: () => void): connections.Connection {
+    this.busy.set(connection.number, { connection, give: onSilent });
+    this.trust.recordStart(connection.number);
+    return connection;
+  }
+
+  private open(): connections.Connection {
+    return new connections.Connection(this.address, this.trust.add(), (closed) =>
+      this.forget(closed),
+    );
+  }
+
+  private discard(connection: connections.Connection | undefined): void {
+    if (connection === undefined) return;
+    this.forget(connection);
+    connection.close();
   }
 
-  private open(): undici.Client {
-    return new undici.Client(`http://${this.address}`, {
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: 30_000,
-    });
+  private forget(connection: connections.Connection): void {
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+    // A busy connection is forgotten when its exchange ends.
+    if (!this.busy.has(connection.number)) this.trust.remove(connection.number);
   }
 }
--- a/src/node/dispatch/Headers.ts
+++ b/src/node/dispatch/Headers.ts
@@ -28,10 +28,64 @@
   'expect',
 ]);
 
+/**
+ * Headers that only this product sets. They are not taken over from a caller, who could otherwise
+ * give a backend server a false request id, deadline or outcome.
+ */
+const OWN_REQUEST_HEADERS = new Set([
+  REQUEST_ID,
+  REQUEST_TIMEOUT_MS,
+  REQUEST_DEADLINE,
+  REQUEST_OUTCOME,
+  CALL_DEPTH,
+  RETRIES_SPENT,
+  LOAD_METRICS,
+  BACKEND_STATE,
+]);
+
 const LOAD_METRICS_FORMAT = /^TEXT\s+(.*)$/;
 
-export function isHopByHop(name: string): boolean {
-  return HOP_BY_HOP.has(name);
+/** Decodes raw headers into names in lower case and values, in turn. */
+export function decodeRaw(raw: readonly Buffer[]): string[] {
+  return raw.map((part, index) => {
+    const text = part.toString('latin1');
+    return index % 2 === 0 ? text.toLowerCase() : text;
+  });
+}
+
+/** Returns the values of all headers of that name in a flat list of names and values. */
+export function findAll(list: readonly string[], name: string): string[] {
+  return list.filter((_, index) => index % 2 === 1 && list[index - 1] === name);
+}
+
+/** Returns the names that the headers `connection` list, which concern one connection only. */
+function connectionOptions(list: readonly string[]): ReadonlySet<string> {
+  return new Set(
+    findAll(list, 'connection').flatMap((value) =>
+      value.split(',').map((name) => name.trim().toLowerCase()),
+    ),
+  );
+}
+
+/** Removes the headers that concern one connection only, and those named in `removed`. */
+export function withoutHopByHop(
+  list: readonly string[],
+  removed: ReadonlySet<string> = new Set(),
+): string[] {
+  const options = connectionOptions(list);
+  const kept: string[] = [];
+  for (let index = 0; index < list.length; index += 2) {
+    const name = list[index] as string;
+    if (!HOP_BY_HOP.has(name) && !options.has(name) && !removed.has(name)) {
+      kept.push(name, list[index + 1] as string);
+    }
+  }
+  return kept;
+}
+
+/** Returns the headers of a caller that go to the backend server. */
+export function forwardedRequest(list: readonly string[]): string[] {
+  return withoutHopByHop(list, OWN_REQUEST_HEADERS);
 }
 
 /** Returns the value of the first header of that name in a flat list of names and values. */
@@ -61,3 +115,12 @@
   if (inFlight === undefined || !(inFlight >= 0) || !(queued >= 0)) return undefined;
   return { inFlight, queued, draining };
 }
+
+/** Reads the answer to a probe, or returns undefined if it is of no use. */
+export function readLoad(load: unknown): policyTypes.ILoadReport | undefined {
+  if (typeof load !== 'object' || load === null) return undefined;
+  const { inFlight, queued, state } = load as Record<string, unknown>;
+  if (typeof inFlight !== 'number' || typeof queued !== 'number') return undefined;
+  if (!(inFlight >= 0) || !(queued >= 0)) return undefined;
+  return { inFlight, queued, draining: state === 'draining' };
+}
--- /dev/null
+++ b/src/node/dispatch/HttpTransport.test.ts
@@ -0,0 +1,299 @@
+import * as nodeEvents from 'node:events';
+import * as net from 'node:net';
+
+import type * as callTypes from '../../common/call/Types';
+import * as manualClock from '../../common/ManualClock';
+import * as seededRandom from '../../common/SeededRandom';
+import type * as tableTypes from '../../common/table/Types';
+import * as httpTransport from './HttpTransport';
+
+type Respond = (socket: net.Socket, request: string, count: number) => void;
+
+const START = 'HTTP/1.1 200 OK\r\n';
+const OK = `${START}content-length: 2\r\n\r\nok`;
+
+/** Only the members that the transport reads. */
+const TABLE = { maxDaemons: 10 } as tableTypes.ITable;
+
+const CALL = {
+  requestId: 'request-1',
+  method: 'GET',
+  path: '/item',
+  headers: [],
+  body: Buffer.alloc(0),
+  deadlineMs: 1_000,
+  depth: 0,
+  retriesSpent: 0,
+  fingerprint: '',
+};
+
+let clock: manualClock.ManualClock;
+let transport: httpTransport.HttpTransport;
+let server: net.Server;
+let row: tableTypes.IServerRow;
+let respond: Respond;
+/** Requests as received, on any connection. */
+let received: string[];
+let sockets: net.Socket[];
+let onReceived: () => void;
+
+/** A server that answers raw bytes, so that every kind of broken answer can be given. */
+beforeEach(async () => {
+  received = [];
+  sockets = [];
+  onReceived = () => undefined;
+  server = net.createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', (data) => {
+      received.push(data.toString('latin1'));
+      onReceived();
+      respond(socket, data.toString('latin1'), received.length);
+    });
+  });
+  await nodeEvents.once(server.listen(0, '127.0.0.1'), 'listening');
+  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  row = { service: 'reads', address, failureDomain: 'a', weight: 1, slots: 3, maxConnections: 39 };
+  clock = new manualClock.ManualClock();
+  transport = new httpTransport.HttpTransport(clock, new seededRandom.SeededRandom(1));
+});
+
+function closeServer(): Promise<unknown> {
+  return nodeEvents.once(server.close(), 'close');
+}
+
+afterEach(async () => {
+  transport.dispose();
+  sockets.forEach((socket) => socket.destroy());
+  await closeServer();
+});
+
+function callTo(service: string, overrides: Partial<callTypes.ICall> = {}): callTypes.ICall {
+  return {
+    ...CALL,
+    service: { maxAnswerBytes: 100, idempotent: service === 'reads' } as tableTypes.IServiceRow,
+    table: TABLE,
+    ...overrides,
+  };
+}
+
+function start(call: callTypes.ICall) {
+  const log: string[] = [];
+  let attempt: callTypes.IAttempt | undefined;
+  const outcome = new Promise<callTypes.AttemptOutcome>((resolve) => {
+    attempt = transport.send(call, row, {
+      onSent: () => log.push('sent'),
+      onLoadReport: (report) => log.push(`load ${report.inFlight}`),
+      onEnd: (ended) => {
+        log.push('end');
+        resolve(ended);
+      },
+    });
+  });
+  return { attempt: attempt as callTypes.IAttempt, outcome, events: log };
+}
+
+function send(service = 'reads', overrides: Partial<callTypes.ICall> = {}) {
+  return start(callTo(service, overrides)).outcome;
+}
+
+/** Answers with `text`, and closes the connection behind it if `close` is set. */
+function answering(text: string, close = false): Respond {
+  return (socket) => {
+    socket.write(text, 'latin1');
+    if (close) socket.end();
+  };
+}
+
+const CHUNKED = 'transfer-encoding: chunked\r\n\r\n';
+const UPGRADE = 'HTTP/1.1 101 S\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n';
+const BIG_CHUNK = `80\r\n${'x'.repeat(128)}\r\n`;
+
+const BROKEN: [string, Respond, string][] = [
+  ['closed without an answer', (socket) => socket.end(), 'connection-lost'],
+  ['reset after the request was read', (socket) => socket.resetAndDestroy(), 'connection-lost'],
+  ['no HTTP', answering('hello\r\n\r\n'), 'connection-lost'],
+  ['headers cut off', answering(`${START}x: `, true), 'connection-lost'],
+  ['an upgrade nobody asked for', answering(UPGRADE), 'connection-lost'],
+  ['a body cut off', answering(`${START}content-length: 9\r\n\r\nok`, true), 'answer-truncated'],
+  ['chunks cut off', answering(`${START}${CHUNKED}2\r\nok\r\n`, true), 'answer-truncated'],
+  ['no length and no chunks', answering(`${START}\r\nok`, true), 'answer-truncated'],
+  ['a length too large', answering(`${START}content-length: 101\r\n\r\n`), 'answer-too-large'],
+  ['chunks too large', answering(`${START}${CHUNKED}${BIG_CHUNK}`), 'answer-too-large'],
+  ['headers too large', answering(`${START}x: ${'x'.repeat(20_000)}\r\n\r\n`), 'connection-lost'],
+];
+
+// Guards against an incomplete answer that reaches a caller, and against a second send.
+test.each(BROKEN)('an answer that is broken is lost: %s', async (_name, broken, reason) => {
+  respond = broken;
+  expect(await send()).toMatchObject({ kind: 'lost', reason });
+  expect(received).toHaveLength(1);
+  respond = answering(OK);
+  expect(await send()).toMatchObject({ kind: 'answered' });
+  expect(sockets).toHaveLength(2);
+});
+
+test('a complete answer keeps repeated headers, and its connection is used again', async () => {
+  respond = answering(
+    'HTTP/1.1 200 OK\r\nSet-Cookie: a\r\nset-cookie: b\xe9\r\ncontent-length: 2\r\n\r\nok',
+  );
+  const outcome = (await send()) as { answer: callTypes.IAnswer };
+  const cookies = ['set-cookie', 'a', 'set-cookie', 'b\xe9'];
+  expect(outcome.answer.headers).toEqual([...cookies, 'content-length', '2']);
+  expect(Buffer.from(outcome.answer.body).toString()).toBe('ok');
+  await send();
+  expect(sockets).toHaveLength(1);
+});
+
+test('informational answers are skipped, and 204 needs no length', async () => {
+  respond = answering('HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n');
+  expect(await send()).toMatchObject({ kind: 'answered', answer: { status: 204 } });
+});
+
+test('an answer to HEAD is complete without a body', async () => {
+  respond = answering('HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n');
+  expect(await send('reads', { method: 'HEAD' })).toMatchObject({ kind: 'answered' });
+});
+
+test('an answer before the request was read ends the use of the connection', async () => {
+  const body = Buffer.alloc(32 * 1024 * 1024, 'x');
+  respond = (socket, _request, count) => {
+    if (count === 1) {
+      socket.pause();
+      socket.write(OK);
+    } else if (sockets.indexOf(socket) > 0) socket.write(OK);
+  };
+  expect(await send('writes', { method: 'POST', body })).toMatchObject({ kind: 'answered' });
+  expect(await send()).toMatchObject({ kind: 'answered' });
+  expect(sockets).toHaveLength(2);
+});
+
+test('onSent comes before the first byte arrives', async () => {
+  const seen: string[] = [];
+  respond = answering(OK);
+  const running = start(callTo('reads'));
+  onReceived = () => seen.push(...running.events);
+  await running.outcome;
+  expect(seen).toEqual(['sent']);
+});
+
+test('a refused connection is not sent', async () => {
+  await closeServer();
+  const running = start(callTo('writes'));
+  expect(await running.outcome).toMatchObject({ kind: 'not-sent' });
+  expect(running.events).toEqual(['end']);
+});
+
+// Guards against the automatic second send of an HTTP client.
+test('a server closes connections around their reuse, and no request is sent twice', async () => {
+  respond = (socket) => {
+    socket.write(OK);
+    setImmediate(() => socket.destroy());
+  };
+  for (let count = 1; count <= 50; count += 1) {
+    const path = `/${count}-`;
+    // Where the bytes left before the close was seen, only `lost` is true.
+    const { kind } = await send('writes', { method: 'POST', path });
+    const arrivals = received.filter((request) => request.includes(path)).length;
+    expect([kind, arrivals]).toEqual([kind, kind === 'answered' ? 1 : Math.min(arrivals, 1)]);
+  }
+});
+
+test('a request that finds its connection closed is sent on a new one', async () => {
+  respond = answering(OK);
+  for (let count = 1; count <= 20; count += 1) {
+    expect(await send('writes', { method: 'POST' })).toMatchObject({ kind: 'answered' });
+    expect(received).toHaveLength(count);
+    await new Promise(setImmediate); // The close is read before the next request is written.
+    sockets.at(-1)?.destroy();
+    expect(sockets).toHaveLength(count);
+  }
+});
+
+test('a reused connection that is reset after reading does not send again', async () => {
+  respond = (socket, _request, count) => {
+    if (count % 2 === 1) socket.write(OK);
+    else socket.resetAndDestroy();
+  };
+  for (let count = 2; count <= 20; count += 2) {
+    await send('reads');
+    expect(await send('reads')).toMatchObject({ kind: 'lost', reason: 'connection-lost' });
+    expect(received).toHaveLength(count);
+  }
+});
+
+test('cancel closes the connection and no event follows', async () => {
+  const closed = new Promise<void>((resolve) => {
+    respond = (socket) => socket.once('close', () => resolve());
+  });
+  const arrived = new Promise<void>((resolve) => {
+    onReceived = resolve;
+  });
+  const { attempt, events } = start(callTo('reads'));
+  await arrived;
+  attempt.cancel();
+  await closed;
+  expect(events).toEqual(['sent']);
+  expect(transport.connectionsOf(row.address)).toEqual({ open: 0, idle: 0 });
+});
+
+test('no more than the share of this daemon is open, and the rest is not sent', async () => {
+  respond = () => undefined;
+  const running = [1, 2, 3].map(() => start(callTo('reads')));
+  expect(transport.connectionsOf(row.address).open).toBe(3);
+  expect(await send()).toMatchObject({ kind: 'not-sent' });
+  running.forEach(({ attempt }) => attempt.cancel());
+});
+
+test('a non-idempotent request does not travel on a connection that was idle for 2 s', async () => {
+  respond = answering(OK);
+  await send('writes', { method: 'POST' });
+  clock.advance(1_999);
+  await send('writes', { method: 'POST' });
+  expect(sockets).toHaveLength(1);
+  clock.advance(2_001);
+  await send('writes', { method: 'POST' });
+  expect(sockets).toHaveLength(2);
+});
+
+test('an attempt on a silent connection ends once many newer exchanges complete', async () => {
+  respond = (socket, request) => {
+    if (!request.includes('/stuck')) socket.write(OK);
+  };
+  const stuck = start(callTo('reads', { path: '/stuck' }));
+  const stuckWrite = start(callTo('writes', { path: '/stuck', method: 'POST' }));
+  clock.advance(1_000);
+  for (let count = 0; count < 16; count += 1) await send();
+  expect(await stuck.outcome).toMatchObject({ kind: 'lost', reason: 'silent' });
+  expect(stuckWrite.events).toEqual(['sent']);
+  stuckWrite.attempt.cancel();
+});
+
+test('after a pause no idle connection is used', async () => {
+  respond = answering(OK);
+  await send();
+  transport.distrustConnections();
+  await send();
+  expect(sockets).toHaveLength(2);
+});
+
+test('a refusal counts only as the statement of the server itself', async () => {
+  const refusal = 'HTTP/1.1 503 S\r\nrequest-outcome: not-run\r\ncontent-length: 0\r\n';
+  respond = answering(`${refusal}backend-state: draining\r\n\r\n`);
+  expect(await send()).toEqual({ kind: 'refused', draining: true });
+  // A server that passes on the refusal of a deeper daemon has run its own part.
+  respond = answering(`${refusal}request-id: other\r\n\r\n`);
+  expect(await send()).toMatchObject({ kind: 'answered', answer: { status: 503 } });
+});
+
+test('a probe returns the load, and undefined for anything else', async () => {
+  const probe = () =>
+    new Promise((resolve) => {
+      transport.probe(row, 500, resolve);
+    });
+  const load = '{"inFlight":2,"queued":1,"slots":3,"state":"draining"}';
+  respond = answering(`HTTP/1.1 200 OK\r\ncontent-length: ${load.length}\r\n\r\n${load}`);
+  expect(await probe()).toEqual({ inFlight: 2, queued: 1, draining: true });
+  respond = answering('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnull');
+  expect(await probe()).toBeUndefined();
+});
--- /dev/null
+++ b/src/node/dispatch/PooledAttempt.ts
@@ -0,0 +1,106 @@
+import type * as callTypes from '../../common/call/Types';
+import * as attemptHandler from './AttemptHandler';
+import type * as connections from './Connection';
+import type * as connectionPool from './ConnectionPool';
+
+/** One attempt at a backend server, on a connection of its pool. */
+export class PooledAttempt implements callTypes.IAttempt {
+  private connection: connections.Connection | undefined;
+
+  private handler: attemptHandler.AttemptHandler | undefined;
+
+  private sent = false;
+
+  private ended = false;
+
+  public constructor(
+    private readonly pool: connectionPool.ConnectionPool,
+    private readonly call: callTypes.ICall,
+    private readonly limit: number,
+    private readonly requestHeaders: readonly string[],
+    private readonly listener: callTypes.IAttemptListener,
+  ) {}
+
+  public begin(): void {
+    const { idempotent } = this.call.service;
+    this.dispatchOn(this.pool.acquire(idempotent, this.limit, () => this.giveUp()));
+  }
+
+  public cancel(): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.handler?.abort();
+    if (this.connection !== undefined) this.pool.abandon(this.connection, !this.sent);
+  }
+
+  /** Ends an idempotent attempt whose connection is silent. Others wait for their deadline. */
+  private giveUp(): void {
+    if (this.ended || !this.call.service.idempotent) return;
+    this.cancel();
+    const detail = 'the connection is silent while newer exchanges with the server complete';
+    this.listener.onEnd({ kind: 'lost', reason: 'silent', detail });
+  }
+
+  private dispatchOn(connection: connections.Connection | undefined): void {
+    if (connection === undefined) {
+      this.deliver({ kind: 'not-sent', detail: 'the connection limit of the server is reached' });
+      return;
+    }
+    this.connection = connection;
+    const reused = connection.exchanges > 0;
+    this.handler = new attemptHandler.AttemptHandler(this.call, this.call.service.maxAnswerBytes, {
+      onSent: () => {
+        this.sent = true;
+        this.listener.onSent();
+      },
+      onProgress: () => this.pool.recordProgress(connection),
+      onLoadReport: (report) => this.listener.onLoadReport(report),
+      onEnd: (outcome) => this.finish(connection, reused, outcome),
+    });
+    connection.dispatch(
+      {
+        path: this.call.path,
+        method: this.call.method,
+        headers: this.requestHeaders as string[],
+        body: this.call.body.length > 0 ? this.call.body : null,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      this.handler,
+    );
+  }
+
+  private finish(
+    connection: connections.Connection,
+    reused: boolean,
+    outcome: callTypes.AttemptOutcome,
+  ): void {
+    if (outcome.kind === 'answered' || outcome.kind === 'refused') {
+      // An answer that came before the request was read leaves the rest of it on the connection.
+      this.pool.release(connection, !connection.isSending);
+    } else {
+      this.pool.abandon(connection, true);
+    }
+    if (outcome.kind === 'not-sent' && reused) {
+      // The server closed an idle connection at the moment of its reuse. Nothing was sent.
+      this.dispatchOn(this.pool.acquireNew(this.limit, () => this.giveUp()));
+      return;
+    }
+    this.deliver(outcome);
+  }
+
+  private deliver(outcome: callTypes.AttemptOutcome): void {
+    if (outcome.kind !== 'not-sent') {
+      this.end(outcome);
+      return;
+    }
+    // This can happen inside `send`, before the caller of it holds the attempt.
+    queueMicrotask(() => this.end(outcome));
+  }
+
+  private end(outcome: callTypes.AttemptOutcome): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.listener.onEnd(outcome);
+  }
+}
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -153,7 +153,9 @@
       method,
       path,
       body,
-      headers: this.forwardedHeaders(request),
+      headers: headers.forwardedRequest(
+        request.rawHeaders.map((text, index) => (index % 2 === 0 ? text.toLowerCase() : text)),
+      ),
       deadlineMs: context.startMs + timeoutMs,
       depth,
       retriesSpent: Number(request.headers[headers.RETRIES_SPENT] ?? 0),
@@ -172,28 +174,15 @@
     return timeoutMs >= 1 && timeoutMs <= MAX_TIMEOUT_MS ? timeoutMs : undefined;
   }
 
-  private forwardedHeaders(request: http.IncomingMessage): string[] {
-    const own = new Set<string>([
-      headers.REQUEST_ID,
-      headers.REQUEST_TIMEOUT_MS,
-      headers.REQUEST_DEADLINE,
-      headers.CALL_DEPTH,
-      headers.RETRIES_SPENT,
-    ]);
-    return Object.entries(request.headers)
-      .filter(([name]) => !headers.isHopByHop(name) && !own.has(name))
-      .flatMap(([name, value]) => [value ?? []].flat().flatMap((single) => [name, single]));
-  }
-
   private answer(
     response: http.ServerResponse,
     requestId: string,
     answer: callTypes.IAnswer,
   ): void {
     response.statusCode = answer.status;
-    for (let index = 0; index < answer.headers.length; index += 2) {
-      const name = answer.headers[index] as string;
-      if (!headers.isHopByHop(name)) response.appendHeader(name, answer.headers[index + 1] ?? '');
+    const forwarded = headers.withoutHopByHop(answer.headers);
+    for (let index = 0; index < forwarded.length; index += 2) {
+      response.appendHeader(forwarded[index] as string, forwarded[index + 1] as string);
     }
     if (!response.hasHeader(headers.REQUEST_OUTCOME)) {
       response.setHeader(headers.REQUEST_OUTCOME, 'answered');
