Give every bad request a defined, machine-readable answer

Cause: malformed HTTP, repeated control headers, a missing host, absurd numbers and bodies cut off got Node's default answer or none. The target was decoded for routing, so some paths were refused or changed. The caller could set request-outcome for the backend, and a relayed "not-run" reached the caller as if it were the outcome of its own request.

Change: CallerServer is split into RequestHead (checks), BodyReader, CallerExchange (one request) and ResponseWriter. Exchanges are tracked for each connection, so that an error message never takes the place of the answer to an earlier request on the same connection. Targets are split at the first segment and forwarded as received. Answers always carry the outcome of this daemon; HEAD, 204 and 304 keep their lengths right. The body has the deadline of the call.

Ruled out: find-my-way on the callers' side. It decodes the path, and treats semicolons and malformed escapes specially.

Bytes outside of ASCII in a request target are refused as malformed by Node's parser; callers have to percent-encode them.

--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -11,6 +11,7 @@
 import * as peerClient from './peer/PeerClient';
 import * as peerServer from './peer/PeerServer';
 import * as callerServer from './server/CallerServer';
+import type * as serverTypes from './server/Types';
 import type * as settings from './settings/Settings';
 
 function splitAddress(address: string): { host: string; port: number } {
@@ -34,6 +35,8 @@
 
   private readonly fleet: fleetModule.Fleet;
 
+  private stopping = false;
+
   public constructor(
     private readonly options: settings.Settings,
     private readonly logger: bunyan,
@@ -44,16 +47,25 @@
     this.fleet = new fleetModule.Fleet(options, this.peerClient, logger, clock, random);
     this.transport = new httpTransport.HttpTransport(clock, random);
     const { balancers, fleet } = this;
-    this.callers = new callerServer.CallerServer(
-      {
+    const currentPhase = () => this.phase;
+    this.callers = new callerServer.CallerServer({
+      routes: {
         get table() {
           return fleet.table.current;
         },
+        get phase() {
+          return currentPhase();
+        },
         balancerOf: (service) => balancers.get(service),
       },
-      new callCoordinator.CallCoordinator(this.transport, this.suspicion, clock),
+      coordinator: new callCoordinator.CallCoordinator(this.transport, this.suspicion, clock),
+      observer: {
+        onStarted: () => undefined,
+        onAnswered: () => undefined,
+        onRefused: (record) => logger.debug(record, 'request refused'),
+      },
       clock,
-    );
+    });
     this.peers = new peerServer.PeerServer({
       exchange: (request) => fleet.receiveExchange(request),
       fetchTable: (request) => fleet.replyTable(request),
@@ -61,6 +73,11 @@
     fleet.table.onAccepted((accepted) => this.applyTable(accepted));
   }
 
+  private get phase(): serverTypes.Phase {
+    if (this.stopping) return 'stopping';
+    return this.fleet.isReady ? 'ready' : 'starting';
+  }
+
   public async start(): Promise<void> {
     await this.peers.listen(this.options.peerAddress);
     this.fleet.start();
@@ -71,6 +88,7 @@
 
   /** Finishes the calls in flight, then releases everything. */
   public async stop(): Promise<void> {
+    this.stopping = true;
     this.fleet.leave();
     await this.callers.close();
     this.fleet.dispose();
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -109,7 +109,7 @@
     if (!this.hasBody()) return true;
     if (headers.find(this.answerHeaders, 'content-length') !== undefined) return true;
     const encoding = headers.find(this.answerHeaders, 'transfer-encoding') ?? '';
-    return /(^|[\s,])chunked\s*$/i.test(encoding);
+    return /^\s*chunked\s*$/i.test(encoding);
   }
 
   /**
--- a/src/node/dispatch/Headers.ts
+++ b/src/node/dispatch/Headers.ts
@@ -45,12 +45,14 @@
 
 const LOAD_METRICS_FORMAT = /^TEXT\s+(.*)$/;
 
+/** Turns the names in a flat list of names and values to lower case. */
+export function lowerCaseNames(list: readonly string[]): string[] {
+  return list.map((text, index) => (index % 2 === 0 ? text.toLowerCase() : text));
+}
+
 /** Decodes raw headers into names in lower case and values, in turn. */
 export function decodeRaw(raw: readonly Buffer[]): string[] {
-  return raw.map((part, index) => {
-    const text = part.toString('latin1');
-    return index % 2 === 0 ? text.toLowerCase() : text;
-  });
+  return lowerCaseNames(raw.map((part) => part.toString('latin1')));
 }
 
 /** Returns the values of all headers of that name in a flat list of names and values. */
--- /dev/null
+++ b/src/node/server/BodyReader.ts
@@ -0,0 +1,68 @@
+import type * as http from 'node:http';
+
+/** How the reading of a request body ended. */
+export type BodyResult =
+  { readonly kind: 'complete'; readonly body: Uint8Array } | { readonly kind: 'too-large' };
+
+/** Bytes read and thrown away after a refusal, so that the connection stays usable. */
+const MAX_DISCARDED_BYTES = 4 * 1024 * 1024;
+
+const EMPTY = Buffer.alloc(0);
+
+/** Reads the body of one request, up to a limit. */
+export class BodyReader {
+  private chunks: Buffer[] = [];
+
+  private size = 0;
+
+  private ended = false;
+
+  /** @param onResult Called at most once, and not after `stop`. */
+  public constructor(
+    private readonly request: http.IncomingMessage,
+    private readonly maxBytes: number,
+    private readonly onResult: (result: BodyResult) => void,
+  ) {}
+
+  /** Whether the headers announce a body. */
+  public static announced(request: http.IncomingMessage): boolean {
+    if (request.headers['transfer-encoding'] !== undefined) return true;
+    return Number(request.headers['content-length'] ?? 0) > 0;
+  }
+
+  public begin(): void {
+    this.request.on('data', (chunk: Buffer) => this.add(chunk));
+    if (!BodyReader.announced(this.request)) {
+      this.finish({ kind: 'complete', body: EMPTY });
+      return;
+    }
+    if (Number(this.request.headers['content-length'] ?? 0) > this.maxBytes) {
+      this.finish({ kind: 'too-large' });
+      return;
+    }
+    this.request.once('end', () => this.finish({ kind: 'complete', body: this.join() }));
+  }
+
+  /** Ends the reading without a result. What still arrives is discarded. */
+  public stop(): void {
+    this.ended = true;
+    this.chunks = [];
+  }
+
+  private add(chunk: Buffer): void {
+    this.size += chunk.length;
+    if (!this.ended && this.size <= this.maxBytes) this.chunks.push(chunk);
+    else if (!this.ended) this.finish({ kind: 'too-large' });
+    else if (this.size > this.maxBytes + MAX_DISCARDED_BYTES) this.request.socket.destroy();
+  }
+
+  private finish(result: BodyResult): void {
+    if (this.ended) return;
+    this.stop();
+    this.onResult(result);
+  }
+
+  private join(): Uint8Array {
+    return this.chunks.length === 1 ? (this.chunks[0] as Buffer) : Buffer.concat(this.chunks);
+  }
+}
--- a/src/node/server/Refusals.ts
+++ b/src/node/server/Refusals.ts
@@ -1,7 +1,8 @@
 import type * as callTypes from '../../common/call/Types';
+import type * as serverTypes from './Types';
 
 /** HTTP status of each refusal. */
-const STATUSES: Record<callTypes.NotRunKind | callTypes.UnknownOutcomeKind, number> = {
+export const STATUSES: Record<callTypes.NotRunKind | callTypes.UnknownOutcomeKind, number> = {
   'unknown-service': 404,
   'malformed-request': 400,
   'headers-too-large': 431,
@@ -36,7 +37,7 @@
   readonly title: string;
   readonly status: number;
   readonly detail: string;
-  readonly kind: callTypes.NotRunKind | callTypes.UnknownOutcomeKind;
+  readonly kind: serverTypes.IRefusalRecord['kind'];
   readonly outcome: 'not-run' | 'unknown';
   readonly dispatched: boolean;
   readonly requestId: string;
@@ -45,20 +46,16 @@
 }
 
 /** Describes a refusal for the caller. */
-export function toProblem(
-  outcome: Exclude<callTypes.CallOutcome, { kind: 'answered' }>,
-  requestId: string,
-  tableVersion: number,
-): IProblem {
+export function toProblem(record: serverTypes.IRefusalRecord): IProblem {
   return {
-    type: `urn:lavenderspar:refusal:${outcome.reason}`,
-    title: outcome.reason.replaceAll('-', ' '),
-    status: STATUSES[outcome.reason],
-    detail: outcome.detail,
-    kind: outcome.reason,
-    outcome: outcome.kind,
-    dispatched: outcome.kind === 'unknown' && outcome.dispatched,
-    requestId,
-    tableVersion,
+    type: `urn:lavenderspar:refusal:${record.kind}`,
+    title: record.kind.replaceAll('-', ' '),
+    status: STATUSES[record.kind],
+    detail: record.detail,
+    kind: record.kind,
+    outcome: record.outcome,
+    dispatched: record.dispatched,
+    requestId: record.requestId,
+    tableVersion: record.tableVersion,
   };
 }
--- /dev/null
+++ b/src/node/server/RequestHead.ts
@@ -0,0 +1,137 @@
+import type * as http from 'node:http';
+
+import type * as callTypes from '../../common/call/Types';
+import type * as tableTypes from '../../common/table/Types';
+import * as headers from '../dispatch/Headers';
+import type * as serverTypes from './Types';
+
+const MAX_TIMEOUT_MS = 600_000;
+
+/** Daemons that a call tree may pass. A call that comes back in a circle ends here. */
+const MAX_DEPTH = 16;
+
+/** Longest part of a caller's text that is repeated in an error message. */
+const MAX_QUOTED_LENGTH = 80;
+
+/** Headers that may occur once only, and the refusal of a request that repeats one. */
+const SINGLE_HEADERS: readonly [string, callTypes.NotRunKind][] = [
+  ['host', 'malformed-request'],
+  [headers.REQUEST_KEY, 'request-key-invalid'],
+  [headers.REQUEST_TIMEOUT_MS, 'invalid-deadline'],
+  [headers.CALL_DEPTH, 'malformed-request'],
+  [headers.RETRIES_SPENT, 'malformed-request'],
+];
+
+/** What the start line and the headers of a request say. */
+export interface IRequestHead {
+  readonly service: tableTypes.IServiceRow;
+  /** Path and query for the backend server, as received. */
+  readonly path: string;
+  readonly timeoutMs: number;
+  readonly depth: number;
+  readonly retriesSpent: number;
+  readonly requestKey: string | undefined;
+  /** Headers for the backend server. */
+  readonly headers: readonly string[];
+}
+
+/** Builds a refusal that is certain to have run nowhere. */
+export function notRun(reason: callTypes.NotRunKind, detail: string): serverTypes.Refusal {
+  return { kind: 'not-run', reason, detail };
+}
+
+function quote(text: string): string {
+  return JSON.stringify(text.slice(0, MAX_QUOTED_LENGTH));
+}
+
+/** Splits a request target into the name of the service and the rest, without decoding it. */
+export function splitTarget(target: string): { service: string; path: string } | undefined {
+  const relative = target.replace(/^https?:\/\/[^/?#]*/i, '');
+  const match = /^\/([^/?#]*)(.*)$/s.exec(relative);
+  if (match === null) return undefined;
+  const [, service = '', rest = ''] = match;
+  return { service, path: rest.startsWith('/') ? rest : `/${rest}` };
+}
+
+function readInteger(list: readonly string[], name: string): number | undefined {
+  const text = headers.find(list, name);
+  if (text === undefined) return 0;
+  return /^\d{1,6}$/.test(text) ? Number(text) : undefined;
+}
+
+function readTimeout(list: readonly string[], defaultMs: number): number | undefined {
+  const text = headers.find(list, headers.REQUEST_TIMEOUT_MS);
+  if (text === undefined) return defaultMs;
+  const timeoutMs = /^\d{1,6}$/.test(text) ? Number(text) : 0;
+  return timeoutMs >= 1 && timeoutMs <= MAX_TIMEOUT_MS ? timeoutMs : undefined;
+}
+
+function findRepeated(list: readonly string[]): serverTypes.Refusal | undefined {
+  const repeated = SINGLE_HEADERS.find(([name]) => headers.findAll(list, name).length > 1);
+  if (repeated === undefined) return undefined;
+  return notRun(repeated[1], `the header ${repeated[0]} occurs more than once`);
+}
+
+function checkMessage(
+  request: http.IncomingMessage,
+  list: readonly string[],
+): serverTypes.Refusal | undefined {
+  const repeated = findRepeated(list);
+  if (repeated !== undefined) return repeated;
+  if (request.httpVersion === '1.1' && headers.find(list, 'host') === undefined) {
+    return notRun('malformed-request', 'the header host is missing');
+  }
+  const expectation = headers.find(list, 'expect');
+  if (expectation !== undefined && expectation.toLowerCase() !== '100-continue') {
+    return notRun('malformed-request', `the expectation ${quote(expectation)} cannot be met`);
+  }
+  return undefined;
+}
+
+function readNumbers(
+  list: readonly string[],
+  service: tableTypes.IServiceRow,
+): { timeoutMs: number; depth: number; retriesSpent: number } | serverTypes.Refusal {
+  const timeoutMs = readTimeout(list, service.deadlineMs);
+  if (timeoutMs === undefined) {
+    const detail = `${headers.REQUEST_TIMEOUT_MS} must be an integer from 1 to ${MAX_TIMEOUT_MS}`;
+    return notRun('invalid-deadline', detail);
+  }
+  const depth = readInteger(list, headers.CALL_DEPTH);
+  const retriesSpent = readInteger(list, headers.RETRIES_SPENT);
+  if (depth === undefined || retriesSpent === undefined) {
+    const name = depth === undefined ? headers.CALL_DEPTH : headers.RETRIES_SPENT;
+    return notRun('malformed-request', `${name} must be an integer from 0`);
+  }
+  if (depth > MAX_DEPTH) {
+    return notRun('call-too-deep', `the call depth ${depth} is above ${MAX_DEPTH}`);
+  }
+  return { timeoutMs, depth, retriesSpent };
+}
+
+/** Checks the start line and the headers of a request against the table. */
+export function readHead(
+  request: http.IncomingMessage,
+  table: tableTypes.ITable,
+): IRequestHead | serverTypes.Refusal {
+  const list = headers.lowerCaseNames(request.rawHeaders);
+  const target = splitTarget(request.url ?? '');
+  const fault = checkMessage(request, list);
+  if (fault !== undefined) return fault;
+  if (target === undefined) {
+    return notRun('malformed-request', `the target ${quote(request.url ?? '')} is no path`);
+  }
+  const service = table.services.get(target.service);
+  if (service === undefined) {
+    return notRun('unknown-service', `the table names no service ${quote(target.service)}`);
+  }
+  const numbers = readNumbers(list, service);
+  if ('kind' in numbers) return numbers;
+  const requestKey = headers.find(list, headers.REQUEST_KEY);
+  if (service.requestKey === 'required' && requestKey === undefined) {
+    const detail = `the service needs the header ${headers.REQUEST_KEY} with a key from a daemon`;
+    return notRun('request-key-missing', detail);
+  }
+  const forwarded = headers.forwardedRequest(list);
+  return { service, path: target.path, ...numbers, requestKey, headers: forwarded };
+}
