Complete the stand-ins and run the demo on separate processes

Cause: the stand-ins had no faults to switch and no complete record, and the demo ran them inside its own process on fixed ports. Change: BackendServer gains a shed limit, connection limit, cold start, draining, deadlines, cancellation, run-time faults and a record of every start and probe with its time. Stand-ins run as processes with a control endpoint. Caller and Audit compare what callers were told with what servers started.

--- /dev/null
+++ b/src/demo/Workload.ts
@@ -0,0 +1,56 @@
+import type * as types from '../common/Types';
+import * as caller from '../standin/Caller';
+import * as services from './Services';
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+/** Whether the request of an identity must run at most once. */
+export function isOnce(identity: string): boolean {
+  return services.SERVICES.some(
+    ({ cells }) => cells.idempotent === 'no' && identity.startsWith(cells.name),
+  );
+}
+
+/** The callers of both companies. Each sends one request after the other. */
+export class Workload {
+  public readonly caller = new caller.Caller();
+
+  private sequence = 0;
+
+  private running = true;
+
+  /** @param urls Daemons that the platform's balancer sends callers to now. */
+  public constructor(
+    private readonly urls: () => readonly string[],
+    private readonly random: types.IRandom,
+  ) {}
+
+  /** Resolves when every caller has ended after `stop`. */
+  public async run(): Promise<void> {
+    const loops = services.SERVICES.flatMap((service) =>
+      Array.from({ length: service.callers }, () => this.loop(service)),
+    );
+    await Promise.all(loops);
+  }
+
+  public stop(): void {
+    this.running = false;
+  }
+
+  private async loop(service: services.IDemoService): Promise<void> {
+    const { name } = service.cells;
+    while (this.running) {
+      const urls = this.urls();
+      const url = urls[this.random.nextInteger(urls.length)] ?? '';
+      this.sequence += 1;
+      const identity = `${name}-${this.sequence}`;
+      // A caller waits for its answer before it sends its next request.
+      await this.caller.submit(url, { service: name, identity });
+      await pause(service.pauseMs * 2 * this.random.next());
+    }
+  }
+}
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -1,135 +1,104 @@
-import * as childProcess from 'node:child_process';
-import * as crypto from 'node:crypto';
-import * as fs from 'node:fs/promises';
-import * as os from 'node:os';
-import * as path from 'node:path';
+import * as hdr from 'hdr-histogram-js';
 
-import * as undici from 'undici';
-import * as yaml from 'yaml';
-
-import * as backendServer from '../standin/BackendServer';
-import * as configurationService from '../standin/ConfigurationService';
+import * as seededRandom from '../common/SeededRandom';
+import * as audit from '../standin/Audit';
+import type * as caller from '../standin/Caller';
+import * as demoFleet from './DemoFleet';
+import * as events from './Events';
+import * as services from './Services';
+import * as workload from './Workload';
 
 const DAEMONS = 3;
-const SERVERS = 12;
-const CALLERS = 12;
-const BASE_PORT = 21_000;
+const SEED = 1;
+const DEFAULT_SECONDS = 20;
+const REPORT_INTERVAL_MS = 2_000;
+const MICROSECONDS_PER_MS = 1_000;
 
-interface ISummary {
-  answered: number;
-  refusedNotRun: number;
-  outcomeUnknown: number;
-  wrongAnswers: number;
-  latenciesMs: number[];
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
 }
 
-async function startDaemon(index: number, folder: string, platformUrl: string) {
-  const settings = path.join(folder, `daemon-${index}.yaml`);
-  const port = BASE_PORT + index * 10;
-  await fs.writeFile(
-    settings,
-    yaml.stringify({
-      callerAddress: `127.0.0.1:${port}`,
-      operatorAddress: `127.0.0.1:${port + 1}`,
-      peerAddress: `127.0.0.1:${port + 2}`,
-      failureDomain: `domain-${index % 3}`,
-      platformUrl,
-      logLevel: 'warn',
-    }),
-  );
-  const executable = path.join(__dirname, '../cli/main.js');
-  const child = childProcess.spawn(process.execPath, [executable, 'serve', settings], {
-    stdio: 'inherit',
-  });
-  return { child, url: `http://127.0.0.1:${port}` };
+/** Percentiles of the answered prompt calls, in milliseconds. */
+function promptLatencies(submissions: readonly caller.ISubmission[]): {
+  p50Ms: number;
+  p99Ms: number;
+} {
+  const prompt = services.SERVICES.filter(({ cells }) => cells.class === 'prompt');
+  const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
+  submissions
+    .filter((submission) => submission.outcome === 'answered')
+    .filter(({ identity }) => prompt.some(({ cells }) => identity.startsWith(cells.name)))
+    .forEach(({ latencyMs }) => histogram.recordValue(Math.round(latencyMs * MICROSECONDS_PER_MS)));
+  const at = (percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+  return { p50Ms: at(50), p99Ms: at(99) };
+}
+
+function reportProgress(submissions: readonly caller.ISubmission[], from: number): void {
+  const recent = submissions.slice(from);
+  const count = (outcome: string) => recent.filter((one) => one.outcome === outcome).length;
+  const { p50Ms, p99Ms } = promptLatencies(recent);
+  const outcomes = `${count('answered')} answered, ${count('not-run')} refused as not run`;
+  const latency = `prompt work p50 ${p50Ms.toFixed(1)} ms, p99 ${p99Ms.toFixed(1)} ms`;
+  say(`  ${outcomes}, ${count('unknown')} unknown; ${latency}`);
 }
 
-async function callOnce(url: string, summary: ISummary): Promise<void> {
-  const identity = crypto.randomUUID();
-  const body = `body of ${identity}`;
-  const expected = crypto.createHash('sha256').update(identity).update(body).digest('hex');
-  const startMs = performance.now();
-  const reply = await undici.request(`${url}/status-tracking/documents`, {
-    method: 'POST',
-    headers: { 'test-identity': identity },
-    body,
+/** Runs `action` at a time after now, in milliseconds. Resolves when it is done. */
+function later(delayMs: number, action: () => Promise<unknown>): Promise<unknown> {
+  return new Promise((resolve, reject) => {
+    setTimeout(() => {
+      action().then(resolve, reject);
+    }, delayMs);
   });
-  const text = await reply.body.text();
-  if (reply.headers['request-outcome'] === 'answered') {
-    summary.answered += 1;
-    summary.latenciesMs.push(performance.now() - startMs);
-    if ((JSON.parse(text) as { checksum: string }).checksum !== expected) summary.wrongAnswers += 1;
-  } else if (reply.headers['request-outcome'] === 'not-run') summary.refusedNotRun += 1;
-  else summary.outcomeUnknown += 1;
 }
 
-async function main(): Promise<void> {
-  const seconds = Number(process.argv[process.argv.indexOf('--seconds') + 1] ?? 20) || 20;
-  const servers = Array.from(
-    { length: SERVERS },
-    () => new backendServer.BackendServer({ slots: 3, serviceMs: 10 }),
-  );
-  const ports = await Promise.all(servers.map((server) => server.listen()));
-  const platform = new configurationService.ConfigurationService();
-  const rows = [
-    'kind,name,service,version,max_daemons,class,idempotent,deadline_ms,address,failure_domain,slots,max_connections',
-    'table,,,1,20,,,,,,,',
-    'service,status-tracking,,,,prompt,yes,1000,,,,',
-    ...ports.map(
-      (port, index) => `server,,status-tracking,,,,,,127.0.0.1:${port},domain-${index % 3},3,200`,
+async function run(fleet: demoFleet.DemoFleet, seconds: number): Promise<boolean> {
+  const stopping = new Set<string>();
+  const urls = () => fleet.daemons.map(({ url }) => url).filter((url) => !stopping.has(url));
+  const load = new workload.Workload(urls, new seededRandom.SeededRandom(SEED));
+  const { submissions } = load.caller;
+  const durationMs = seconds * 1_000;
+  const running = load.run();
+  let reported = 0;
+  const progress = setInterval(() => {
+    reportProgress(submissions, reported);
+    reported = submissions.length;
+  }, REPORT_INTERVAL_MS);
+  const planned = events.demoEvents(fleet, (url) => stopping.add(url));
+  await Promise.all([
+    later(durationMs, async () => load.stop()),
+    ...planned.map((event) =>
+      later(event.at * durationMs, () => {
+        say(`${(event.at * seconds).toFixed(1)} s: ${event.text}`);
+        return event.run();
+      }),
     ),
-  ];
-  platform.publish('table', rows.join('\n'));
-  const vms = Array.from({ length: DAEMONS }, (_, index) => ({
-    address: `127.0.0.1:${BASE_PORT + index * 10 + 2}`,
-    role: 'daemon',
-    failureDomain: `domain-${index % 3}`,
-    state: 'live',
-  }));
-  platform.publish('vms', JSON.stringify({ revision: 1, vms }));
-  const platformPort = await platform.listen();
-  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'lavenderspar-demo-'));
-  const daemons = await Promise.all(
-    vms.map((_, index) => startDaemon(index, folder, `http://127.0.0.1:${platformPort}`)),
-  );
-  await new Promise((resolve) => {
-    setTimeout(resolve, 1_500);
-  });
-  const summary: ISummary = {
-    answered: 0,
-    refusedNotRun: 0,
-    outcomeUnknown: 0,
-    wrongAnswers: 0,
-    latenciesMs: [],
-  };
-  const endMs = performance.now() + seconds * 1_000;
-  await Promise.all(
-    Array.from({ length: CALLERS }, async (_, caller) => {
-      const { url } = daemons[caller % DAEMONS] as { url: string };
-      while (performance.now() < endMs) {
-        // Each caller waits for its answer before the next call.
+  ]);
+  await running;
+  clearInterval(progress);
+  await load.caller.close();
+  const records = await fleet.records();
+  const starts = audit.startsOf(records.flatMap(({ runs }) => runs.map((one) => one.identity)));
+  const { falseNotRun, ...counts } = audit.audit(submissions, starts, workload.isOnce);
+  const probes = records.reduce((sum, record) => sum + record.probesMs.length, 0);
+  if (falseNotRun > 0) say(`${falseNotRun} requests were refused as "not run" although they ran`);
+  say(JSON.stringify({ ...counts, probes, ...promptLatencies(submissions) }));
+  return counts.wrongAnswers === 0 && counts.doubledRuns === 0;
+}
 
-        await callOnce(url, summary);
-      }
-    }),
-  );
-  daemons.forEach(({ child }) => child.kill('SIGTERM'));
-  await Promise.all(servers.map((server) => server.close()));
-  await platform.close();
-  const { latenciesMs, ...counts } = summary;
-  latenciesMs.sort((a, b) => a - b);
-  const doubledRuns = servers
-    .flatMap((server) => [...server.runs.values()])
-    .filter((runs) => runs > 1).length;
-  const result = {
-    ...counts,
-    doubledRuns,
-    probes: servers.reduce((sum, server) => sum + server.probes, 0),
-    p50Ms: latenciesMs[Math.floor(latenciesMs.length * 0.5)] ?? 0,
-    p99Ms: latenciesMs[Math.floor(latenciesMs.length * 0.99)] ?? 0,
-  };
-  process.stdout.write(`${JSON.stringify(result)}\n`);
-  process.exitCode = result.wrongAnswers + result.doubledRuns > 0 ? 1 : 0;
+async function main(): Promise<void> {
+  const position = process.argv.indexOf('--seconds');
+  const stated = position < 0 ? DEFAULT_SECONDS : Number(process.argv[position + 1]);
+  if (!(stated > 0)) throw new Error('--seconds needs a number above 0');
+  const fleet = await demoFleet.DemoFleet.start(DAEMONS, SEED);
+  say(`${fleet.daemons.length} daemons and ${fleet.servers.length} backend servers are running`);
+  let correct = false;
+  try {
+    correct = await run(fleet, stated);
+  } finally {
+    await fleet.stop();
+  }
+  process.exitCode = correct ? 0 : 1;
 }
 
 main().catch((error: Error) => {
--- a/src/standin/BackendServer.ts
+++ b/src/standin/BackendServer.ts
@@ -1,95 +1,278 @@
-import * as crypto from 'node:crypto';
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 
-/** Settings of a backend server stand-in. */
-export interface IBackendOptions {
-  readonly slots: number;
-  /** Mean time to run a request, in milliseconds. */
-  readonly serviceMs: number;
-}
+import * as emitter from '../common/Emitter';
+import * as answers from './Answers';
+import * as runQueue from './RunQueue';
+import type * as standinTypes from './Types';
+
+/** Header that identifies a request to the tests. */
+export const IDENTITY_HEADER = 'test-identity';
+
+/** Header of a request that crashes each server that runs it. */
+export const CRASH_HEADER = 'test-crash';
+
+const DEFAULT_QUEUE_LIMIT = 1_000;
+const DEFAULT_MAX_CONNECTIONS = 250;
+const DEFAULT_STARTING_FACTOR = 5;
+
+const NO_FAULTS: standinTypes.IBackendFaults = {
+  slowFactor: 1,
+  refuse: 'no',
+  loadReport: 'true',
+  answer: 'complete',
+  delayMs: 0,
+};
 
-interface IWaiting {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-  readonly body: Buffer;
+function readBody(request: http.IncomingMessage): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('error', reject);
+  });
 }
 
-/** Stand-in for a backend server: slots, a queue, a load report and a record of what ran. */
+/** Stand-in for a backend server, with faults that can be switched and a record of what ran. */
 export class BackendServer {
-  /** How often each request ran, by the header `test-identity`. */
-  public readonly runs = new Map<string, number>();
+  public readonly faults: standinTypes.IBackendFaults = { ...NO_FAULTS };
 
-  /** Probes received. */
-  public probes = 0;
+  private readonly crashEmitter = new emitter.Emitter<void>();
 
-  public draining = false;
+  /** Fires when a marked request has crashed the server. */
+  public readonly onCrash = this.crashEmitter.event;
 
-  private readonly queue: IWaiting[] = [];
+  private readonly runEmitter = new emitter.Emitter<standinTypes.IRun>();
 
-  private inFlight = 0;
+  /** Fires when a request starts to run. */
+  public readonly onRun = this.runEmitter.event;
 
-  private readonly server = http.createServer((request, response) =>
-    this.receive(request, response),
-  );
+  private readonly runs: standinTypes.IRun[] = [];
 
-  public constructor(private readonly options: IBackendOptions) {}
+  private readonly probesMs: number[] = [];
 
-  public listen(port = 0): Promise<number> {
-    return new Promise((resolve) => {
-      this.server.listen(port, '127.0.0.1', () =>
-        resolve((this.server.address() as net.AddressInfo).port),
-      );
+  private refused = 0;
+
+  private cancelled = 0;
+
+  private readonly queue: runQueue.RunQueue;
+
+  private readonly sockets = new Set<net.Socket>();
+
+  private readonly silent = new WeakSet<net.Socket>();
+
+  private drainingSinceMs: number | undefined;
+
+  private listeningSinceMs = 0;
+
+  private frozenReport: { inFlight: number; queued: number } | undefined;
+
+  private server: http.Server | undefined;
+
+  public constructor(
+    private readonly options: standinTypes.IBackendOptions,
+    private readonly sources: standinTypes.IStandInSources,
+  ) {
+    this.queue = new runQueue.RunQueue(options.slots, sources.clock);
+  }
+
+  public get record(): standinTypes.IBackendRecord {
+    const { runs, probesMs, refused, cancelled } = this;
+    return { runs, probesMs, refused, cancelled };
+  }
+
+  /** Requests that run or wait now. */
+  public get inFlight(): number {
+    return this.queue.inFlight + this.queue.queued;
+  }
+
+  public get state(): standinTypes.BackendState {
+    if (this.drainingSinceMs !== undefined) return 'draining';
+    const sinceMs = this.nowMs() - this.listeningSinceMs;
+    return sinceMs < (this.options.startingMs ?? 0) ? 'starting' : 'ready';
+  }
+
+  /** Accepts connections on `port`. Listening again after a crash starts cold. */
+  public listen(port = 0, host = '127.0.0.1'): Promise<number> {
+    const server = http.createServer({ keepAliveTimeout: 0 }, (request, response) => {
+      this.receive(request, response).catch(() => undefined);
+    });
+    server.maxConnections = this.options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+    server.on('connection', (socket: net.Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    this.server = server;
+    this.listeningSinceMs = this.nowMs();
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => resolve((server.address() as net.AddressInfo).port));
     });
   }
 
+  /** Breaks every connection and stops listening, as when the process dies. */
   public close(): Promise<void> {
+    const { server } = this;
+    this.server = undefined;
+    this.queue.clear();
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeAllConnections();
+      if (server === undefined) {
+        resolve();
+        return;
+      }
+      server.close(() => resolve());
+      this.sockets.forEach((socket) => socket.destroy());
     });
   }
 
-  private receive(request: http.IncomingMessage, response: http.ServerResponse): void {
-    if (request.url === '/load') {
-      this.probes += 1;
-      const state = this.draining ? 'draining' : 'ready';
-      const { slots } = this.options;
-      const load = { inFlight: this.inFlight, queued: this.queue.length, slots, state };
-      response.end(JSON.stringify(load));
+  /** Announces that the server is leaving, or takes it back. Work in flight continues. */
+  public setDraining(draining: boolean): void {
+    this.drainingSinceMs = draining ? (this.drainingSinceMs ?? this.nowMs()) : undefined;
+  }
+
+  public setFaults(faults: Partial<standinTypes.IBackendFaults>): void {
+    if (faults.loadReport === 'frozen') this.frozenReport = this.load();
+    Object.assign(this.faults, faults);
+  }
+
+  public clearFaults(): void {
+    Object.assign(this.faults, NO_FAULTS);
+  }
+
+  /** Established connections are never answered again. New ones work. */
+  public silenceConnections(): void {
+    this.sockets.forEach((socket) => this.silent.add(socket));
+  }
+
+  private nowMs(): number {
+    return this.sources.clock.monotonicMs();
+  }
+
+  private async receive(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    if (this.silent.has(request.socket)) return;
+    if (request.url === '/load' || request.url === '/health') {
+      this.answerProbe(request.url, response);
       return;
     }
-    const chunks: Buffer[] = [];
-    request.on('data', (chunk: Buffer) => chunks.push(chunk));
-    request.once('end', () => {
-      this.queue.push({ request, response, body: Buffer.concat(chunks) });
-      this.runNext();
+    const arrivedMs = this.nowMs();
+    const drainingForMs =
+      this.drainingSinceMs === undefined ? undefined : arrivedMs - this.drainingSinceMs;
+    const identity = String(request.headers[IDENTITY_HEADER] ?? '');
+    if (this.faults.refuse !== 'no') {
+      this.refuse(request, response, this.faults.refuse === 'not-run');
+      return;
+    }
+    if (this.faults.answer === 'early') {
+      response.writeHead(413, { 'content-type': 'application/json', ...this.reportHeaders() });
+      response.end(JSON.stringify({ identity }));
+      request.resume();
+      return;
+    }
+    const body = await readBody(request);
+    this.enqueue(request, response, body, { identity, arrivedMs, drainingForMs });
+  }
+
+  private enqueue(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    body: Buffer,
+    run: standinTypes.IRun,
+  ): void {
+    if (this.queue.queued >= (this.options.queueLimit ?? DEFAULT_QUEUE_LIMIT)) {
+      this.refuse(request, response, true);
+      return;
+    }
+    const item: runQueue.IQueued = {
+      onStart: () => this.start(request, response, run),
+      onFinish: () => this.finish(response, run.identity, body),
+    };
+    response.once('close', () => {
+      if (response.writableFinished) return;
+      this.cancelled += 1;
+      this.queue.remove(item);
     });
+    if (this.faults.delayMs === 0) this.queue.add(item);
+    else this.sources.clock.setTimer(this.faults.delayMs, () => this.queue.add(item));
+  }
+
+  private start(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    run: standinTypes.IRun,
+  ): number | undefined {
+    if (request.socket.destroyed) return undefined;
+    if (this.isTooLate(request, run.arrivedMs)) {
+      this.refuse(request, response, true);
+      return undefined;
+    }
+    this.runs.push(run);
+    this.runEmitter.fire(run);
+    if (request.headers[CRASH_HEADER] !== undefined) {
+      this.close().catch(() => undefined);
+      this.crashEmitter.fire();
+      return undefined;
+    }
+    const cold = this.state === 'starting';
+    const startingFactor = cold ? (this.options.startingFactor ?? DEFAULT_STARTING_FACTOR) : 1;
+    const meanMs = this.options.serviceMs * this.faults.slowFactor * startingFactor;
+    return meanMs * 2 * this.sources.random.next();
+  }
+
+  private isTooLate(request: http.IncomingMessage, arrivedMs: number): boolean {
+    const deadline = Number(request.headers['request-deadline'] ?? Infinity);
+    const timeoutMs = Number(request.headers['request-timeout-ms'] ?? Infinity);
+    const late = this.sources.clock.wallTime().getTime() >= deadline;
+    return late || this.nowMs() - arrivedMs >= timeoutMs;
   }
 
-  private runNext(): void {
-    if (this.inFlight >= this.options.slots) return;
-    const next = this.queue.shift();
-    if (next === undefined) return;
-    this.inFlight += 1;
-    const identity = String(next.request.headers['test-identity'] ?? '');
-    this.runs.set(identity, (this.runs.get(identity) ?? 0) + 1);
-    setTimeout(() => this.finish(next, identity), this.options.serviceMs * 2 * Math.random());
-  }
-
-  private finish(run: IWaiting, identity: string): void {
-    this.inFlight -= 1;
-    const checksum = crypto.createHash('sha256').update(identity).update(run.body).digest('hex');
-    const load = [
-      `named_metrics.in_flight=${this.inFlight}`,
-      `named_metrics.queued=${this.queue.length}`,
-    ];
-    run.response.writeHead(200, {
-      'content-type': 'application/json',
-      'endpoint-load-metrics': `TEXT ${load.join(', ')}`,
-      ...(this.draining ? { 'backend-state': 'draining' } : {}),
+  private finish(response: http.ServerResponse, identity: string, body: Buffer): void {
+    if (response.destroyed || this.silent.has(response.socket as net.Socket)) return;
+    answers.writeAnswer(response, this.faults.answer, identity, body, this.reportHeaders());
+  }
+
+  private refuse(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    marked: boolean,
+  ): void {
+    this.refused += marked ? 1 : 0;
+    request.resume();
+    response.writeHead(503, {
+      ...this.reportHeaders(),
+      ...(marked ? { 'request-outcome': 'not-run' } : {}),
     });
-    run.response.end(JSON.stringify({ identity, checksum }));
-    this.runNext();
+    response.end();
+  }
+
+  private answerProbe(path: string, response: http.ServerResponse): void {
+    this.probesMs.push(this.nowMs());
+    const { state } = this;
+    if (path === '/health') {
+      response.writeHead(state === 'ready' ? 200 : 503).end(JSON.stringify({ state }));
+      return;
+    }
+    response.end(JSON.stringify({ ...this.report(), slots: this.options.slots, state }));
+  }
+
+  private load(): { inFlight: number; queued: number } {
+    return { inFlight: this.queue.inFlight, queued: this.queue.queued };
+  }
+
+  private report(): { inFlight: number; queued: number } {
+    if (this.faults.loadReport === 'idle') return { inFlight: 0, queued: 0 };
+    if (this.faults.loadReport === 'frozen') return this.frozenReport ?? this.load();
+    return this.load();
+  }
+
+  private reportHeaders(): http.OutgoingHttpHeaders {
+    const { state } = this;
+    const stated = state === 'ready' ? {} : { 'backend-state': state };
+    if (this.faults.loadReport === 'absent') return stated;
+    const { inFlight, queued } = this.report();
+    const metrics = `named_metrics.in_flight=${inFlight}, named_metrics.queued=${queued}`;
+    return { 'endpoint-load-metrics': `TEXT ${metrics}`, ...stated };
   }
 }
--- /dev/null
+++ b/src/standin/Caller.ts
@@ -0,0 +1,110 @@
+import * as undici from 'undici';
+
+import * as answers from './Answers';
+import * as backendServer from './BackendServer';
+
+/** A request of the tests. */
+export interface ITestRequest {
+  readonly service: string;
+  /** Identifies the request at the backend servers, across all its submissions. */
+  readonly identity: string;
+  readonly timeoutMs?: number;
+  readonly requestKey?: string;
+  /** Whether the request crashes each server that runs it. */
+  readonly crashes?: boolean;
+}
+
+/** What one submission of a request ended with, as the caller saw it. */
+export interface ISubmission {
+  readonly identity: string;
+  readonly outcome: 'answered' | 'not-run' | 'unknown';
+  /** Kind of the refusal, `daemon-lost` if the daemon broke the connection, empty if answered. */
+  readonly reason: string;
+  readonly status: number;
+  /** Whether an answer with status 200 was complete and belonged to the request. */
+  readonly correct: boolean;
+  readonly latencyMs: number;
+  readonly timeoutMs: number | undefined;
+  /** Address of the daemon. */
+  readonly daemon: string;
+}
+
+const CALLER_LIMIT_MS = 60_000;
+
+/** The request body that belongs to an identity. */
+export function bodyOf(identity: string): Buffer {
+  return Buffer.from(`body of ${identity}`);
+}
+
+/** A caller that checks each answer. */
+export class Caller {
+  /** Every submission that ended, in order. */
+  public readonly submissions: ISubmission[] = [];
+
+  private readonly agent = new undici.Agent({ pipelining: 1, connect: { timeout: 2_000 } });
+
+  /** Submits `request` to the daemon at `url`. Never rejects. */
+  public async submit(url: string, request: ITestRequest): Promise<ISubmission> {
+    const startMs = performance.now();
+    const outcome = await this.send(url, request);
+    const submission = {
+      identity: request.identity,
+      ...outcome,
+      latencyMs: performance.now() - startMs,
+      timeoutMs: request.timeoutMs,
+      daemon: url,
+    };
+    this.submissions.push(submission);
+    return submission;
+  }
+
+  public async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async send(
+    url: string,
+    request: ITestRequest,
+  ): Promise<Pick<ISubmission, 'outcome' | 'reason' | 'status' | 'correct'>> {
+    const { service, identity, timeoutMs, requestKey, crashes } = request;
+    try {
+      const reply = await undici.request(`${url}/${service}/documents`, {
+        method: 'POST',
+        dispatcher: this.agent,
+        headers: {
+          [backendServer.IDENTITY_HEADER]: identity,
+          ...(timeoutMs === undefined ? {} : { 'request-timeout-ms': `${timeoutMs}` }),
+          ...(requestKey === undefined ? {} : { 'idempotency-key': requestKey }),
+          ...(crashes === true ? { [backendServer.CRASH_HEADER]: 'yes' } : {}),
+        },
+        body: bodyOf(identity),
+        headersTimeout: CALLER_LIMIT_MS,
+        bodyTimeout: CALLER_LIMIT_MS,
+      });
+      return Caller.judge(reply.statusCode, reply.headers, await reply.body.text(), identity);
+    } catch (error) {
+      const unsent = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT'];
+      const reason = unsent.includes((error as { code?: string }).code ?? '')
+        ? 'daemon-unreachable'
+        : 'daemon-lost';
+      return { outcome: 'unknown', reason, status: 0, correct: true };
+    }
+  }
+
+  private static judge(
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+    text: string,
+    identity: string,
+  ): Pick<ISubmission, 'outcome' | 'reason' | 'status' | 'correct'> {
+    const outcome = headers['request-outcome'];
+    if (outcome === 'answered') {
+      const complete = answers.isAnswerTo(text, identity, bodyOf(identity));
+      return { outcome, reason: '', status, correct: status !== 200 || complete };
+    }
+    const { kind = '' } = JSON.parse(text) as { kind?: string };
+    const known = outcome === 'not-run' || outcome === 'unknown';
+    if (!known) return { outcome: 'unknown', reason: kind, status, correct: false };
+    return { outcome, reason: kind, status, correct: true };
+  }
+}
--- /dev/null
+++ b/src/standin/ChildProcess.ts
@@ -0,0 +1,111 @@
+import * as childProcess from 'node:child_process';
+import * as readline from 'node:readline';
+
+import * as undici from 'undici';
+
+const started = new Set<childProcess.ChildProcess>();
+
+// A process that ends early leaves no child behind.
+process.once('exit', () => started.forEach((child) => child.kill('SIGKILL')));
+
+/** A child process of a test, a demo or a bench. Ended by its id only. */
+export class ChildProcess {
+  /** The last lines that the process wrote, for the report of a failed test. */
+  public readonly lines: string[] = [];
+
+  /** Resolves with the exit code, or undefined if a signal ended the process. */
+  public readonly exited: Promise<number | undefined>;
+
+  private readonly child: childProcess.ChildProcess;
+
+  private running = true;
+
+  private readonly firstLine: Promise<string>;
+
+  /** Starts `node` with `parameters`. Its standard input closes when this process ends. */
+  public constructor(parameters: readonly string[], environment: NodeJS.ProcessEnv = {}) {
+    this.child = childProcess.spawn(process.execPath, parameters, {
+      stdio: ['pipe', 'pipe', 'pipe'],
+      env: { ...process.env, ...environment },
+    });
+    started.add(this.child);
+    this.exited = new Promise((resolve) => {
+      this.child.once('close', (code) => {
+        started.delete(this.child);
+        this.running = false;
+        resolve(code ?? undefined);
+      });
+    });
+    this.firstLine = new Promise((resolve) => {
+      [this.child.stdout, this.child.stderr].forEach((stream) => {
+        if (stream === null) return;
+        readline.createInterface({ input: stream }).on('line', (line) => {
+          resolve(line);
+          this.keep(line);
+        });
+      });
+    });
+  }
+
+  public get isRunning(): boolean {
+    return this.running;
+  }
+
+  public get processId(): number {
+    return this.child.pid ?? 0;
+  }
+
+  public signal(name: NodeJS.Signals): void {
+    if (this.running) this.child.kill(name);
+  }
+
+  /** Kills the process and waits for its end. */
+  public async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.exited;
+  }
+
+  /** Waits for the first line of output, which a stand-in writes when it is ready. */
+  public async announcement<T>(): Promise<T> {
+    const ended = this.exited.then((code) => {
+      throw new Error(`process ended with code ${code}: ${this.lines.join('\n')}`);
+    });
+    return JSON.parse(await Promise.race([this.firstLine, ended])) as T;
+  }
+
+  private keep(line: string): void {
+    this.lines.push(line);
+    if (this.lines.length > 50) this.lines.shift();
+  }
+}
+
+/** A stand-in that runs as a process of its own. */
+export class StandInProcess {
+  private constructor(
+    public readonly child: ChildProcess,
+    public readonly port: number,
+    private readonly controlPort: number,
+  ) {}
+
+  /** Starts a stand-in from the compiled files in `folder` and waits until it listens. */
+  public static async start(
+    folder: string,
+    kind: 'backend' | 'configuration',
+    options: object,
+  ): Promise<StandInProcess> {
+    const child = new ChildProcess([`${folder}/standin/main.js`, kind, JSON.stringify(options)]);
+    const announced = await child.announcement<{ port: number; controlPort: number }>();
+    return new StandInProcess(child, announced.port, announced.controlPort);
+  }
+
+  /** Runs a command of the stand-in, and returns its result. */
+  public async command<T>(name: string, argument: unknown = null): Promise<T> {
+    const reply = await undici.request(`http://127.0.0.1:${this.controlPort}/${name}`, {
+      method: 'POST',
+      body: JSON.stringify(argument),
+    });
+    const result = (await reply.body.json()) as T;
+    if (reply.statusCode !== 200) throw new Error(`${name}: ${JSON.stringify(result)}`);
+    return result;
+  }
+}
--- /dev/null
+++ b/src/standin/TableText.ts
@@ -0,0 +1,70 @@
+/** Cells of a service row by column. */
+export interface IServiceCells {
+  readonly name: string;
+  readonly class: 'prompt' | 'leisure';
+  readonly idempotent: 'yes' | 'no';
+  readonly request_key?: 'required' | 'none';
+  readonly deadline_ms: number;
+  readonly probes_per_second?: number;
+  readonly hedge_percent?: number;
+  readonly retry_percent?: number;
+}
+
+/** Cells of a server row by column. */
+export interface IServerCells {
+  readonly service: string;
+  readonly address: string;
+  readonly failure_domain: string;
+  readonly slots: number;
+  readonly max_connections: number;
+  readonly weight?: number;
+}
+
+const COLUMNS = [
+  'kind',
+  'name',
+  'service',
+  'version',
+  'max_daemons',
+  'class',
+  'idempotent',
+  'request_key',
+  'deadline_ms',
+  'probes_per_second',
+  'hedge_percent',
+  'retry_percent',
+  'address',
+  'failure_domain',
+  'weight',
+  'slots',
+  'max_connections',
+];
+
+/** Writes a table as its operators would publish it. */
+export function tableText(
+  version: number,
+  maxDaemons: number,
+  services: readonly IServiceCells[],
+  servers: readonly IServerCells[],
+): string {
+  const rows: Readonly<Record<string, unknown>>[] = [
+    { kind: 'table', version, max_daemons: maxDaemons },
+    ...services.map((cells) => ({ kind: 'service', ...cells })),
+    ...servers.map((cells) => ({ kind: 'server', ...cells })),
+  ];
+  const lines = rows.map((row) => COLUMNS.map((column) => `${row[column] ?? ''}`).join(','));
+  return [COLUMNS.join(','), ...lines].join('\n');
+}
+
+/** Writes a VM list. */
+export function vmListText(
+  revision: number,
+  vms: readonly {
+    readonly address: string;
+    readonly role: 'daemon' | 'backend-server';
+    readonly failureDomain: string;
+    readonly state: 'live' | 'leaving';
+  }[],
+): string {
+  return JSON.stringify({ revision, vms });
+}
--- /dev/null
+++ b/src/standin/main.ts
@@ -0,0 +1,59 @@
+import * as seededRandom from '../common/SeededRandom';
+import * as systemClock from '../node/SystemClock';
+import * as backendServer from './BackendServer';
+import * as configurationService from './ConfigurationService';
+import * as controlServer from './ControlServer';
+import type * as standinTypes from './Types';
+
+interface IBackendArguments extends standinTypes.IBackendOptions {
+  readonly seed: number;
+  readonly port?: number;
+}
+
+type ConfigurationArguments = configurationService.IConfigurationOptions;
+
+function announce(port: number, controlPort: number): void {
+  process.stdout.write(`${JSON.stringify({ port, controlPort })}\n`);
+}
+
+async function runBackend(options: IBackendArguments): Promise<void> {
+  const clock = new systemClock.SystemClock();
+  const random = new seededRandom.SeededRandom(options.seed);
+  const server = new backendServer.BackendServer(options, { clock, random });
+  server.onCrash(() => process.kill(process.pid, 'SIGKILL'));
+  const control = new controlServer.ControlServer({
+    faults: (faults: Partial<standinTypes.IBackendFaults>) => server.setFaults(faults),
+    clearFaults: () => server.clearFaults(),
+    draining: (draining: boolean) => server.setDraining(draining),
+    silence: () => server.silenceConnections(),
+    record: () => server.record,
+  });
+  announce(await server.listen(options.port), await control.listen());
+}
+
+async function runConfiguration(options: ConfigurationArguments): Promise<void> {
+  const clock = new systemClock.SystemClock();
+  const service = new configurationService.ConfigurationService(clock, options);
+  const control = new controlServer.ControlServer({
+    publish: ({ name, text }: { name: string; text: string }) => service.publish(name, text),
+    mode: ({ mode, readers }: { mode: configurationService.ServiceMode; readers?: string[] }) =>
+      service.setMode(mode, readers),
+    calls: () => ({ total: service.calls, bySecond: [...service.callsBySecond.values()] }),
+  });
+  announce(await service.listen(), await control.listen());
+}
+
+async function main(): Promise<void> {
+  const [kind, options = '{}'] = process.argv.slice(2);
+  if (kind === 'backend') await runBackend(JSON.parse(options) as IBackendArguments);
+  else if (kind === 'configuration') {
+    await runConfiguration(JSON.parse(options) as ConfigurationArguments);
+  } else throw new Error(`unknown kind of stand-in "${kind}": expected backend or configuration`);
+  // Ends with the process that started it, whose end closes this pipe.
+  process.stdin.once('end', () => process.kill(process.pid, 'SIGTERM')).resume();
+}
+
+main().catch((error: Error) => {
+  process.stderr.write(`${error.message}\n`);
+  process.exitCode = 1;
+});
