--- /dev/null
+++ b/src/common/call/CallCoordinator.test.ts
@@ -0,0 +1,166 @@
+import * as fakeTransport from '../testing/FakeTransport';
+import * as fixtures from '../testing/Fixtures';
+import type * as callTypes from './Types';
+
+const ANSWER: callTypes.IAnswer = { status: 200, headers: [], body: new Uint8Array() };
+const UNAVAILABLE: callTypes.IAnswer = { ...ANSWER, status: 503 };
+const LOST: callTypes.AttemptOutcome = { kind: 'lost', reason: 'connection-lost', detail: 'reset' };
+
+function attemptAt(rig: fixtures.IRig, index: number): fakeTransport.IFakeAttempt {
+  const attempt = rig.transport.attempts[index];
+  if (attempt === undefined) throw new Error(`attempt ${index} was not made`);
+  return attempt;
+}
+
+function endAttempt(rig: fixtures.IRig, index: number, outcome: callTypes.AttemptOutcome): void {
+  attemptAt(rig, index).listener.onEnd(outcome);
+}
+
+test('passes the answer on', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  endAttempt(rig, 0, { kind: 'answered', answer: ANSWER });
+  expect(rig.outcomes).toMatchObject([{ kind: 'answered', answer: ANSWER }]);
+});
+
+test('retries an idempotent call on another server', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  endAttempt(rig, 0, LOST);
+  expect(attemptAt(rig, 1).server).not.toBe(attemptAt(rig, 0).server);
+  endAttempt(rig, 1, { kind: 'answered', answer: ANSWER });
+  expect(rig.outcomes).toMatchObject([{ kind: 'answered' }]);
+});
+
+test('never retries a non-idempotent call that may have run', () => {
+  const rig = fixtures.makeRig({ idempotent: false });
+  rig.start();
+  endAttempt(rig, 0, LOST);
+  expect(rig.transport.attempts).toHaveLength(1);
+  expect(rig.outcomes).toMatchObject([{ kind: 'unknown', reason: 'connection-lost' }]);
+});
+
+test('sends a non-idempotent call again after a refusal that says not run', () => {
+  const rig = fixtures.makeRig({ idempotent: false });
+  rig.start();
+  endAttempt(rig, 0, { kind: 'refused', draining: false });
+  expect(rig.transport.attempts).toHaveLength(2);
+});
+
+test('says not run only if every attempt is known not to have run', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  endAttempt(rig, 0, LOST);
+  endAttempt(rig, 1, { kind: 'refused', draining: false });
+  endAttempt(rig, 2, { kind: 'refused', draining: false });
+  expect(rig.outcomes).toMatchObject([{ kind: 'unknown' }]);
+});
+
+test('says not run if all servers refused', () => {
+  const rig = fixtures.makeRig({}, 2);
+  rig.start();
+  endAttempt(rig, 0, { kind: 'refused', draining: false });
+  endAttempt(rig, 1, { kind: 'refused', draining: false });
+  expect(rig.outcomes).toMatchObject([{ kind: 'not-run', reason: 'backend-server-refused' }]);
+});
+
+test('gives no answer after the deadline', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  rig.clock.advance(1_000);
+  endAttempt(rig, 0, { kind: 'answered', answer: ANSWER });
+  expect(rig.outcomes).toMatchObject([{ kind: 'unknown', reason: 'deadline-exceeded' }]);
+  expect(attemptAt(rig, 0).cancelled).toBe(true);
+});
+
+test('says not run at the deadline if nothing was sent', () => {
+  const rig = fixtures.makeRig({}, 3, false);
+  rig.start();
+  rig.clock.advance(1_000);
+  expect(rig.outcomes).toMatchObject([{ kind: 'not-run', reason: 'deadline-before-dispatch' }]);
+});
+
+test('sends nothing after a pause that outlasted the deadline', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  rig.clock.pause(5_000);
+  endAttempt(rig, 0, { kind: 'refused', draining: false });
+  expect(rig.transport.attempts).toHaveLength(1);
+  expect(rig.outcomes).toHaveLength(1);
+});
+
+test('hedges a slow call and cancels the slower attempt', () => {
+  const rig = fixtures.makeRig({ hedgeFraction: 0.5 });
+  rig.start();
+  rig.clock.advance(300);
+  endAttempt(rig, 1, { kind: 'answered', answer: ANSWER });
+  expect(attemptAt(rig, 0).cancelled).toBe(true);
+  expect(rig.outcomes).toMatchObject([{ kind: 'answered' }]);
+});
+
+test('does not hedge a non-idempotent call', () => {
+  const rig = fixtures.makeRig({ hedgeFraction: 0.5, idempotent: false });
+  rig.start();
+  rig.clock.advance(900);
+  expect(rig.transport.attempts).toHaveLength(1);
+});
+
+test('does not retry a failure that passed through a deeper daemon', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  const headers = ['request-outcome', 'unknown'];
+  endAttempt(rig, 0, { kind: 'answered', answer: { ...UNAVAILABLE, headers } });
+  expect(rig.transport.attempts).toHaveLength(1);
+  expect(rig.outcomes).toMatchObject([{ kind: 'answered', answer: { status: 503 } }]);
+});
+
+test('does not retry once the call tree has spent its retries', () => {
+  const rig = fixtures.makeRig();
+  rig.start({ retriesSpent: 2 });
+  endAttempt(rig, 0, LOST);
+  expect(rig.transport.attempts).toHaveLength(1);
+});
+
+test('refuses a request that was in flight on two lost servers', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  endAttempt(rig, 0, LOST);
+  endAttempt(rig, 1, LOST);
+  expect(rig.transport.attempts).toHaveLength(2);
+  rig.start();
+  expect(rig.outcomes).toMatchObject([
+    { kind: 'unknown', reason: 'connection-lost' },
+    { kind: 'unknown', reason: 'suspected-crash', dispatched: false },
+  ]);
+});
+
+test('bounds retries to a fraction of first attempts', () => {
+  const rig = fixtures.makeRig({ retryFraction: 0.1 });
+  for (let index = 0; index < 200; index += 1) {
+    rig.start({ fingerprint: `${index}` });
+    rig.transport.attempts
+      .slice(-1)
+      .forEach(({ listener }) => listener.onEnd({ kind: 'answered', answer: UNAVAILABLE }));
+    rig.transport.attempts
+      .slice(-1)
+      .forEach(({ listener }) => listener.onEnd({ kind: 'answered', answer: UNAVAILABLE }));
+    rig.clock.advance(1);
+  }
+  expect(rig.transport.attempts.length).toBeGreaterThan(200);
+  expect(rig.transport.attempts.length).toBeLessThanOrEqual(200 * 1.1 + 2);
+});
+
+test('ends no call that its caller cancelled', () => {
+  const rig = fixtures.makeRig();
+  rig.start().cancel();
+  rig.clock.advance(2_000);
+  expect(attemptAt(rig, 0).cancelled).toBe(true);
+  expect(rig.outcomes).toHaveLength(0);
+});
+
+test('stops new work to a server that refuses as draining', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  endAttempt(rig, 0, { kind: 'refused', draining: true });
+  expect(rig.balancer.avoidanceOf(attemptAt(rig, 0).server)).toBe('leaving');
+});
