--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -34,4 +34,9 @@
       ],
     },
   },
+  {
+    // Development tools of the repository, which no installed package contains.
+    files: ['src/faults/**/*.ts'],
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
 ];
--- /dev/null
+++ b/src/faults/Build.ts
@@ -0,0 +1,37 @@
+import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
+
+import * as swc from '@swc/core';
+
+import * as mutants from './Mutants';
+
+const ROOT = path.join(__dirname, '../..');
+
+const OPTIONS: swc.Options = {
+  jsc: { parser: { syntax: 'typescript' }, target: 'es2022' },
+  module: { type: 'commonjs', noInterop: true },
+};
+
+async function compile(file: string, target: string, mutant: mutants.IMutant | undefined) {
+  const source = await fs.readFile(path.join(ROOT, 'src', file), 'utf8');
+  const text = mutant?.file === file ? mutants.mutate(source, mutant) : source;
+  const { code } = await swc.transform(text, { ...OPTIONS, filename: file });
+  const output = path.join(target, file.replace(/\.ts$/, '.js'));
+  await fs.mkdir(path.dirname(output), { recursive: true });
+  await fs.writeFile(output, code);
+}
+
+/**
+ * Compiles the current sources for the processes of a test, so that a test never runs an old
+ * build. The environment variable FAULT_MUTANT names a mutant to compile in.
+ * @returns The folder of the compiled files. The caller removes it.
+ */
+export async function build(): Promise<string> {
+  const mutant = mutants.mutantCalled(process.env.FAULT_MUTANT);
+  const files = await fs.readdir(path.join(ROOT, 'src'), { recursive: true });
+  const sources = files.filter((file) => file.endsWith('.ts') && !file.endsWith('.test.ts'));
+  await fs.mkdir(path.join(ROOT, 'dist'), { recursive: true });
+  const target = await fs.mkdtemp(path.join(ROOT, 'dist', 'faults-'));
+  await Promise.all(sources.map((file) => compile(file, target, mutant)));
+  return target;
+}
--- /dev/null
+++ b/src/faults/FaultFleet.ts
@@ -0,0 +1,165 @@
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+import * as seededRandom from '../common/SeededRandom';
+import * as systemClock from '../node/SystemClock';
+import * as audit from '../standin/Audit';
+import * as backendServer from '../standin/BackendServer';
+import * as caller from '../standin/Caller';
+import * as configurationService from '../standin/ConfigurationService';
+import * as daemonProcess from '../standin/DaemonProcess';
+import * as tableText from '../standin/TableText';
+import * as testNetwork from './TestNetwork';
+import type * as faultTypes from './Types';
+
+const DEFAULT_MAX_DAEMONS = 10;
+const MAX_CONNECTIONS = 200;
+
+/** A backend server of a test and its place in the table. */
+export interface ITestServer {
+  readonly service: faultTypes.ITestService;
+  readonly host: string;
+  readonly address: string;
+  readonly backend: backendServer.BackendServer;
+}
+
+function failureDomainOf(index: number): string {
+  return `domain-${(index % 3) + 1}`;
+}
+
+/**
+ * Daemons as processes, with the platform and the backend servers in the process of the test, so
+ * that their records survive whatever happens to them.
+ */
+export class FaultFleet {
+  public readonly clock = new systemClock.SystemClock();
+
+  public readonly caller = new caller.Caller();
+
+  public readonly platform = new configurationService.ConfigurationService(this.clock);
+
+  public readonly network: testNetwork.TestNetwork;
+
+  public readonly daemons: daemonProcess.DaemonProcess[] = [];
+
+  public readonly servers: ITestServer[] = [];
+
+  private platformUrl = '';
+
+  private folder = '';
+
+  private listRevision = 0;
+
+  private constructor(private readonly options: faultTypes.IFleetOptions) {
+    this.network = new testNetwork.TestNetwork(options.daemons);
+  }
+
+  /** Starts the fleet and waits until each daemon holds table version 1. */
+  public static async start(options: faultTypes.IFleetOptions): Promise<FaultFleet> {
+    const fleet = new FaultFleet(options);
+    fleet.folder = await fs.mkdtemp(path.join(os.tmpdir(), 'lavenderspar-faults-'));
+    await fleet.network.start();
+    await fleet.startServers();
+    fleet.publishTable(1);
+    fleet.publishVms();
+    fleet.platformUrl = `http://127.0.0.1:${await fleet.platform.listen()}`;
+    const places = Array.from({ length: options.daemons }, (_, index) => index);
+    await Promise.all(places.map((index) => fleet.startDaemon(index)));
+    return fleet;
+  }
+
+  public daemon(index: number): daemonProcess.DaemonProcess {
+    const daemon = this.daemons[index];
+    if (daemon === undefined) throw new Error(`no daemon ${index}`);
+    return daemon;
+  }
+
+  public serversOf(service: string): readonly ITestServer[] {
+    return this.servers.filter((server) => server.service.cells.name === service);
+  }
+
+  /** Starts the daemon, or a new process at its address, and waits until it holds a table. */
+  public async startDaemon(index: number): Promise<void> {
+    const daemon = await daemonProcess.DaemonProcess.start(this.options.sources, {
+      name: `daemon-${index}`,
+      folder: this.folder,
+      ...this.network.place(index),
+      failureDomain: failureDomainOf(index),
+      platformUrl: this.platformUrl,
+      settings: { platformBalancerLagMs: 300, ...this.options.settings },
+    });
+    this.daemons[index] = daemon;
+    await daemon.holdsTable();
+  }
+
+  /** Publishes a table with the servers that `keep` selects. */
+  public publishTable(version: number, keep: (server: ITestServer) => boolean = () => true): void {
+    const cells = this.servers.filter(keep).map((server) => ({
+      service: server.service.cells.name,
+      address: server.address,
+      failure_domain: failureDomainOf(this.servers.indexOf(server)),
+      slots: server.service.options.slots,
+      max_connections: MAX_CONNECTIONS,
+    }));
+    const services = this.options.services.map((service) => service.cells);
+    const maxDaemons = this.options.maxDaemons ?? DEFAULT_MAX_DAEMONS;
+    this.platform.publish('table', tableText.tableText(version, maxDaemons, services, cells));
+  }
+
+  /** Publishes the VM list, with some backend servers as leaving. */
+  public publishVms(leaving: readonly string[] = []): void {
+    this.listRevision += 1;
+    const daemons = Array.from({ length: this.options.daemons }, (_, index) => ({
+      address: this.network.place(index).peerAddress,
+      role: 'daemon' as const,
+      failureDomain: failureDomainOf(index),
+      state: 'live' as const,
+    }));
+    const servers = this.servers.map((server, index) => ({
+      address: server.address,
+      role: 'backend-server' as const,
+      failureDomain: failureDomainOf(index),
+      state: leaving.includes(server.address) ? ('leaving' as const) : ('live' as const),
+    }));
+    const text = tableText.vmListText(this.listRevision, [...daemons, ...servers]);
+    this.platform.publish('vms', text);
+  }
+
+  /** Identities of the requests that backend servers started, in order by server. */
+  public get started(): readonly string[] {
+    return this.servers.flatMap(({ backend }) => backend.record.runs.map((run) => run.identity));
+  }
+
+  /** Compares what callers were told with what the backend servers started. */
+  public audit(isOnce: (identity: string) => boolean): audit.IAudit {
+    return audit.audit(this.caller.submissions, audit.startsOf(this.started), isOnce);
+  }
+
+  /** Ends everything that the fleet started. */
+  public async close(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.child.kill()));
+    await this.caller.close();
+    await Promise.all(this.servers.map((server) => server.backend.close()));
+    await this.platform.close();
+    await this.network.close();
+    await fs.rm(this.folder, { recursive: true, force: true });
+  }
+
+  private async startServers(): Promise<void> {
+    const all = this.options.services.flatMap((service) =>
+      Array.from({ length: service.servers }, () => service),
+    );
+    all.forEach((service, index) => {
+      const random = new seededRandom.SeededRandom(this.options.seed + index);
+      const sources = { clock: this.clock, random };
+      const host = this.network.backendAddress(index);
+      const address = `${host}:${testNetwork.BACKEND_PORT}`;
+      const backend = new backendServer.BackendServer(service.options, sources);
+      this.servers.push({ service, host, address, backend });
+    });
+    await Promise.all(
+      this.servers.map(({ backend, host }) => backend.listen(testNetwork.BACKEND_PORT, host)),
+    );
+  }
+}
--- /dev/null
+++ b/src/faults/Load.ts
@@ -0,0 +1,69 @@
+import type * as caller from '../standin/Caller';
+import type * as faultFleet from './FaultFleet';
+
+const POLL_INTERVAL_MS = 10;
+
+/** Waits until `check` holds. Fails after `limitMs`. */
+export async function eventually(
+  what: string,
+  check: () => boolean | Promise<boolean>,
+  limitMs = 10_000,
+): Promise<void> {
+  const endMs = performance.now() + limitMs;
+  while (!(await check())) {
+    if (performance.now() > endMs) throw new Error(`not within ${limitMs} ms: ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_INTERVAL_MS);
+    });
+  }
+}
+
+/** Callers that each send one request after the other, until stopped. */
+export class Load {
+  private running = true;
+
+  private sequence = 0;
+
+  private readonly done: Promise<unknown>;
+
+  /**
+   * @param prefix Begins the identity of each request.
+   * @param url Chooses the daemon for the next request.
+   */
+  public constructor(
+    private readonly fleet: faultFleet.FaultFleet,
+    private readonly service: string,
+    private readonly prefix: string,
+    private readonly url: (sequence: number) => string,
+    callers: number,
+    private readonly onEnd: (submission: caller.ISubmission) => void = () => undefined,
+  ) {
+    this.done = Promise.all(Array.from({ length: callers }, () => this.loop()));
+  }
+
+  /** Requests sent so far. */
+  public get sent(): number {
+    return this.sequence;
+  }
+
+  /** Waits until `count` more requests have been sent. */
+  public async more(count: number): Promise<void> {
+    const target = this.sequence + count;
+    await eventually(`${target} requests sent`, () => this.sequence >= target, 30_000);
+  }
+
+  /** Sends no further requests, and waits for the answers of those in flight. */
+  public async stop(): Promise<void> {
+    this.running = false;
+    await this.done;
+  }
+
+  private async loop(): Promise<void> {
+    while (this.running) {
+      this.sequence += 1;
+      const identity = `${this.prefix}-${this.sequence}`;
+      const url = this.url(this.sequence);
+      this.onEnd(await this.fleet.caller.submit(url, { service: this.service, identity }));
+    }
+  }
+}
--- /dev/null
+++ b/src/faults/TestNetwork.ts
@@ -0,0 +1,85 @@
+import * as tcpRelay from '../standin/TcpRelay';
+
+/** Ports of a daemon on its own loopback address. */
+const CALLER_PORT = 8000;
+const OPERATOR_PORT = 8001;
+const PEER_PORT = 8002;
+
+/** Port of each backend server on its own loopback address. */
+export const BACKEND_PORT = 8080;
+
+const FIRST_DAEMON = 10;
+const FIRST_BOUND = 60;
+const FIRST_BACKEND = 110;
+
+/**
+ * Loopback addresses of a test, from the process id, so that tests that run at the same time do
+ * not meet and a restarted process finds its address free.
+ */
+function subnet(): string {
+  const { pid } = process;
+  return `127.${1 + (Math.floor(pid / 250) % 250)}.${1 + (pid % 250)}`;
+}
+
+/** The links between the daemons of a test, which can be cut and healed. */
+export class TestNetwork {
+  private readonly relays: tcpRelay.TcpRelay[] = [];
+
+  public constructor(private readonly daemons: number) {}
+
+  public async start(): Promise<void> {
+    for (let index = 0; index < this.daemons; index += 1) {
+      const relay = new tcpRelay.TcpRelay(this.boundAddress(index), PEER_PORT);
+      this.relays.push(relay);
+      await relay.listen(PEER_PORT, this.address(index));
+    }
+  }
+
+  public async close(): Promise<void> {
+    await Promise.all(this.relays.map((relay) => relay.close()));
+  }
+
+  /** IP address of a daemon. */
+  public address(index: number): string {
+    return `${subnet()}.${FIRST_DAEMON + index}`;
+  }
+
+  public backendAddress(index: number): string {
+    return `${subnet()}.${FIRST_BACKEND + index}`;
+  }
+
+  /** The addresses of a daemon, as in its settings. */
+  public place(index: number) {
+    const address = this.address(index);
+    return {
+      callerAddress: `${address}:${CALLER_PORT}`,
+      operatorAddress: `${address}:${OPERATOR_PORT}`,
+      peerAddress: `${address}:${PEER_PORT}`,
+      vm: { address, bindAddress: this.boundAddress(index) },
+    };
+  }
+
+  /** Cuts every link between the daemons of `side` and the others. */
+  public cut(side: readonly number[], kind: tcpRelay.CutKind = 'reset'): void {
+    this.eachLink((source, target) => {
+      if (side.includes(source) === side.includes(target)) return;
+      this.relays[target]?.cut(this.address(source), kind);
+    });
+  }
+
+  public heal(): void {
+    this.eachLink((source, target) => this.relays[target]?.heal(this.address(source)));
+  }
+
+  private boundAddress(index: number): string {
+    return `${subnet()}.${FIRST_BOUND + index}`;
+  }
+
+  private eachLink(action: (source: number, target: number) => void): void {
+    for (let source = 0; source < this.daemons; source += 1) {
+      for (let target = 0; target < this.daemons; target += 1) {
+        if (source !== target) action(source, target);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/faults/Types.ts
@@ -0,0 +1,21 @@
+import type * as standinTypes from '../standin/Types';
+import type * as tableText from '../standin/TableText';
+
+/** A service of a test and its backend servers. */
+export interface ITestService {
+  readonly cells: tableText.IServiceCells;
+  readonly servers: number;
+  readonly options: standinTypes.IBackendOptions;
+}
+
+/** Settings of a fleet of a test. */
+export interface IFleetOptions {
+  /** Folder of the compiled sources. */
+  readonly sources: string;
+  readonly daemons: number;
+  readonly services: readonly ITestService[];
+  readonly seed: number;
+  readonly maxDaemons?: number;
+  /** Further settings of each daemon. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+}
