Let a peer's report of a refusing server shorten the wait for its ejection

Cause: each daemon needed three failures of its own to eject a server that refuses at once. Change: a peer's ejection counts as two of the three; one failure seen here must confirm it, so that a wrong report alone ejects nothing. Not measured yet.

--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -51,6 +51,9 @@
   /** Fires with the address of a server that this daemon found draining; to be shared. */
   public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
 
+  /** Fires when this daemon ejects a server on failures that it saw itself; to be shared. */
+  public readonly onEjected: types.Event<ejector.IEjection>;
+
   /** @param ejects Whether servers that fail are ejected. The bench runs its baselines without. */
   public constructor(
     private readonly policy: selectionPolicy.SelectionPolicy,
@@ -58,6 +61,7 @@
     private readonly ejects = true,
   ) {
     this.ejector = new ejector.Ejector(clock);
+    this.onEjected = this.ejector.onEjected;
     this.retryBudget = new ratioBudget.RatioBudget(0, clock);
     this.hedgeBudget = new ratioBudget.RatioBudget(0, clock);
     this.admission = new admissionQueue.AdmissionQueue(this.limit, clock);
@@ -166,6 +170,11 @@
     this.servers.get(address)?.availability.recordDraining();
   }
 
+  /** Takes the report of a peer that a server refuses work. */
+  public mergeRefusing(address: string): void {
+    if (this.servers.has(address)) this.ejector.expectFailure(address);
+  }
+
   /** Takes the state of a server on the platform's list of VMs. */
   public setListed(address: string, state: 'live' | 'leaving'): void {
     this.servers.get(address)?.availability.setListed(state);
--- a/src/common/policy/Ejector.test.ts
+++ b/src/common/policy/Ejector.test.ts
@@ -56,3 +56,19 @@
   clock.advance(5_000);
   expect(servers.warmthOf('a')).toBe(1);
 });
+
+test('ejects on the first failure that confirms the report of a peer', () => {
+  const { servers } = makeEjector();
+  servers.expectFailure('a');
+  expect(servers.isEjected('a')).toBe(false);
+  fail(servers, 'a', 1);
+  expect(servers.isEjected('a')).toBe(true);
+});
+
+test('drops the report of a peer after a success', () => {
+  const { servers } = makeEjector();
+  servers.expectFailure('a');
+  servers.recordSuccess('a');
+  fail(servers, 'a', 2);
+  expect(servers.isEjected('a')).toBe(false);
+});
--- a/src/common/policy/Ejector.ts
+++ b/src/common/policy/Ejector.ts
@@ -1,3 +1,4 @@
+import * as emitter from '../Emitter';
 import type * as types from '../Types';
 
 /** Failures in a row after which a server is ejected. */
@@ -12,6 +13,12 @@
 /** Share of the normal load at the start of the warm-up. */
 const FIRST_WARMTH = 0.1;
 
+/** A server was taken out of the choice. */
+export interface IEjection {
+  readonly address: string;
+  readonly durationMs: number;
+}
+
 interface IEntry {
   failuresInRow: number;
   ejections: number;
@@ -27,8 +34,13 @@
 export class Ejector {
   private readonly entries = new Map<string, IEntry>();
 
+  private readonly ejectedEmitter = new emitter.Emitter<IEjection>();
+
   private serverCount = 0;
 
+  /** Fires when this daemon ejects a server on failures that it saw itself. */
+  public readonly onEjected: types.Event<IEjection> = this.ejectedEmitter.event;
+
   public constructor(private readonly clock: types.IClock) {}
 
   public setServers(addresses: readonly string[]): void {
@@ -71,10 +83,19 @@
     entry.failuresInRow += 1;
     if (entry.failuresInRow < FAILURES_TO_EJECT || this.isEjected(address)) return;
     if (this.countEjected() + 1 > this.serverCount / 2) return;
-    this.eject(entry);
+    this.eject(address, entry);
+  }
+
+  /**
+   * Takes the report of a peer that the server refuses work. One failure seen here confirms it
+   * and ejects the server; without one the report has no effect.
+   */
+  public expectFailure(address: string): void {
+    const entry = this.entryOf(address);
+    entry.failuresInRow = Math.max(entry.failuresInRow, FAILURES_TO_EJECT - 1);
   }
 
-  private eject(entry: IEntry): void {
+  private eject(address: string, entry: IEntry): void {
     const nowMs = this.clock.monotonicMs();
     const durationMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** entry.ejections);
     Object.assign(entry, {
@@ -84,6 +105,7 @@
       failuresInRow: FAILURES_TO_EJECT - 1,
       warmSinceMs: nowMs + durationMs,
     });
+    this.ejectedEmitter.fire({ address, durationMs });
   }
 
   private countEjected(): number {
