Add telemetry, the operators' endpoint, planned stop and pause detection

Cause: a stopping daemon refused calls at once, operators could ask nothing, and nothing left the process but a start line.

PauseDetector compares the clock every 250 ms and before each request, because requests that arrived during a pause are handled before the due timer. OperatorServer answers /ready, /status and /explain. Settings report every fault with what was expected and found; addresses are checked in full.

Ruled out: one UDP message for each call. Formatting it costs more than the rest of the observer.

--- /dev/null
+++ b/src/node/PauseDetector.test.ts
@@ -0,0 +1,42 @@
+import * as manualClock from '../common/ManualClock';
+import * as pauseDetector from './PauseDetector';
+
+function build() {
+  const clock = new manualClock.ManualClock();
+  const gaps: number[] = [];
+  const detector = new pauseDetector.PauseDetector(clock, (gapMs) => gaps.push(gapMs));
+  detector.start();
+  return { clock, gaps, detector };
+}
+
+test('a process that runs is not taken for a paused one', () => {
+  const { clock, gaps } = build();
+  clock.advance(60_000);
+  expect(gaps).toEqual([]);
+});
+
+test('a pause is noticed once, by the timer', () => {
+  const { clock, gaps } = build();
+  clock.advance(250);
+  clock.pause(3_000);
+  clock.advance(1_000);
+  expect(gaps).toEqual([3_000]);
+});
+
+// Guards against a request that is sent by the state from before the pause.
+test('a pause is noticed by a check before the timer fires', () => {
+  const { clock, gaps, detector } = build();
+  clock.pause(1_001);
+  detector.check();
+  expect(gaps).toEqual([1_001]);
+  clock.advance(0);
+  expect(gaps).toEqual([1_001]);
+});
+
+test('a disposed detector stops', () => {
+  const { clock, gaps, detector } = build();
+  detector.dispose();
+  clock.pause(5_000);
+  clock.advance(1_000);
+  expect(gaps).toEqual([]);
+});
--- /dev/null
+++ b/src/node/PauseDetector.ts
@@ -0,0 +1,41 @@
+import type * as types from '../common/Types';
+
+const CHECK_INTERVAL_MS = 250;
+
+/** Gap between two checks from which on the process counts as paused, in milliseconds. */
+const PAUSE_MS = 1_000;
+
+/** Notices that the process did not run for a while, as after a stop of its VM. */
+export class PauseDetector implements types.IDisposable {
+  private checkedMs: number;
+
+  private timer: types.IDisposable | undefined;
+
+  /** @param onPaused Called after a pause with its length, before any other decision. */
+  public constructor(
+    private readonly clock: types.IClock,
+    private readonly onPaused: (gapMs: number) => void,
+  ) {
+    this.checkedMs = clock.monotonicMs();
+  }
+
+  public start(): void {
+    this.check();
+    this.timer = this.clock.setTimer(CHECK_INTERVAL_MS, () => this.start());
+  }
+
+  /**
+   * Compares the clock with the last check. Callers check before they act on what they knew, since
+   * requests that arrived during a pause are handled before the timer that is due.
+   */
+  public check(): void {
+    const nowMs = this.clock.monotonicMs();
+    const gapMs = nowMs - this.checkedMs;
+    this.checkedMs = nowMs;
+    if (gapMs > PAUSE_MS) this.onPaused(gapMs);
+  }
+
+  public dispose(): void {
+    this.timer?.dispose();
+  }
+}
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -19,6 +19,8 @@
   readonly coordinator: callCoordinator.CallCoordinator;
   readonly observer: serverTypes.IRequestObserver;
   readonly clock: types.IClock;
+  /** Called before a request is looked at, to notice a pause of the process. */
+  beforeRequest(): void;
 }
 
 interface IAccepted {
@@ -68,6 +70,7 @@
   }
 
   public begin(): void {
+    this.context.beforeRequest();
     const accepted = this.accept();
     if ('kind' in accepted) {
       this.refuse(accepted);
--- a/src/node/server/CallerServer.test.ts
+++ b/src/node/server/CallerServer.test.ts
@@ -41,6 +41,7 @@
   server = new callerServer.CallerServer({
     routes,
     clock,
+    beforeRequest: () => undefined,
     coordinator: new callCoordinator.CallCoordinator(transport, suspicion, clock),
     observer: {
       onStarted: () => undefined,
--- /dev/null
+++ b/src/node/server/OperatorServer.test.ts
@@ -0,0 +1,102 @@
+import * as undici from 'undici';
+
+import * as fixtures from '../../common/testing/Fixtures';
+import * as refusalLog from '../telemetry/RefusalLog';
+import * as explainModule from './Explain';
+import * as operatorServer from './OperatorServer';
+
+const SERVER = '10.0.0.1:80';
+
+let rig: fixtures.IRig;
+let server: operatorServer.OperatorServer;
+let sources: {
+  -readonly [K in keyof explainModule.IExplainSources]: explainModule.IExplainSources[K];
+};
+
+beforeEach(async () => {
+  rig = fixtures.makeRig();
+  sources = {
+    phase: 'ready',
+    peerAddress: '10.0.1.1:1',
+    failureDomain: 'a',
+    policy: 'least-in-flight',
+    table: { ...rig.table, version: 7 },
+    members: [
+      {
+        address: '10.0.1.2:1',
+        incarnation: 1,
+        heartbeat: 1,
+        failureDomain: 'b',
+        leaving: false,
+        tableVersion: 6,
+      },
+    ],
+    balancers: new Map([['status', rig.balancer]]),
+    refusals: new refusalLog.RefusalLog(rig.clock),
+    callsInFlight: 0,
+    callsAnswered: 4,
+    probesSent: new Map([['status', 2]]),
+    connectionsOf: () => ({ open: 2, idle: 1 }),
+  };
+  server = new operatorServer.OperatorServer(new explainModule.Explain(sources, rig.clock));
+  await server.listen('127.0.0.1', 0);
+});
+
+afterEach(() => server.close());
+
+async function get(path: string): Promise<{ status: number; body: unknown }> {
+  const reply = await undici.request(`http://127.0.0.1:${server.port}${path}`);
+  return { status: reply.statusCode, body: await reply.body.json() };
+}
+
+// Guards against a platform balancer that keeps sending callers to a daemon about to stop.
+test('is ready in one phase only', async () => {
+  expect(await get('/ready')).toEqual({
+    status: 200,
+    body: { ready: true, phase: 'ready', tableVersion: 7 },
+  });
+  sources.phase = 'draining';
+  expect(await get('/ready')).toMatchObject({ status: 503, body: { ready: false } });
+});
+
+test('tells the state of the daemon and of its peers', async () => {
+  const { body } = await get('/status');
+  expect(body).toMatchObject({ tableVersion: 7, callsAnswered: 4, members: [{ tableVersion: 6 }] });
+});
+
+test('tells why calls avoid a server', async () => {
+  const usable = { usable: true, avoidedBecause: null, latencyMs: null, report: null };
+  expect(await get(`/explain/server/${SERVER}`)).toMatchObject({
+    status: 200,
+    body: { connections: { open: 2 }, services: [{ service: 'status', ...usable }] },
+  });
+  rig.balancer.recordReport(SERVER, { inFlight: 1, queued: 2, draining: true });
+  rig.clock.advance(40);
+  const leaving = { usable: false, avoidedBecause: 'leaving', reportAgeMs: 40 };
+  expect(await get(`/explain/server/${SERVER}`)).toMatchObject({ body: { services: [leaving] } });
+  expect(await get('/explain/server/10.9.9.9:1')).toMatchObject({ status: 404 });
+});
+
+test('lists refusals with their reasons', async () => {
+  const record = { requestId: 'r', service: 'a', kind: 'overloaded', outcome: 'not-run' } as const;
+  sources.refusals.add({ ...record, detail: 'd', dispatched: false, tableVersion: 7 });
+  expect(await get('/explain/refusals')).toMatchObject({
+    body: { totals: { overloaded: 1 }, recent: [{ requestId: 'r', detail: 'd' }] },
+  });
+});
+
+test('tells what the budget is spent on, and the versions of the table', async () => {
+  expect(await get('/explain/budget')).toMatchObject({
+    body: { probesPerAnsweredCall: 0.5, services: [{ service: 'status', probesSent: 2 }] },
+  });
+  expect(await get('/explain/table')).toMatchObject({
+    body: { version: 7, versions: [{ tableVersion: 7 }, { tableVersion: 6 }] },
+  });
+});
+
+test('names its paths to a request for any other', async () => {
+  expect(await get('/explain')).toMatchObject({
+    status: 404,
+    body: { error: 'there is no GET /explain' },
+  });
+});
--- /dev/null
+++ b/src/node/server/OperatorServer.ts
@@ -0,0 +1,95 @@
+import * as http from 'node:http';
+
+import * as findMyWay from 'find-my-way';
+
+import type * as explain from './Explain';
+
+const OK = 200;
+const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
+
+function reply(response: http.ServerResponse, status: number, content: unknown): void {
+  const body = JSON.stringify(content);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Serves operators and the platform's health check over HTTP/1.1. Read only. */
+export class OperatorServer {
+  private readonly router = findMyWay({
+    defaultRoute: (request, response) =>
+      reply(response, NOT_FOUND, {
+        error: `there is no ${request.method} ${request.url}`,
+        paths: OperatorServer.PATHS,
+      }),
+  });
+
+  private readonly server = http.createServer((request, response) =>
+    this.router.lookup(request, response),
+  );
+
+  private static readonly PATHS = [
+    '/ready',
+    '/status',
+    '/explain/server/<address>',
+    '/explain/refusals',
+    '/explain/budget',
+    '/explain/table',
+  ];
+
+  public constructor(private readonly answers: explain.Explain) {
+    this.on(
+      '/ready',
+      () => answers.ready(),
+      () => (answers.isReady ? OK : UNAVAILABLE),
+    );
+    this.on('/status', () => answers.status());
+    this.on('/explain/refusals', () => answers.refusals());
+    this.on('/explain/budget', () => answers.budget());
+    this.on('/explain/table', () => answers.table());
+    this.router.on('GET', '/explain/server/:address', (_request, response, params) =>
+      this.replyServer(response, params.address ?? ''),
+    );
+  }
+
+  /** The port in use, for a server that listens on port 0. */
+  public get port(): number {
+    const address = this.server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  /** Listens. Rejects if the address cannot be used. */
+  public listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.removeListener('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Closes all connections at once. */
+  public close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private on(path: string, content: () => unknown, status: () => number = () => OK): void {
+    this.router.on('GET', path, (_request, response) =>
+      reply(response, status(), content()),
+    );
+  }
+
+  private replyServer(response: http.ServerResponse, address: string): void {
+    const found = this.answers.server(address);
+    if (found === undefined) {
+      reply(response, NOT_FOUND, { error: `the table lists no server ${address}` });
+    } else reply(response, OK, found);
+  }
+}
--- /dev/null
+++ b/src/node/settings/Settings.test.ts
@@ -0,0 +1,67 @@
+import * as addresses from './Addresses';
+import * as settings from './Settings';
+
+const VALID = [
+  'callerAddress: 10.0.0.1:80',
+  'operatorAddress: "[::1]:81"',
+  'peerAddress: 10.0.0.1:82',
+  'failureDomain: a',
+  'platformUrl: http://10.0.0.2:8000',
+].join('\n');
+
+test('fills in defaults', () => {
+  expect(settings.parseSettings(VALID)).toMatchObject({
+    ok: true,
+    value: { logLevel: 'info', platformBalancerLagMs: 5_000, tracesSampleFraction: 0.01 },
+  });
+});
+
+// Guards against an operator who repairs one fault for each start of the daemon.
+test('reports every fault with its path, what is expected and what was found', () => {
+  const text = [
+    'callerAddress: 10.0.0.256:80',
+    'operatorAddress: 10.0.0.1',
+    'peerAddress: 7',
+    'platformUrl: https://x',
+    'policy: fastest',
+    'tracesSampleFraction: 2',
+    'platformBalancerLagMs: 1.5',
+    'loglevel: info',
+  ].join('\n');
+  const parsed = settings.parseSettings(text);
+  const problems = parsed.ok ? [] : parsed.error;
+  expect(problems.map(({ path, message }) => `${path}: ${message}`).sort()).toEqual([
+    'callerAddress: expected an IP address and a port, found "10.0.0.256:80"',
+    'failureDomain: expected string, found nothing',
+    expect.stringMatching(/^loglevel: unknown setting; expected one of callerAddress, /),
+    'operatorAddress: expected an IP address and a port, found "10.0.0.1"',
+    'peerAddress: expected string, found 7',
+    'platformBalancerLagMs: expected int, found 1.5',
+    'platformUrl: expected an http URL, found "https://x"',
+    expect.stringMatching(/^policy: expected .*"least-in-flight".*, found "fastest"$/),
+    'tracesSampleFraction: Too big: expected number to be <=1, found 2',
+  ]);
+});
+
+test.each(['- a', 'a', '{', 'callerAddress: a\ncallerAddress: b', ''])(
+  'reports text that holds no settings: %j',
+  (text) => {
+    expect(settings.parseSettings(text).ok).toBe(false);
+  },
+);
+
+test.each([
+  ['10.0.0.1:80', true],
+  ['[fe80::1]:80', true],
+  ['10.0.0.1:0', false],
+  ['10.0.0.1:65536', false],
+  ['fe80::1:80', false],
+  ['[10.0.0.1]:80', false],
+  ['localhost:80', false],
+])('recognises an address: %s', (text, expected) => {
+  expect(addresses.isAddress(text)).toBe(expected);
+});
+
+test('splits addresses for listening', () => {
+  expect(addresses.split('[::1]:81')).toEqual({ host: '::1', port: 81 });
+});
--- /dev/null
+++ b/src/node/telemetry/Names.ts
@@ -0,0 +1,19 @@
+/**
+ * Names that logs, metrics, spans and the operators' endpoint share. A metric carries the prefix
+ * `lavenderspar.`; a log line carries the name in its member `event`; a span has it as its name.
+ */
+export const CALL = 'call';
+export const ATTEMPT = 'attempt';
+export const CALL_ANSWERED = 'call.answered';
+export const CALL_REFUSED = 'call.refused';
+export const CALL_LATENCY = 'call.latency_ms';
+export const ATTEMPT_ENDED = 'attempt.ended';
+export const ATTEMPT_LATENCY = 'attempt.latency_ms';
+export const PROBE_ENDED = 'probe.ended';
+export const CALLS_IN_FLIGHT = 'calls.in_flight';
+export const TABLE_VERSION = 'table.version';
+export const DAEMON_READY = 'daemon.ready';
+export const PROCESS_PAUSED = 'process.paused';
+
+/** Prefix of all metrics. */
+export const METRIC_PREFIX = 'lavenderspar.';
--- /dev/null
+++ b/src/node/telemetry/OpenTelemetryTraces.ts
@@ -0,0 +1,104 @@
+import * as api from '@opentelemetry/api';
+import * as core from '@opentelemetry/core';
+import * as exporter from '@opentelemetry/exporter-trace-otlp-http';
+import * as resources from '@opentelemetry/resources';
+import * as sdk from '@opentelemetry/sdk-trace-base';
+
+import type * as callTypes from '../../common/call/Types';
+import * as headers from '../dispatch/Headers';
+import * as names from './Names';
+import type * as telemetryTypes from './Types';
+
+/** Time for one export and for the last one at the end, in milliseconds. */
+const EXPORT_TIMEOUT_MS = 2_000;
+
+const VERSION = '00';
+
+function traceParentOf({ traceId, spanId, traceFlags }: api.SpanContext): string {
+  return `${VERSION}-${traceId}-${spanId}-${traceFlags.toString(16).padStart(2, '0')}`;
+}
+
+/** Makes the processor that sends spans to an OTLP collector over HTTP. */
+export function exportTo(url: string): sdk.SpanProcessor {
+  return new sdk.BatchSpanProcessor(
+    new exporter.OTLPTraceExporter({ url, timeoutMillis: EXPORT_TIMEOUT_MS }),
+    { exportTimeoutMillis: EXPORT_TIMEOUT_MS },
+  );
+}
+
+/** Records a span for each call and for each attempt at a backend server. */
+export class OpenTelemetryTraces implements telemetryTypes.ITraces {
+  private readonly provider: sdk.BasicTracerProvider;
+
+  private readonly tracer: api.Tracer;
+
+  private readonly calls = new Map<string, { span: api.Span; context: api.Context }>();
+
+  /** @param sampleFraction Fraction of the calls to trace whose caller sent no `traceparent`. */
+  public constructor(instance: string, sampleFraction: number, processor: sdk.SpanProcessor) {
+    this.provider = new sdk.BasicTracerProvider({
+      resource: resources.resourceFromAttributes({
+        'service.name': 'lavenderspar',
+        'service.instance.id': instance,
+      }),
+      sampler: new sdk.ParentBasedSampler({
+        root: new sdk.TraceIdRatioBasedSampler(sampleFraction),
+      }),
+      spanProcessors: [processor],
+    });
+    this.tracer = this.provider.getTracer('lavenderspar');
+  }
+
+  public startCall(call: callTypes.ICall): void {
+    const stated = headers.find(call.headers, headers.TRACE_PARENT);
+    const parent = stated === undefined ? null : core.parseTraceParent(stated);
+    const root =
+      parent === null
+        ? api.ROOT_CONTEXT
+        : api.trace.setSpanContext(api.ROOT_CONTEXT, { ...parent, isRemote: true });
+    const span = this.tracer.startSpan(
+      names.CALL,
+      {
+        kind: api.SpanKind.SERVER,
+        attributes: { 'request.id': call.requestId, service: call.service.name },
+      },
+      root,
+    );
+    this.calls.set(call.requestId, { span, context: api.trace.setSpan(root, span) });
+  }
+
+  public endCall(requestId: string, attributes: Readonly<Record<string, string | number>>): void {
+    const call = this.calls.get(requestId);
+    if (call === undefined) return;
+    this.calls.delete(requestId);
+    call.span.setAttributes({ ...attributes });
+    if (attributes.outcome !== 'answered') call.span.setStatus({ code: api.SpanStatusCode.ERROR });
+    call.span.end();
+  }
+
+  public startAttempt(
+    requestId: string,
+    server: string,
+  ): telemetryTypes.ITracedAttempt | undefined {
+    const call = this.calls.get(requestId);
+    if (call === undefined) return undefined;
+    const span = this.tracer.startSpan(
+      names.ATTEMPT,
+      { kind: api.SpanKind.CLIENT, attributes: { 'server.address': server } },
+      call.context,
+    );
+    return {
+      traceParent: traceParentOf(span.spanContext()),
+      end: (result, attributes) => {
+        span.setAttributes({ result, ...attributes });
+        if (result !== 'answered') span.setStatus({ code: api.SpanStatusCode.ERROR });
+        span.end();
+      },
+    };
+  }
+
+  /** Sends the spans that are left. A collector that does not answer delays it by 2 s at most. */
+  public async close(): Promise<void> {
+    await this.provider.shutdown();
+  }
+}
