Add the commands status and explain, and exit codes for serve

Cause: a start with unusable settings or addresses gave a stack trace, and no command asked a running daemon anything.

Change: status and explain print what the operators' endpoint says, as YAML or JSON. Each failure has a message and an exit code, listed in the help text. SIGTERM and SIGINT handlers stay registered, so that a second signal does not end the calls in flight.

--- /dev/null
+++ b/src/cli/commands/inspect.ts
@@ -0,0 +1,100 @@
+import type * as commander from 'commander';
+import * as yaml from 'yaml';
+
+import * as addresses from '../../node/settings/Addresses';
+import * as exitCodes from '../ExitCodes';
+import * as operatorClient from '../OperatorClient';
+
+const STATUS_NOT_FOUND = 404;
+
+const OPERATOR_HELP = `
+<operator> is the operatorAddress of a daemon, as in 10.0.0.1:8081.
+
+Exit codes:
+  0  the daemon answered (status: and it is ready)
+  2  the address is malformed
+  4  no daemon answers there
+  5  status: the daemon is not ready
+  6  explain server: the table lists no such server`;
+
+interface IOptions {
+  readonly json?: boolean;
+}
+
+function print(content: unknown, options: IOptions): void {
+  const text = options.json === true ? JSON.stringify(content, null, 2) : yaml.stringify(content);
+  process.stdout.write(`${text.trimEnd()}\n`);
+}
+
+function fail(message: string, exitCode: number): void {
+  process.stderr.write(`${message}\n`);
+  process.exitCode = exitCode;
+}
+
+/** Asks a daemon and prints what it says. Returns the content, or undefined after a failure. */
+async function show(operator: string, path: string, options: IOptions): Promise<unknown> {
+  if (!addresses.isAddress(operator)) {
+    fail(`${operator} is no IP address and port`, exitCodes.BAD_INPUT);
+    return undefined;
+  }
+  const answer = await operatorClient.ask(operator, path);
+  if (!answer.ok) {
+    fail(answer.error, exitCodes.UNREACHABLE);
+    return undefined;
+  }
+  if (answer.value.status === STATUS_NOT_FOUND) {
+    const { error } = answer.value.content as { error: string };
+    fail(error, exitCodes.NOT_FOUND);
+    return undefined;
+  }
+  print(answer.value.content, options);
+  return answer.value.content;
+}
+
+async function status(operator: string, options: IOptions): Promise<void> {
+  const content = (await show(operator, '/status', options)) as { ready: boolean } | undefined;
+  if (content?.ready === false) process.exitCode = exitCodes.NOT_READY;
+}
+
+function registerExplain(program: commander.Command): void {
+  const explain = program
+    .command('explain')
+    .description('Explain the decisions of a daemon')
+    .addHelpText('after', OPERATOR_HELP);
+  explain
+    .command('server')
+    .description('Why calls go to a backend server or avoid it')
+    .argument('<operator>', 'operator address of the daemon')
+    .argument('<address>', 'address of the backend server, as in the table')
+    .option('--json', 'print JSON')
+    .action(async (operator: string, address: string, options: IOptions) => {
+      await show(operator, `/explain/server/${encodeURIComponent(address)}`, options);
+    });
+  const topics = {
+    refusals: 'Which requests were refused, and why',
+    budget: 'What the measuring budget is spent on',
+    table: 'Which table version is active where',
+  };
+  Object.entries(topics).forEach(([topic, description]) => {
+    explain
+      .command(topic)
+      .description(description)
+      .argument('<operator>', 'operator address of the daemon')
+      .option('--json', 'print JSON')
+      .action(async (operator: string, options: IOptions) => {
+        await show(operator, `/explain/${topic}`, options);
+      });
+  });
+}
+
+/** Adds the commands `status` and `explain`. */
+export function register(program: commander.Command): void {
+  program
+    .command('status')
+    .description('Show the state of a daemon')
+    .argument('<operator>', 'operator address of the daemon')
+    .option('--json', 'print JSON')
+    .addHelpText('after', OPERATOR_HELP)
+    .action(status);
+  registerExplain(program);
+}
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -7,30 +7,66 @@
 import * as settings from '../../node/settings/Settings';
 import * as systemClock from '../../node/SystemClock';
 import * as systemRandom from '../../node/SystemRandom';
+import * as exitCodes from '../ExitCodes';
 
-/** Exit code for settings that cannot be used. */
-const EXIT_BAD_SETTINGS = 2;
+const HELP = `
+The daemon writes its log to standard output as JSON lines. SIGTERM and SIGINT stop it as planned:
+it becomes unready, serves on for platformBalancerLagMs, and finishes every call in flight.
 
-async function serve(path: string): Promise<void> {
-  const parsed = settings.parseSettings(await fs.readFile(path, 'utf8'));
-  if (!parsed.ok) {
-    parsed.error.forEach((problem) => {
-      process.stderr.write(`${path}: ${problem.path}: ${problem.message}\n`);
-    });
-    process.exitCode = EXIT_BAD_SETTINGS;
-    return;
+Exit codes:
+  0  stopped as planned
+  1  unexpected error
+  2  the settings cannot be read or used
+  3  an address of the settings cannot be used`;
+
+function fail(message: string, exitCode: number): void {
+  process.stderr.write(`${message}\n`);
+  process.exitCode = exitCode;
+}
+
+async function readSettings(path: string): Promise<settings.Settings | undefined> {
+  let text: string;
+  try {
+    text = await fs.readFile(path, 'utf8');
+  } catch (error) {
+    fail(`cannot read the settings: ${(error as Error).message}`, exitCodes.BAD_INPUT);
+    return undefined;
   }
-  const logger = bunyan.createLogger({ name: 'lavenderspar', level: parsed.value.logLevel });
-  const instance = new daemon.Daemon(
-    parsed.value,
-    logger,
-    new systemClock.SystemClock(),
-    new systemRandom.SystemRandom(),
-  );
-  process.once('SIGTERM', () => {
-    instance.stop().catch((error: Error) => logger.error({ err: error }, 'stop failed'));
+  const parsed = settings.parseSettings(text);
+  if (parsed.ok) return parsed.value;
+  const lines = parsed.error.map((problem) => {
+    const place = problem.path === '' ? path : `${path}: ${problem.path}`;
+    return `${place}: ${problem.message}`;
   });
-  await instance.start();
+  fail(lines.join('\n'), exitCodes.BAD_INPUT);
+  return undefined;
+}
+
+async function run(options: settings.Settings): Promise<void> {
+  const logger = bunyan.createLogger({ name: 'lavenderspar', level: options.logLevel });
+  const clock = new systemClock.SystemClock();
+  const instance = new daemon.Daemon(options, logger, clock, new systemRandom.SystemRandom());
+  const stop = () => {
+    instance.stop().catch((error: Error) => {
+      logger.error({ err: error }, 'stop failed');
+      process.exitCode = exitCodes.FAILED;
+    });
+  };
+  // Registered for good: the default action of a second signal would end the calls in flight.
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+  try {
+    await instance.start();
+  } catch (error) {
+    if (!(error instanceof daemon.StartError)) throw error;
+    logger.fatal({ err: error }, 'daemon cannot start');
+    fail(error.message, exitCodes.CANNOT_START);
+  }
+}
+
+async function serve(path: string): Promise<void> {
+  const options = await readSettings(path);
+  if (options !== undefined) await run(options);
 }
 
 /** Adds the command `serve`. */
@@ -39,5 +75,6 @@
     .command('serve')
     .description('Run a daemon')
     .argument('<settings>', 'path of the settings file (YAML)')
+    .addHelpText('after', HELP)
     .action(serve);
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 import * as commander from 'commander';
 
+import * as inspect from './commands/inspect';
 import * as serve from './commands/serve';
 
 const program = new commander.Command('lavenderspar')
@@ -7,6 +8,7 @@
   .version('0.1.0');
 
 serve.register(program);
+inspect.register(program);
 
 program.parseAsync().catch((error: Error) => {
   process.stderr.write(`${error.message}\n`);
--- a/src/node/server/OperatorServer.ts
+++ b/src/node/server/OperatorServer.ts
@@ -81,9 +81,7 @@
   }
 
   private on(path: string, content: () => unknown, status: () => number = () => OK): void {
-    this.router.on('GET', path, (_request, response) =>
-      reply(response, status(), content()),
-    );
+    this.router.on('GET', path, (_request, response) => reply(response, status(), content()));
   }
 
   private replyServer(response: http.ServerResponse, address: string): void {
