--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 import * as commander from 'commander';
 
 import * as inspect from './commands/inspect';
+import * as bench from './commands/bench';
 import * as serve from './commands/serve';
 
 const program = new commander.Command('lavenderspar')
@@ -9,6 +10,7 @@
 
 serve.register(program);
 inspect.register(program);
+bench.register(program);
 
 program.parseAsync().catch((error: Error) => {
   process.stderr.write(`${error.message}\n`);
