--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 import * as commander from 'commander';
 
+import * as inspect from './commands/inspect';
 import * as bench from './commands/bench';
 import * as serve from './commands/serve';
 
@@ -8,6 +9,7 @@
   .version('0.1.0');
 
 serve.register(program);
+inspect.register(program);
 bench.register(program);
 
 program.parseAsync().catch((error: Error) => {
