--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -224,7 +224,7 @@
         return fleet.table.current;
       },
       get members() {
-        return fleet.members.records;
+        return fleet.members.statuses.map(({ record }) => record);
       },
       get callsInFlight() {
         return coordinator.inFlight;
