Drive the real classes along traces of the specification

Cause: an exploration proves the specification, and not the code.

Differential tests run KeyAuthority against a naive version on random histories of fast-check commands with a hand-over, and check the bound on claims.

--- /dev/null
+++ b/spec/KeyConformance.test.ts
@@ -0,0 +1,111 @@
+import * as seededRandom from '../src/common/SeededRandom';
+import * as keyProtocol from './KeyProtocol';
+import * as keySpecification from './KeySpecification';
+import * as realKeyProcesses from './RealKeyProcesses';
+import * as traces from './Traces';
+
+const protocol = new keyProtocol.KeyProtocol();
+
+/** Throws on a difference. `expect` takes most of the time when it is called a million times. */
+function check(what: string, found: unknown, specified: readonly unknown[]): void {
+  if (specified.includes(found)) return;
+  throw new Error(`${what}: found ${String(found)}, specified ${specified.join(' or ')}`);
+}
+
+function checkVerdict(
+  state: keyProtocol.IKeyState,
+  real: realKeyProcesses.RealKeyProcesses,
+  attempt: number,
+  process: number,
+): void {
+  const specified = state.processes[process] as keyProtocol.IProcessState;
+  const verdict = protocol.verdictOn(state, attempt, specified);
+  const content = state.attempts[attempt]?.content ?? 0;
+  const found = real.claim(process, attempt, content);
+  // A hand-over leaves out issuers whose keys have all expired. A caller is told "unknown" both by
+  // a process that knows of the expiry and by one that knows nothing of the key.
+  const isExpired = specified.clock === 1 && verdict === 'unknown';
+  check('claim', found, isExpired ? ['unknown', 'ignored'] : [verdict]);
+}
+
+function apply(
+  state: keyProtocol.IKeyState,
+  real: realKeyProcesses.RealKeyProcesses,
+  event: keyProtocol.KeyEvent,
+): void {
+  switch (event.type) {
+    case 'claim':
+      checkVerdict(state, real, event.attempt, event.process);
+      break;
+    case 'complete': {
+      const { completion } = state.attempts[event.attempt] as keyProtocol.IAttemptState;
+      const recorded = real.complete(event.process, event.attempt, completion);
+      // The record of an expired key may be dropped at any time, and no claim depends on it.
+      if (state.processes[event.process]?.clock === 0) check('completion', recorded, [true]);
+      break;
+    }
+    case 'expire-key':
+      real.expire(event.process);
+      break;
+    case 'drop-record':
+      check('records left', real.dropExpired(event.process), [0]);
+      break;
+    case 'close':
+      real.close(event.process);
+      break;
+    case 'take-over':
+      check('hand-over', real.takeOver(event.from, event.process), [true]);
+      break;
+    case 'crash-and-restart':
+      real.restart(event.process);
+      break;
+    default:
+      // The other events happen in daemons that claim, and reach an authority only as messages.
+      break;
+  }
+}
+
+/** Sends messages that the specification ignores in this state. */
+function sendIgnored(state: keyProtocol.IKeyState, real: realKeyProcesses.RealKeyProcesses): void {
+  state.processes.forEach((process, index) => {
+    state.processes.forEach(({ sent }, from) => {
+      const isRepeated = process.role === 'deciding' || process.role === 'closed';
+      if (sent !== null && from + 1 === index && isRepeated) real.takeOver(from, index);
+    });
+    state.attempts.forEach(({ completion }, attempt) => {
+      const isForeign = process.holder !== attempt || process.role !== 'deciding';
+      if (completion === '' || !isForeign) return;
+      check('foreign completion', real.complete(index, attempt, completion), [false]);
+    });
+  });
+}
+
+function follow(events: readonly keyProtocol.KeyEvent[], attemptCount: number): void {
+  const real = new realKeyProcesses.RealKeyProcesses();
+  let state = keyProtocol.initialKeyState(attemptCount);
+  events.forEach((event) => {
+    apply(state, real, event);
+    state = protocol.next(state, event);
+    sendIgnored(state, real);
+  });
+  state.processes.forEach((_process, process) => {
+    state.attempts.forEach((_attempt, attempt) => {
+      checkVerdict(state, real, attempt, process);
+      state = protocol.next(state, { type: 'claim', attempt, process });
+    });
+  });
+}
+
+test('the authority agrees on a trace to every state with one attempt', () => {
+  const specification = keySpecification.keySpecification(undefined, 1);
+  const all = traces.tracesToAll(specification);
+  expect(() => all.forEach((events) => follow(events, 1))).not.toThrow();
+  expect(all.length).toBeGreaterThan(4_000);
+});
+
+test('the authority agrees on random traces with three attempts', () => {
+  const specification = keySpecification.keySpecification();
+  const random = new seededRandom.SeededRandom(11);
+  const runs = Array.from({ length: 2_000 }, () => traces.randomTrace(specification, 40, random));
+  expect(() => runs.forEach((events) => follow(events, 3))).not.toThrow();
+});
--- a/spec/KeyProtocol.ts
+++ b/spec/KeyProtocol.ts
@@ -173,8 +173,8 @@
     return { attempts, processes };
   }
 
-  /** What the process replies: a grant, or what the caller is told. */
-  private verdictOn(
+  /** What the process replies to a claim: a grant, or what the caller is told. */
+  public verdictOn(
     state: IKeyState,
     index: number,
     process: IProcessState,
--- /dev/null
+++ b/spec/Traces.ts
@@ -0,0 +1,29 @@
+import type * as types from '../src/common/Types';
+import * as explorer from './Explorer';
+import type * as specTypes from './Types';
+
+/** Traces to every state of a specification. */
+export function tracesToAll<TState, TEvent extends specTypes.ISpecificationEvent>(
+  specification: specTypes.ISpecification<TState, TEvent>,
+): readonly (readonly TEvent[])[] {
+  const { found } = explorer.explore(specification);
+  return [...found.values()].map((node) => explorer.traceTo(node));
+}
+
+/** A random trace of at most `length` events. */
+export function randomTrace<TState, TEvent extends specTypes.ISpecificationEvent>(
+  specification: specTypes.ISpecification<TState, TEvent>,
+  length: number,
+  random: types.IRandom,
+): readonly TEvent[] {
+  const events: TEvent[] = [];
+  let state = specification.initial;
+  while (events.length < length) {
+    const enabled = specification.eventsOf(state);
+    if (enabled.length === 0) return events;
+    const event = enabled[random.nextInteger(enabled.length)] as TEvent;
+    events.push(event);
+    state = specification.next(state, event);
+  }
+  return events;
+}
--- /dev/null
+++ b/src/common/keys/KeyAuthorityDifferential.test.ts
@@ -0,0 +1,176 @@
+import * as fc from 'fast-check';
+
+import * as manualClock from '../ManualClock';
+import * as keyAuthority from './KeyAuthority';
+import * as naiveKeys from './testing/NaiveKeys';
+import type * as keyTypes from './Types';
+
+const LIFETIME_MS = keyAuthority.DEFAULT_LIMITS.lifetimeMs;
+const SUCCESSOR_INCARNATION = 2;
+
+class Real {
+  public readonly clock = new manualClock.ManualClock();
+
+  public readonly authorities: readonly keyAuthority.KeyAuthority[];
+
+  public readonly keys: string[] = [];
+
+  public transfers: readonly keyTypes.IKeyTransfer[] = [];
+
+  public constructor(maxClaims: number) {
+    this.authorities = [1, SUCCESSOR_INCARNATION].map(
+      (incarnation) =>
+        new keyAuthority.KeyAuthority(
+          { address: `10.0.0.${incarnation}:7000`, incarnation },
+          Buffer.alloc(32, incarnation),
+          this.clock,
+          { ...keyAuthority.DEFAULT_LIMITS, maxClaims },
+        ),
+    );
+  }
+
+  public at(process: number): keyAuthority.KeyAuthority {
+    return this.authorities[process] as keyAuthority.KeyAuthority;
+  }
+}
+
+type Command = fc.Command<naiveKeys.NaiveKeys, Real>;
+
+function command(
+  name: string,
+  run: (model: naiveKeys.NaiveKeys, real: Real) => void,
+  needsKeys = false,
+): Command {
+  return {
+    check: (model) => !needsKeys || model.issueTimes.length > 0,
+    run,
+    toString: () => name,
+  };
+}
+
+const issue = fc.integer({ min: 1, max: 3 }).map((count) =>
+  command(`issue(${count})`, (model, real) => {
+    const issued = real.at(0).issue(count);
+    expect(issued.ok).toBe(model.issue(count));
+    if (issued.ok) real.keys.push(...issued.value);
+  }),
+);
+
+const target = fc.record({
+  process: fc.nat(1),
+  index: fc.nat(20),
+  attempt: fc.constantFrom('a', 'b', 'c'),
+});
+
+const claim = fc
+  .tuple(target, fc.constantFrom('f', 'f', 'f', 'g'))
+  .map(([{ process, index, attempt }, fingerprint]) =>
+    command(
+      `claim(${process}, ${index}, ${attempt}, ${fingerprint})`,
+      (model, real) => {
+        const key = index % model.issueTimes.length;
+        const text = real.keys[key] as string;
+        const verdict = real.at(process).claim(text, attempt, fingerprint);
+        expect(verdict).toEqual(model.claim(process, key, attempt, fingerprint));
+      },
+      true,
+    ),
+  );
+
+const outcomes = fc.constantFrom<keyTypes.KeyOutcome>(
+  { kind: 'answered', answer: { status: 200, headers: ['a', 'b'], body: Buffer.from('x') } },
+  { kind: 'not-run' },
+  { kind: 'unknown' },
+);
+
+const complete = fc.tuple(target, outcomes).map(([{ process, index, attempt }, outcome]) =>
+  command(
+    `complete(${process}, ${index}, ${attempt}, ${outcome.kind})`,
+    (model, real) => {
+      const key = index % model.issueTimes.length;
+      const recorded = real.at(process).complete(real.keys[key] as string, attempt, outcome);
+      const specified = model.complete(process, key, attempt, outcome);
+      if (specified !== undefined) expect(recorded).toBe(specified);
+    },
+    true,
+  ),
+);
+
+const advance = fc
+  .oneof(
+    fc.nat(LIFETIME_MS),
+    fc.constantFrom(0, 9_999, LIFETIME_MS - 1, LIFETIME_MS, 2 * LIFETIME_MS),
+  )
+  .map((durationMs) =>
+    command(`advance(${durationMs})`, (model, real) => {
+      model.advance(durationMs);
+      real.clock.advance(durationMs);
+    }),
+  );
+
+const close = fc.constant(
+  command('close', (model, real) => {
+    model.close();
+    real.at(0).close();
+    real.transfers = real.at(0).transfers();
+  }),
+);
+
+const takeOver = fc.boolean().map((isRightProcess) =>
+  command(`takeOver(${isRightProcess})`, (model, real) => {
+    const successorIncarnation = isRightProcess ? SUCCESSOR_INCARNATION : 9;
+    const base = { part: 0, last: true, successorIncarnation };
+    const replies = real.transfers.map((part) => real.at(1).takeOver({ ...part, ...base }));
+    const specified = isRightProcess && model.takeOver();
+    expect(replies).toEqual(real.transfers.map(() => specified));
+  }),
+);
+
+test('agrees with the naive version on random histories', () => {
+  const commands = fc.commands(
+    [issue, issue, claim, claim, claim, complete, complete, advance, close, takeOver],
+    { maxCommands: 60 },
+  );
+  fc.assert(
+    fc.property(commands, (history) => {
+      const setup = () => ({
+        model: new naiveKeys.NaiveKeys(LIFETIME_MS),
+        real: new Real(1_000),
+      });
+      fc.modelRun(setup, history);
+    }),
+    { seed: 21, numRuns: 2_000 },
+  );
+});
+
+// A bound that also refused claims it holds, or that let more be held, would not bound memory or
+// would turn repeated claims away.
+test('holds at most the bound, and refuses only when unexpired claims fill it', () => {
+  const maxClaims = 4;
+  const steps = fc.array(fc.record({ index: fc.nat(30), advanceMs: fc.nat(LIFETIME_MS / 3) }), {
+    maxLength: 60,
+  });
+  fc.assert(
+    fc.property(steps, (history) => {
+      const real = new Real(maxClaims);
+      const grantedAt = new Map<string, number>();
+      history.forEach(({ index, advanceMs }) => {
+        real.clock.advance(advanceMs);
+        const issued = real.at(0).issue(1);
+        if (issued.ok) real.keys.push(...issued.value);
+        const key = real.keys[index % real.keys.length] as string;
+        const verdict = real.at(0).claim(key, 'a', 'f');
+        const nowMs = real.clock.monotonicMs();
+        if (verdict.kind === 'granted' && !grantedAt.has(key)) grantedAt.set(key, nowMs);
+        expect(real.at(0).claimCount).toBeLessThanOrEqual(maxClaims);
+        if (verdict.kind !== 'too-many-claims') return;
+        expect(grantedAt.has(key)).toBe(false);
+        // A record is kept for up to two groups of issue times beyond the life of its key.
+        const keptMs = LIFETIME_MS + 20_000;
+        const held = [...grantedAt.values()].filter((atMs) => nowMs - atMs < keptMs);
+        expect(held.length).toBeGreaterThanOrEqual(maxClaims);
+      });
+    }),
+    { seed: 22, numRuns: 500 },
+  );
+});
