--- /dev/null
+++ b/src/node/CallRunner.ts
@@ -0,0 +1,148 @@
+import type * as callCoordinator from '../common/call/CallCoordinator';
+import type * as callTypes from '../common/call/Types';
+import type * as keyTypes from '../common/keys/Types';
+import type * as types from '../common/Types';
+import type * as gatewayTypes from './keys/Types';
+import type * as serviceSet from './ServiceSet';
+
+/**
+ * Stands for the content of a request whose body was not read. No request has this fingerprint, so
+ * a key that was used before is never taken for unused.
+ */
+const UNREAD_CONTENT = 'unread';
+
+type Refusal = Exclude<callTypes.CallOutcome, { kind: 'answered' }>;
+type OnOutcome = (outcome: callTypes.CallOutcome) => void;
+
+/** Claims and completes request keys. */
+export interface IKeyClaims {
+  claim(request: gatewayTypes.IKeyedRequest): Promise<gatewayTypes.KeyClaim>;
+  complete(claim: gatewayTypes.IHeldClaim, outcome: keyTypes.KeyOutcome): Promise<boolean>;
+  refuse(
+    request: gatewayTypes.IKeyedRequest,
+    refusal: gatewayTypes.NotRun,
+  ): Promise<Exclude<gatewayTypes.KeyClaim, { kind: 'granted' }>>;
+}
+
+function toKeyOutcome(outcome: callTypes.CallOutcome): keyTypes.KeyOutcome {
+  return outcome.kind === 'answered'
+    ? { kind: 'answered', answer: outcome.answer }
+    : { kind: outcome.kind };
+}
+
+function unavailable(detail: string): Refusal {
+  return { kind: 'unknown', reason: 'key-issuer-unavailable', detail, dispatched: false };
+}
+
+/** Runs calls: claims the request key first, where the service requires one. */
+export class CallRunner {
+  private keyed = 0;
+
+  public constructor(
+    private readonly coordinator: callCoordinator.CallCoordinator,
+    private readonly services: serviceSet.ServiceSet,
+    private readonly keys: IKeyClaims,
+    private readonly clock: types.IClock,
+  ) {}
+
+  /** Calls that have no outcome yet, or whose caller has gone while they run on. */
+  public get inFlight(): number {
+    return this.coordinator.inFlight + this.keyed;
+  }
+
+  /**
+   * Runs a call.
+   * @param key The request key, if the service requires one.
+   * @param onOutcome Called exactly once, unless the call is cancelled first.
+   */
+  public start(
+    call: callTypes.ICall,
+    key: string | undefined,
+    onOutcome: OnOutcome,
+  ): callTypes.IAttempt {
+    if (call.service.requestKey === 'none' || key === undefined) {
+      return this.dispatch(call, onOutcome);
+    }
+    return this.startKeyed(call, key, onOutcome);
+  }
+
+  /**
+   * Refuses a request with a key that was not claimed. Another daemon may be running the same
+   * request, so "not run" is stated only if the key was unused and is closed now.
+   */
+  public async refuse(
+    key: string,
+    service: string,
+    refusal: gatewayTypes.NotRun,
+  ): Promise<Refusal> {
+    const request = { key, service, fingerprint: UNREAD_CONTENT, deadlineMs: Infinity };
+    const result = await this.keys.refuse(request, refusal);
+    if (result.kind !== 'answered' && result.reason !== 'request-key-reused') return result;
+    const detail = `an earlier request used the key; this one was refused: ${refusal.detail}`;
+    return { kind: 'unknown', reason: 'earlier-outcome-unknown', detail, dispatched: false };
+  }
+
+  private dispatch(call: callTypes.ICall, onOutcome: OnOutcome): callTypes.IAttempt {
+    const balancer = this.services.balancerOf(call.service.name);
+    if (balancer === undefined) {
+      const detail = 'the service is no longer in the table';
+      onOutcome({ kind: 'not-run', reason: 'no-backend-server', detail });
+      return { cancel: () => undefined };
+    }
+    const running = this.coordinator.start(call, balancer, onOutcome);
+    this.services.probe(call.service.name);
+    return running;
+  }
+
+  /**
+   * The call runs on when its caller goes: the caller may send the request again with its key, and
+   * then gets the answer that was recorded.
+   */
+  private startKeyed(call: callTypes.ICall, key: string, onOutcome: OnOutcome): callTypes.IAttempt {
+    let ended = false;
+    const end: OnOutcome = (outcome) => {
+      if (!ended) onOutcome(outcome);
+      ended = true;
+    };
+    this.keyed += 1;
+    const remainingMs = call.deadlineMs - this.clock.monotonicMs();
+    const timer = this.clock.setTimer(remainingMs, () =>
+      end(unavailable('the deadline passed before the issuer of the key replied')),
+    );
+    const request = {
+      key,
+      service: call.service.name,
+      fingerprint: call.fingerprint,
+      deadlineMs: call.deadlineMs,
+    };
+    this.keys
+      .claim(request)
+      .finally(() => timer.dispose())
+      .then((claimed) => {
+        if (claimed.kind === 'granted') return this.dispatchClaimed(call, claimed.claim, end);
+        if (claimed.kind === 'answered') end({ ...claimed, server: '' });
+        else end(claimed);
+        return undefined;
+      })
+      .catch((error: Error) => end(unavailable(error.message)))
+      .finally(() => {
+        this.keyed -= 1;
+      });
+    return {
+      cancel: () => {
+        ended = true;
+      },
+    };
+  }
+
+  private dispatchClaimed(
+    call: callTypes.ICall,
+    claim: gatewayTypes.IHeldClaim,
+    end: OnOutcome,
+  ): void {
+    this.dispatch(call, (outcome) => {
+      this.keys.complete(claim, toKeyOutcome(outcome)).catch(() => undefined);
+      end(outcome);
+    });
+  }
+}
--- /dev/null
+++ b/src/node/Daemon.test.ts
@@ -0,0 +1,92 @@
+import * as nodeEvents from 'node:events';
+import * as net from 'node:net';
+
+import * as bunyan from 'bunyan';
+import * as undici from 'undici';
+
+import * as manualClock from '../common/ManualClock';
+import * as seededRandom from '../common/SeededRandom';
+import * as daemonModule from './Daemon';
+import * as settings from './settings/Settings';
+
+const LAG_MS = 5_000;
+
+async function takePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => net.createServer().listen(0, '127.0.0.1'));
+  await Promise.all(servers.map((server) => nodeEvents.once(server, 'listening')));
+  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
+  await Promise.all(servers.map((server) => nodeEvents.once(server.close(), 'close')));
+  return ports;
+}
+
+function build([caller, operator, peer, platform]: number[]) {
+  const parsed = settings.parseSettings(
+    [
+      `callerAddress: 127.0.0.1:${caller}`,
+      `operatorAddress: 127.0.0.1:${operator}`,
+      `peerAddress: 127.0.0.1:${peer}`,
+      `platformUrl: http://127.0.0.1:${platform}`,
+      'failureDomain: a',
+      `platformBalancerLagMs: ${LAG_MS}`,
+    ].join('\n'),
+  );
+  if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
+  const logger = bunyan.createLogger({ name: 'test', streams: [] });
+  const clock = new manualClock.ManualClock();
+  const random = new seededRandom.SeededRandom(1);
+  return { clock, daemon: new daemonModule.Daemon(parsed.value, logger, clock, random) };
+}
+
+/** Advances the clock until `promise` resolves. */
+async function resolve(clock: manualClock.ManualClock, promise: Promise<void>): Promise<void> {
+  let pending = true;
+  const done = promise.finally(() => {
+    pending = false;
+  });
+  while (pending) {
+    await new Promise(setImmediate);
+    clock.advance(100);
+  }
+  await done;
+}
+
+// Guards against a half-started daemon that keeps its ports.
+test('an address in use ends the start with its name, and leaves nothing open', async () => {
+  const ports = await takePorts(4);
+  const blocker = net.createServer().listen(ports[0], '127.0.0.1');
+  await nodeEvents.once(blocker, 'listening');
+  const { daemon } = build(ports);
+  await expect(daemon.start()).rejects.toThrow(
+    new RegExp(`^cannot listen on callerAddress 127.0.0.1:${ports[0]}: .*EADDRINUSE`),
+  );
+  await nodeEvents.once(blocker.close(), 'close');
+  const second = build(ports);
+  await second.daemon.start();
+  await resolve(second.clock, second.daemon.stop());
+});
+
+test('a daemon without a table is unready, refuses calls and says why', async () => {
+  const ports = await takePorts(4);
+  const { clock, daemon } = build(ports);
+  await daemon.start();
+  const ready = await undici.request(`http://127.0.0.1:${ports[1]}/ready`);
+  expect(ready.statusCode).toBe(503);
+  expect(await ready.body.json()).toMatchObject({ ready: false, phase: 'starting' });
+  const reply = await undici.request(`http://127.0.0.1:${ports[0]}/status/a`);
+  expect(await reply.body.json()).toMatchObject({ kind: 'not-ready', outcome: 'not-run' });
+  await resolve(clock, daemon.stop());
+});
+
+test('a planned stop serves on for the lag of the platform balancer, and runs once', async () => {
+  const { clock, daemon } = build(await takePorts(4));
+  await daemon.start();
+  const stopped = daemon.stop();
+  expect(daemon.stop()).toBe(stopped);
+  clock.advance(LAG_MS - 1);
+  await new Promise(setImmediate);
+  expect(daemon.phase).toBe('draining');
+  clock.advance(1);
+  await new Promise(setImmediate);
+  expect(daemon.phase).toBe('stopping');
+  await resolve(clock, stopped);
+});
--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -2,19 +2,24 @@
 
 import * as callCoordinator from '../common/call/CallCoordinator';
 import type * as callTypes from '../common/call/Types';
-import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
+import * as policyFactory from '../common/policy/PolicyFactory';
+import * as probeBudget from '../common/probing/ProbeBudget';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
+import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
-import * as balancerSet from './BalancerSet';
+import * as callRunner from './CallRunner';
 import * as httpTransport from './dispatch/HttpTransport';
+import * as factExchange from './FactExchange';
 import * as fleetModule from './fleet/Fleet';
 import * as pauseDetector from './PauseDetector';
 import * as peerClient from './peer/PeerClient';
 import * as peerServer from './peer/PeerServer';
+import * as requestKeys from './RequestKeys';
 import * as callerServer from './server/CallerServer';
 import * as explain from './server/Explain';
 import * as operatorServer from './server/OperatorServer';
 import type * as serverTypes from './server/Types';
+import * as serviceSet from './ServiceSet';
 import * as addresses from './settings/Addresses';
 import type * as settings from './settings/Settings';
 import * as makeTelemetry from './telemetry/MakeTelemetry';
@@ -25,6 +30,12 @@
 /** Time for callers to take the last responses, in milliseconds. */
 const LAST_RESPONSES_MS = 5_000;
 
+/** Interval between two looks at the calls that a stop waits for, in milliseconds. */
+const FINISH_INTERVAL_MS = 10;
+
+/** Time for peers to learn where the request keys went, in milliseconds. */
+const FAREWELL_MS = 200;
+
 /** An address of the settings cannot be used. */
 export class StartError extends Error {
   public constructor(setting: string, address: string, cause: Error) {
@@ -35,11 +46,23 @@
 
 /** One process of the fleet, composed of its services. */
 export class Daemon {
-  private readonly balancers: balancerSet.BalancerSet;
+  private readonly telemetry: telemetryModule.Telemetry;
+
+  private readonly fleet: fleetModule.Fleet;
 
   private readonly transport: httpTransport.HttpTransport;
 
-  private readonly coordinator: callCoordinator.CallCoordinator;
+  private readonly probes: probeBudget.ProbeBudget;
+
+  private readonly services: serviceSet.ServiceSet;
+
+  private readonly facts: factExchange.FactExchange;
+
+  private readonly keys: requestKeys.RequestKeys;
+
+  private readonly runner: callRunner.CallRunner;
+
+  private readonly pauses: pauseDetector.PauseDetector;
 
   private readonly callers: callerServer.CallerServer;
 
@@ -49,12 +72,6 @@
 
   private readonly peerClient = new peerClient.PeerClient();
 
-  private readonly fleet: fleetModule.Fleet;
-
-  private readonly telemetry: telemetryModule.Telemetry;
-
-  private readonly pauses: pauseDetector.PauseDetector;
-
   private stage: 'running' | 'draining' | 'stopping' = 'running';
 
   private stopped: Promise<void> | undefined;
@@ -67,31 +84,47 @@
   ) {
     const { metrics, traces } = makeTelemetry.makeExporters(options, logger, clock, random);
     this.telemetry = new telemetryModule.Telemetry(logger, clock, metrics, traces);
-    this.fleet = new fleetModule.Fleet(options, this.peerClient, logger, clock, random);
+    const fleet = new fleetModule.Fleet(options, this.peerClient, logger, clock, random);
+    this.fleet = fleet;
     this.transport = new httpTransport.HttpTransport(clock, random);
-    this.balancers = new balancerSet.BalancerSet(
-      () => new leastInFlightPolicy.LeastInFlightPolicy(random),
-      clock,
-    );
     const isObserved = metrics !== undefined || traces !== undefined;
     const transport: callTypes.IBackendTransport = isObserved
       ? new observedTransport.ObservedTransport(this.transport, metrics, traces, clock)
       : this.transport;
+    this.probes = new probeBudget.ProbeBudget(clock);
+    this.services = new serviceSet.ServiceSet(
+      () => policyFactory.createPolicy(options.policy, random),
+      this.probes,
+      transport,
+      clock,
+    );
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
-    this.coordinator = new callCoordinator.CallCoordinator(transport, suspicion, clock);
+    this.facts = new factExchange.FactExchange(
+      fleet.facts,
+      fleet.members,
+      this.services,
+      suspicion,
+      clock,
+    );
+    const { peerAddress: address } = options;
+    const { incarnation, members, facts } = fleet;
+    const view = { address, incarnation, members, facts };
+    this.keys = new requestKeys.RequestKeys(view, this.peerClient, logger, clock, random);
+    const coordinator = new callCoordinator.CallCoordinator(transport, suspicion, clock);
+    this.runner = new callRunner.CallRunner(coordinator, this.services, this.keys.gateway, clock);
     this.pauses = new pauseDetector.PauseDetector(clock, (gapMs) => this.recover(gapMs));
     this.callers = this.makeCallerServer();
-    this.operators = new operatorServer.OperatorServer(
-      new explain.Explain(this.explainSources(), clock),
+    const answers = new explain.Explain(() => this.explainState(), clock);
+    this.operators = new operatorServer.OperatorServer(answers);
+    this.peers = new peerServer.PeerServer(
+      {
+        exchange: (request) => fleet.receiveExchange(request),
+        fetchTable: (request) => fleet.replyTable(request),
+      },
+      this.keys.peerHandler,
     );
-    this.peers = new peerServer.PeerServer({
-      exchange: (request) => this.fleet.receiveExchange(request),
-      fetchTable: (request) => this.fleet.replyTable(request),
-    });
-    this.fleet.table.onAccepted((table) => {
-      this.balancers.update(table);
-      logger.info({ event: names.TABLE_VERSION, tableVersion: table.version }, 'table in force');
-    });
+    fleet.table.onAccepted((table) => this.applyTable(table));
+    members.onChanged(() => this.probes.setMemberCount(members.count));
   }
 
   /** The stage in the life of the daemon. Calls are served while `ready` and `draining`. */
@@ -117,6 +150,7 @@
       throw error;
     }
     this.fleet.start();
+    this.facts.start();
     this.pauses.start();
     this.telemetry.startGauges(() => this.gauges());
     this.logger.info({ callerAddress, operatorAddress, peerAddress }, 'daemon started');
@@ -124,8 +158,8 @@
 
   /**
    * Stops as planned: becomes unready, serves on for the lag of the platform balancer, then stops
-   * accepting, finishes every call in flight and leaves the fleet. Further calls return the same
-   * promise.
+   * accepting, finishes every call in flight, hands over the request keys and leaves the fleet.
+   * Further calls return the same promise.
    */
   public stop(): Promise<void> {
     this.stopped ??= this.runStop();
@@ -139,17 +173,19 @@
     this.fleet.leave();
     await this.wait(lagMs);
     this.stage = 'stopping';
-    this.logger.info({ callsInFlight: this.callers.exchangesInFlight }, 'finishing calls');
+    this.logger.info({ callsInFlight: this.runner.inFlight }, 'finishing calls');
     await this.finishCalls();
+    await this.keys.leave();
+    await this.wait(FAREWELL_MS);
     await this.release();
     this.logger.info('daemon stopped');
   }
 
   private async finishCalls(): Promise<void> {
     const closed = this.callers.close();
-    while (this.callers.exchangesInFlight > 0) {
+    while (this.callers.exchangesInFlight > 0 || this.runner.inFlight > 0) {
       // Every call ends by its deadline.
-      await this.wait(10);
+      await this.wait(FINISH_INTERVAL_MS);
     }
     const timer = this.clock.setTimer(LAST_RESPONSES_MS, () => this.callers.closeNow());
     await closed;
@@ -158,6 +194,7 @@
 
   private async release(): Promise<void> {
     this.pauses.dispose();
+    this.facts.dispose();
     this.callers.closeNow();
     await Promise.all([this.callers.close(), this.operators.close(), this.telemetry.close()]);
     this.fleet.dispose();
@@ -185,11 +222,19 @@
     }
   }
 
+  private applyTable(table: tableTypes.ITable): void {
+    this.probes.applyTable(table);
+    this.services.update(table);
+    const fields = { event: names.TABLE_VERSION, tableVersion: table.version };
+    this.logger.info(fields, 'table in force');
+  }
+
   /** Drops what may have become untrue while the process did not run. */
   private recover(gapMs: number): void {
     this.logger.warn({ event: names.PROCESS_PAUSED, gapMs }, 'process was paused');
+    this.probes.onPaused();
     this.transport.distrustConnections();
-    this.balancers.dropReports();
+    this.services.dropReports();
     this.fleet.onPaused(gapMs);
   }
 
@@ -204,47 +249,37 @@
         get phase() {
           return readPhase();
         },
-        balancerOf: (service) => this.balancers.get(service),
       },
-      coordinator: this.coordinator,
+      runner: this.runner,
       observer: this.telemetry,
       clock: this.clock,
       beforeRequest: () => this.pauses.check(),
+      issueKeys: (count) => this.keys.issue(count),
     });
   }
 
-  private explainSources(): explain.IExplainSources {
-    const { fleet, options, balancers, telemetry, coordinator, transport } = this;
-    const readPhase = () => this.phase;
+  private explainState(): explain.IExplainState {
     return {
-      get phase() {
-        return readPhase();
-      },
-      get table() {
-        return fleet.table.current;
-      },
-      get members() {
-        return fleet.members.records;
-      },
-      get callsInFlight() {
-        return coordinator.inFlight;
-      },
-      get callsAnswered() {
-        return telemetry.answered;
-      },
-      peerAddress: options.peerAddress,
-      failureDomain: options.failureDomain,
-      policy: options.policy,
-      balancers: balancers.all,
-      refusals: telemetry.refusals,
-      probesSent: new Map(),
-      connectionsOf: (address) => transport.connectionsOf(address),
+      phase: this.phase,
+      peerAddress: this.options.peerAddress,
+      failureDomain: this.options.failureDomain,
+      policy: this.options.policy,
+      table: this.fleet.table.current,
+      fleet: this.fleet.status,
+      balancers: this.services.balancers,
+      refusals: this.telemetry.refusals,
+      callsInFlight: this.runner.inFlight,
+      callsAnswered: this.telemetry.answered,
+      probes: this.probes.report,
+      probeStop: this.probes.stop,
+      keyClaims: this.keys.claimCount,
+      connectionsOf: (address) => this.transport.connectionsOf(address),
     };
   }
 
   private gauges(): Readonly<Record<string, number>> {
     return {
-      [names.CALLS_IN_FLIGHT]: this.coordinator.inFlight,
+      [names.CALLS_IN_FLIGHT]: this.runner.inFlight,
       [names.TABLE_VERSION]: this.fleet.table.current?.version ?? 0,
       [names.DAEMON_READY]: this.phase === 'ready' ? 1 : 0,
     };
--- /dev/null
+++ b/src/node/FactExchange.test.ts
@@ -0,0 +1,62 @@
+import * as factStore from '../common/membership/FactStore';
+import * as manualClock from '../common/ManualClock';
+import * as policyFactory from '../common/policy/PolicyFactory';
+import * as probeBudget from '../common/probing/ProbeBudget';
+import * as seededRandom from '../common/SeededRandom';
+import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
+import * as fakeTransport from '../common/testing/FakeTransport';
+import * as fixtures from '../common/testing/Fixtures';
+import * as factExchange from './FactExchange';
+import * as serviceSet from './ServiceSet';
+
+const SERVER = '10.0.0.1:80';
+
+function build() {
+  const clock = new manualClock.ManualClock();
+  const random = new seededRandom.SeededRandom(1);
+  const facts = new factStore.FactStore('10.0.1.1:1', clock, 1);
+  const services = new serviceSet.ServiceSet(
+    () => policyFactory.createPolicy('random', random),
+    new probeBudget.ProbeBudget(clock),
+    new fakeTransport.FakeTransport(),
+    clock,
+  );
+  services.update(fixtures.makeTable());
+  const suspicion = new requestSuspicion.RequestSuspicion(clock);
+  const members = { leavingServers: new Set<string>() };
+  const exchange = new factExchange.FactExchange(facts, members, services, suspicion, clock);
+  exchange.start();
+  const avoidance = () => services.balancerOf('status')?.avoidanceOf(SERVER);
+  return { clock, facts, services, suspicion, members, avoidance };
+}
+
+function factOfPeer(kind: 'draining' | 'suspect-request', subject: string, details: string[]) {
+  return { kind, subject, origin: 'peer', sequence: 1, ageMs: 10, lifetimeMs: 60_000, details };
+}
+
+test('a server that drains is told to peers, and one that a peer saw draining is avoided', () => {
+  const { facts, services, avoidance } = build();
+  services.balancerOf('status')?.recordDraining(SERVER);
+  expect(facts.about('draining', SERVER)).toHaveLength(1);
+  facts.merge(factOfPeer('draining', '10.0.0.2:80', []));
+  expect(avoidance()).toBe('leaving');
+  expect(services.balancerOf('status')?.avoidanceOf('10.0.0.2:80')).toBe('leaving');
+});
+
+test('the losses of a request at several daemons add up', () => {
+  const { facts, suspicion } = build();
+  suspicion.recordLoss('request', 'a');
+  expect(facts.about('suspect-request', 'request')[0]?.details).toEqual(['a']);
+  facts.merge(factOfPeer('suspect-request', 'request', ['b']));
+  expect(suspicion.isSuspect('request')).toBe(true);
+});
+
+test('a server on the list of leaving VMs is avoided within half a second, and until it is off', () => {
+  const { clock, members, avoidance } = build();
+  members.leavingServers.add(SERVER);
+  clock.advance(500);
+  expect(avoidance()).toBe('leaving');
+  members.leavingServers.clear();
+  clock.advance(500);
+  expect(avoidance()).toBeUndefined();
+});
--- /dev/null
+++ b/src/node/FactExchange.ts
@@ -0,0 +1,65 @@
+import type * as factStore from '../common/membership/FactStore';
+import type * as requestSuspicion from '../common/suspicion/RequestSuspicion';
+import type * as types from '../common/Types';
+import type * as serviceSet from './ServiceSet';
+
+/** Time for which a drain signal and a suspicion hold, in milliseconds. */
+const FACT_LIFETIME_MS = 60_000;
+
+/** Interval at which the platform's list of leaving servers is applied, in milliseconds. */
+const LIST_INTERVAL_MS = 500;
+
+/** Where the platform's list is read from. */
+export interface ILeavingServers {
+  readonly leavingServers: ReadonlySet<string>;
+}
+
+/** Carries observations between this daemon's decisions and the facts shared with its peers. */
+export class FactExchange implements types.IDisposable {
+  private timer: types.IDisposable | undefined;
+
+  private readonly listeners: readonly types.IDisposable[];
+
+  public constructor(
+    facts: factStore.FactStore,
+    private readonly members: ILeavingServers,
+    private readonly services: serviceSet.ServiceSet,
+    suspicion: requestSuspicion.RequestSuspicion,
+    private readonly clock: types.IClock,
+  ) {
+    this.listeners = [
+      services.onDraining((subject) =>
+        facts.record({
+          kind: 'draining',
+          subject,
+          lifetimeMs: FACT_LIFETIME_MS,
+          details: [],
+        }),
+      ),
+      suspicion.onLoss(({ fingerprint, servers }) =>
+        facts.record({
+          kind: 'suspect-request',
+          subject: fingerprint,
+          lifetimeMs: FACT_LIFETIME_MS,
+          details: [...servers],
+        }),
+      ),
+      facts.onAdded(({ fact }) => {
+        if (fact.kind === 'draining') services.mergeDraining(fact.subject);
+        if (fact.kind !== 'suspect-request') return;
+        suspicion.merge({ fingerprint: fact.subject, servers: fact.details }, fact.ageMs);
+      }),
+    ];
+  }
+
+  /** Applies the platform's list now and at intervals. */
+  public start(): void {
+    this.services.setLeaving(this.members.leavingServers);
+    this.timer = this.clock.setTimer(LIST_INTERVAL_MS, () => this.start());
+  }
+
+  public dispose(): void {
+    this.timer?.dispose();
+    this.listeners.forEach((listener) => listener.dispose());
+  }
+}
--- /dev/null
+++ b/src/node/ServiceSet.ts
@@ -0,0 +1,96 @@
+import * as serviceBalancer from '../common/call/ServiceBalancer';
+import type * as callTypes from '../common/call/Types';
+import * as emitter from '../common/Emitter';
+import * as prober from '../common/policy/Prober';
+import type * as selectionPolicy from '../common/policy/SelectionPolicy';
+import type * as probeBudget from '../common/probing/ProbeBudget';
+import type * as tableTypes from '../common/table/Types';
+import type * as types from '../common/Types';
+
+interface IService {
+  readonly balancer: serviceBalancer.ServiceBalancer;
+  readonly prober: prober.Prober;
+}
+
+/** The balancers and probers of all services of the table in force. */
+export class ServiceSet {
+  private readonly services = new Map<string, IService>();
+
+  private readonly drainingEmitter = new emitter.Emitter<string>();
+
+  /** Fires with the address of a server that this daemon found draining. */
+  public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
+
+  public constructor(
+    private readonly makePolicy: () => selectionPolicy.SelectionPolicy,
+    private readonly budget: probeBudget.ProbeBudget,
+    private readonly transport: callTypes.IBackendTransport,
+    private readonly clock: types.IClock,
+  ) {}
+
+  /** The balancers by the names of their services. */
+  public get balancers(): ReadonlyMap<string, serviceBalancer.ServiceBalancer> {
+    return new Map([...this.services].map(([name, { balancer }]) => [name, balancer]));
+  }
+
+  public balancerOf(service: string): serviceBalancer.ServiceBalancer | undefined {
+    return this.services.get(service)?.balancer;
+  }
+
+  /** Sends the probes that are due now that a call has begun. */
+  public probe(service: string): void {
+    this.services.get(service)?.prober.onCall();
+  }
+
+  /** Takes over a new table. Services that remain keep what is known of their servers. */
+  public update(table: tableTypes.ITable): void {
+    [...this.services.keys()]
+      .filter((name) => !table.services.has(name))
+      .forEach((name) => this.services.delete(name));
+    table.services.forEach((row, name) => {
+      const service = this.services.get(name) ?? this.create(name);
+      service.balancer.update(table, row);
+      this.services.set(name, service);
+    });
+  }
+
+  /** Takes a drain signal that a peer saw. */
+  public mergeDraining(address: string): void {
+    this.services.forEach(({ balancer }) => balancer.mergeDraining(address));
+  }
+
+  /** Takes the backend servers that the platform's list reports as leaving. */
+  public setLeaving(leaving: ReadonlySet<string>): void {
+    this.services.forEach(({ balancer }) => {
+      balancer.states.forEach(({ address }) => {
+        balancer.setListed(address, leaving.has(address) ? 'leaving' : 'live');
+      });
+    });
+  }
+
+  /** Forgets load reports, which describe the time before a pause. */
+  public dropReports(): void {
+    this.services.forEach(({ balancer }) => balancer.dropReports());
+  }
+
+  private create(name: string): IService {
+    const policy = this.makePolicy();
+    const balancer = new serviceBalancer.ServiceBalancer(policy, this.clock);
+    balancer.onDraining((address) => this.drainingEmitter.fire(address));
+    const budget = this.budgetOf(name);
+    return {
+      balancer,
+      prober: new prober.Prober(balancer, policy, budget, this.transport, this.clock),
+    };
+  }
+
+  private budgetOf(service: string) {
+    const { budget } = this;
+    return {
+      get hasFree() {
+        return budget.canTake(service);
+      },
+      take: () => budget.take(service),
+    };
+  }
+}
--- a/src/node/fleet/Fleet.ts
+++ b/src/node/fleet/Fleet.ts
@@ -86,6 +86,11 @@
     return this.readiness.isReady;
   }
 
+  /** Number of this process among those that ran at its address. */
+  public get incarnation(): number {
+    return this.agent.ownRecord.incarnation;
+  }
+
   /** What operators are shown. */
   public get status(): fleetTypes.IFleetStatus {
     const { current } = this.table;
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -1,8 +1,6 @@
 import * as crypto from 'node:crypto';
 import type * as http from 'node:http';
 
-import type * as callCoordinator from '../../common/call/CallCoordinator';
-import type * as serviceBalancer from '../../common/call/ServiceBalancer';
 import type * as callTypes from '../../common/call/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
@@ -13,10 +11,20 @@
 
 const FINGERPRINT_LENGTH = 22;
 
+/** Runs calls, and decides on refusals of requests that carry a request key. */
+export interface ICallRunner {
+  start(
+    call: callTypes.ICall,
+    key: string | undefined,
+    onOutcome: (outcome: callTypes.CallOutcome) => void,
+  ): callTypes.IAttempt;
+  refuse(key: string, service: string, refusal: serverTypes.NotRun): Promise<serverTypes.Refusal>;
+}
+
 /** What an exchange with a caller needs from its surroundings. */
 export interface IExchangeContext {
   readonly routes: serverTypes.IRoutes;
-  readonly coordinator: callCoordinator.CallCoordinator;
+  readonly runner: ICallRunner;
   readonly observer: serverTypes.IRequestObserver;
   readonly clock: types.IClock;
   /** Called before a request is looked at, to notice a pause of the process. */
@@ -26,7 +34,6 @@
 interface IAccepted {
   readonly head: requestHead.IRequestHead;
   readonly table: tableTypes.ITable;
-  readonly balancer: serviceBalancer.ServiceBalancer;
 }
 
 function fingerprintOf(method: string, path: string, body: Uint8Array): string {
@@ -50,6 +57,8 @@
 
   private service = '';
 
+  private refusing = false;
+
   private closing = false;
 
   private ended = false;
@@ -66,14 +75,15 @@
 
   /** Whether the body of the request has not arrived in full. */
   public get isReading(): boolean {
-    return this.reader !== undefined && this.running === undefined && !this.ended;
+    const isDecided = this.running !== undefined || this.refusing || this.ended;
+    return this.reader !== undefined && !isDecided;
   }
 
   public begin(): void {
     this.context.beforeRequest();
     const accepted = this.accept();
     if ('kind' in accepted) {
-      this.refuse(accepted);
+      this.refuseUnclaimed(accepted);
       return;
     }
     const { head } = accepted;
@@ -98,7 +108,7 @@
   /** Refuses a request whose body is malformed. */
   public refuseBody(detail: string): void {
     this.closing = true;
-    this.refuse(requestHead.notRun('malformed-request', detail));
+    this.refuseUnclaimed(requestHead.notRun('malformed-request', detail));
   }
 
   /** Makes this the last exchange of its connection. */
@@ -107,7 +117,7 @@
     this.response.shouldKeepAlive = false;
   }
 
-  private accept(): IAccepted | serverTypes.Refusal {
+  private accept(): IAccepted | serverTypes.NotRun {
     const { routes } = this.context;
     const { table } = routes;
     this.tableVersion = table?.version ?? 0;
@@ -120,9 +130,7 @@
     const head = requestHead.readHead(this.request, table);
     if ('kind' in head) return head;
     this.service = head.service.name;
-    const balancer = routes.balancerOf(head.service.name);
-    if (balancer !== undefined) return { head, table, balancer };
-    return requestHead.notRun('no-backend-server', 'the service has no balancer');
+    return { head, table };
   }
 
   private awaitBody(head: requestHead.IRequestHead): void {
@@ -132,7 +140,7 @@
     }
     this.bodyTimer = this.context.clock.setTimer(head.timeoutMs, () => {
       const detail = 'the deadline passed before the body of the request arrived';
-      this.refuse(requestHead.notRun('deadline-before-dispatch', detail));
+      this.refuseUnclaimed(requestHead.notRun('deadline-before-dispatch', detail));
     });
   }
 
@@ -141,10 +149,10 @@
     if (result.kind === 'too-large') {
       const { maxRequestBytes } = accepted.head.service;
       const detail = `the body exceeds ${maxRequestBytes} bytes`;
-      this.refuse(requestHead.notRun('body-too-large', detail));
+      this.refuseUnclaimed(requestHead.notRun('body-too-large', detail));
       return;
     }
-    this.run(this.toCall(accepted, result.body), accepted.balancer);
+    this.run(this.toCall(accepted, result.body), accepted.head.requestKey);
   }
 
   private toCall({ head, table }: IAccepted, body: Uint8Array): callTypes.ICall {
@@ -164,9 +172,9 @@
     };
   }
 
-  private run(call: callTypes.ICall, balancer: serviceBalancer.ServiceBalancer): void {
+  private run(call: callTypes.ICall, key: string | undefined): void {
     this.context.observer.onStarted(call);
-    this.running = this.context.coordinator.start(call, balancer, (outcome) => {
+    this.running = this.context.runner.start(call, key, (outcome) => {
       if (outcome.kind === 'answered') this.answer(call, outcome.answer, outcome.server);
       else this.refuse(outcome);
     });
@@ -180,6 +188,29 @@
     this.context.observer.onAnswered(call, answer.status, server, latencyMs);
   }
 
+  /** Refuses a request before it became a call, and so before its key, if any, was claimed. */
+  private refuseUnclaimed(refusal: serverTypes.NotRun): void {
+    this.refusing = true;
+    this.bodyTimer?.dispose();
+    this.reader?.stop();
+    const { routes, runner } = this.context;
+    const use = requestHead.findKey(this.request, routes.table);
+    if (use === undefined) {
+      this.refuse(refusal);
+      return;
+    }
+    runner.refuse(use.key, use.service, refusal).then(
+      (decided) => this.refuse(decided),
+      (error: Error) =>
+        this.refuse({
+          kind: 'unknown',
+          reason: 'key-issuer-unavailable',
+          detail: error.message,
+          dispatched: false,
+        }),
+    );
+  }
+
   private refuse(refusal: serverTypes.Refusal): void {
     if (this.ended) return;
     const record = this.report(refusal);
--- a/src/node/server/CallerServer.test.ts
+++ b/src/node/server/CallerServer.test.ts
@@ -1,91 +1,16 @@
-import * as nodeEvents from 'node:events';
-import * as net from 'node:net';
-
-import * as callCoordinator from '../../common/call/CallCoordinator';
-import * as serviceBalancer from '../../common/call/ServiceBalancer';
-import type * as callTypes from '../../common/call/Types';
-import * as manualClock from '../../common/ManualClock';
-import * as leastInFlightPolicy from '../../common/policy/LeastInFlightPolicy';
-import * as seededRandom from '../../common/SeededRandom';
-import * as requestSuspicion from '../../common/suspicion/RequestSuspicion';
-import type * as tableTypes from '../../common/table/Types';
-import * as fakeTransport from '../../common/testing/FakeTransport';
-import * as fixtures from '../../common/testing/Fixtures';
-import * as callerServer from './CallerServer';
-import type * as serverTypes from './Types';
+import * as requestKeyCodec from '../../common/keys/RequestKeyCodec';
+import * as callerServerRig from './testing/CallerServerRig';
 
 const CLOSE = 'host: x\r\nconnection: close\r\n';
 
-let clock: manualClock.ManualClock;
-let transport: fakeTransport.FakeTransport;
-let server: callerServer.CallerServer;
-let refused: serverTypes.IRefusalRecord[];
-let routes: { -readonly [K in keyof serverTypes.IRoutes]: serverTypes.IRoutes[K] };
+let rig: callerServerRig.CallerServerRig;
 
 beforeEach(async () => {
-  clock = new manualClock.ManualClock();
-  transport = new fakeTransport.FakeTransport();
-  refused = [];
-  const table = fixtures.makeTable();
-  const service = table.services.get('status') as tableTypes.IServiceRow;
-  (table.services as Map<string, tableTypes.IServiceRow>).set('keyed', {
-    ...service,
-    name: 'keyed',
-    requestKey: 'required',
-  });
-  const policy = new leastInFlightPolicy.LeastInFlightPolicy(new seededRandom.SeededRandom(1));
-  const balancer = new serviceBalancer.ServiceBalancer(policy, clock);
-  balancer.update(table, service);
-  routes = { table, phase: 'ready', balancerOf: () => balancer };
-  const suspicion = new requestSuspicion.RequestSuspicion(clock);
-  server = new callerServer.CallerServer({
-    routes,
-    clock,
-    beforeRequest: () => undefined,
-    coordinator: new callCoordinator.CallCoordinator(transport, suspicion, clock),
-    observer: {
-      onStarted: () => undefined,
-      onAnswered: () => undefined,
-      onRefused: (record) => refused.push(record),
-    },
-  });
-  await server.listen('127.0.0.1', 0);
-});
-
-afterEach(async () => {
-  const closed = server.close();
-  server.closeNow();
-  await closed;
+  rig = new callerServerRig.CallerServerRig();
+  await rig.listen();
 });
 
-function connect(): net.Socket {
-  return net.connect({ port: server.port, host: '127.0.0.1' }).on('error', () => undefined);
-}
-
-/** Sends bytes and returns all bytes that come back until the server closes the connection. */
-async function exchange(raw: string): Promise<string> {
-  const socket = connect();
-  const chunks: Buffer[] = [];
-  socket.on('data', (chunk: Buffer) => chunks.push(chunk));
-  socket.write(raw, 'latin1');
-  await nodeEvents.once(socket, 'close');
-  return Buffer.concat(chunks).toString('latin1');
-}
-
-async function attempts(count: number): Promise<fakeTransport.IFakeAttempt> {
-  while (transport.attempts.length < count) await new Promise(setImmediate);
-  return transport.attempts[count - 1] as fakeTransport.IFakeAttempt;
-}
-
-function reply(
-  attempt: fakeTransport.IFakeAttempt,
-  status: number,
-  headers: string[],
-  body = '',
-): void {
-  const answer: callTypes.IAnswer = { status, headers, body: Buffer.from(body) };
-  attempt.listener.onEnd({ kind: 'answered', answer });
-}
+afterEach(() => rig.close());
 
 function get(headers: string, path = '/status/a'): string {
   return `GET ${path} HTTP/1.1\r\n${CLOSE}${headers}\r\n`;
@@ -98,7 +23,15 @@
 const LONG = 'x'.repeat(17_000);
 const MALFORMED = 'malformed-request';
 const TE = 'transfer-encoding: chunked\r\n';
-const KEY = 'idempotency-key: a\r\n';
+const TWO_KEYS = 'idempotency-key: a\r\n'.repeat(2);
+const CONTENT = {
+  issuer: '10.0.0.1:1',
+  incarnation: 1,
+  sequence: 1,
+  issuedAtMs: 1,
+  code: 'A'.repeat(22),
+};
+const KEY = requestKeyCodec.RequestKeyCodec.encode(CONTENT);
 
 const BAD: [string, string, number, string][] = [
   ['no HTTP', 'hello\r\n\r\n', 400, MALFORMED],
@@ -124,27 +57,27 @@
   ['a body too large', post('content-length: 1001\r\n', LONG), 413, 'body-too-large'],
   ['chunks too large', post(TE, `3e9\r\n${LONG.slice(0, 1_001)}\r\n`), 413, 'body-too-large'],
   ['no key', post('', '', '/keyed/a'), 428, 'request-key-missing'],
-  ['two keys', post(KEY.repeat(2), '', '/keyed/a'), 422, 'request-key-invalid'],
+  ['two keys', post(TWO_KEYS, '', '/keyed/a'), 422, 'request-key-invalid'],
 ];
 
 // Guards against requests that are dropped, or refused in a form that no program can read.
 test.each(BAD)('refuses %s', async (_name, raw, status, kind) => {
-  const [head = '', body = ''] = (await exchange(raw)).split('\r\n\r\n');
+  const [head = '', body = ''] = (await rig.exchange(raw)).split('\r\n\r\n');
   expect(head).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
   expect(head.toLowerCase()).toContain('content-type: application/problem+json');
   expect(head.toLowerCase()).toContain('request-outcome: not-run');
   const problem = JSON.parse(body) as Record<string, unknown>;
   expect(problem).toMatchObject({ kind, status, outcome: 'not-run', dispatched: false });
-  expect(refused).toMatchObject([{ kind, requestId: problem.requestId }]);
-  expect(transport.attempts).toHaveLength(0);
+  expect(rig.refused).toMatchObject([{ kind, requestId: problem.requestId }]);
+  expect(rig.transport.attempts).toHaveLength(0);
 });
 
 test.each([
   ['starting', 'not-ready'],
   ['stopping', 'shutting-down'],
 ] as const)('refuses requests while %s', async (phase, kind) => {
-  routes.phase = phase;
-  const text = await exchange(get(''));
+  rig.phase = phase;
+  const text = await rig.exchange(get(''));
   expect(text).toMatch(/^HTTP\/1.1 503 /);
   expect(text).toContain(`"kind":"${kind}"`);
 });
@@ -155,10 +88,10 @@
   ['/status//a/../b%2fc%zz;d?e=%00#f', '//a/../b%2fc%zz;d?e=%00#f'],
   ['http://other/status/a', '/a'],
 ])('forwards the target %s as received', async (target, path) => {
-  const done = exchange(get('', target));
-  const attempt = await attempts(1);
+  const done = rig.exchange(get('', target));
+  const attempt = await rig.attempt(1);
   expect(attempt.call.path).toBe(path);
-  reply(attempt, 200, [], 'ok');
+  await rig.reply(1, 200, [], 'ok');
   expect(await done).toMatch(/\r\n\r\nok$/);
 });
 
@@ -168,8 +101,8 @@
   const hop = 'Connection: close, X-Hop\r\nx-hop: a\r\nte: a\r\nproxy-authorization: a\r\n';
   const kept = 'X-A: 1\r\nx-a: 2\r\ncookie: b\r\n';
   const depth = 'call-depth: 3\r\nretries-spent: 1\r\nrequest-timeout-ms: 250\r\n';
-  const done = exchange(`GET /status/a HTTP/1.1\r\nhost: x\r\n${own}${hop}${kept}${depth}\r\n`);
-  const { call, listener } = await attempts(1);
+  const done = rig.exchange(`GET /status/a HTTP/1.1\r\nhost: x\r\n${own}${hop}${kept}${depth}\r\n`);
+  const { call, listener } = await rig.attempt(1);
   expect(call.headers).toEqual(['x-a', '1', 'x-a', '2', 'cookie', 'b']);
   expect(call).toMatchObject({ depth: 3, retriesSpent: 1, deadlineMs: 250 });
   listener.onEnd({ kind: 'answered', answer: { status: 200, headers: [], body: Buffer.alloc(0) } });
@@ -177,10 +110,10 @@
 });
 
 test('answers carry the outcome of this daemon and no headers of the connection', async () => {
-  const done = exchange(get(''));
+  const done = rig.exchange(get(''));
   const outcome = ['request-outcome', 'not-run', 'request-id', 'forged'];
   const hop = ['connection', 'x-hop', 'x-hop', 'a', 'keep-alive', 'timeout=1'];
-  reply(await attempts(1), 503, [...outcome, ...hop, 'set-cookie', 'a', 'set-cookie', 'b'], 'no');
+  await rig.reply(1, 503, [...outcome, ...hop, 'set-cookie', 'a', 'set-cookie', 'b'], 'no');
   const text = await done;
   expect(text).toContain('set-cookie: a\r\nset-cookie: b\r\ncontent-length: 2\r\n');
   expect(text).toContain('request-outcome: answered\r\n');
@@ -192,73 +125,106 @@
   ['GET', 304, 'content-length: 5'],
   ['GET', 204, undefined],
 ])('forwards an answer without a body: %s %i', async (method, status, length) => {
-  const done = exchange(`${method} /status/a HTTP/1.1\r\n${CLOSE}\r\n`);
-  reply(await attempts(1), status, ['content-length', '5']);
+  const done = rig.exchange(`${method} /status/a HTTP/1.1\r\n${CLOSE}\r\n`);
+  await rig.reply(1, status, ['content-length', '5']);
   const text = await done;
   expect(/content-length: \d+/.exec(text)?.[0]).toBe(length);
   expect(text).not.toContain('transfer-encoding');
   expect(text).toMatch(/\r\n\r\n$/);
 });
 
+// Guards against "not run" for a request that another daemon is running with the same key.
+test.each(['stopping', 'ready'] as const)(
+  'a keyed request is refused by its key: %s',
+  async (phase) => {
+    rig.phase = phase;
+    const [detail, dispatched] = ['another daemon has it', false];
+    rig.keyRefusal = { kind: 'unknown', reason: 'attempt-in-progress', detail, dispatched };
+    const headers = `idempotency-key: ${KEY}\r\ncontent-length: 1001\r\n`;
+    const text = await rig.exchange(post(headers, LONG, '/keyed/a'));
+    expect(text).toContain('request-outcome: unknown');
+    expect(rig.refusedKeys).toEqual([`keyed ${KEY}`]);
+  },
+);
+
+test('a key of the caller is no key of a daemon, and plays no part in a refusal', async () => {
+  rig.phase = 'stopping';
+  await rig.exchange(get('idempotency-key: mine\r\n'));
+  await rig.exchange(get(`idempotency-key: ${KEY}\r\n`));
+  expect(rig.refusedKeys).toEqual([]);
+});
+
+test('issues keys, unless the daemon is about to stop', async () => {
+  const raw = post('', '', '/.lavenderspar/request-keys?count=3');
+  expect(await rig.exchange(raw)).toMatch(
+    /200 [^]*answered[^]*{"keys":\["key 3"\],"lifetimeMs":9}$/,
+  );
+  expect(await rig.exchange(get('', '/.lavenderspar/request-keys'))).toContain('unknown-service');
+  rig.phase = 'stopping';
+  expect(await rig.exchange(raw)).toContain('shutting-down');
+});
+
 test('a caller that disconnects has its attempt cancelled', async () => {
-  const socket = connect();
+  const socket = rig.connect();
   socket.write('GET /status/a HTTP/1.1\r\nhost: x\r\n\r\n');
-  const attempt = await attempts(1);
+  const attempt = await rig.attempt(1);
   socket.destroy();
   while (!attempt.cancelled) await new Promise(setImmediate);
-  expect(refused).toMatchObject([{ kind: 'cancelled-by-caller', dispatched: true }]);
+  expect(rig.refused).toMatchObject([{ kind: 'cancelled-by-caller', dispatched: true }]);
 });
 
 test('a caller that disconnects within the body sends nothing to a server', async () => {
-  const socket = connect();
+  const socket = rig.connect();
   socket.write('POST /status/a HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nabc');
-  while (server.exchangesInFlight === 0) await new Promise(setImmediate);
+  while (rig.server.exchangesInFlight === 0) await new Promise(setImmediate);
   socket.resetAndDestroy();
-  while (refused.length === 0) await new Promise(setImmediate);
-  expect(refused).toMatchObject([{ kind: 'cancelled-by-caller', dispatched: false }]);
-  expect(transport.attempts).toHaveLength(0);
+  while (rig.refused.length === 0) await new Promise(setImmediate);
+  expect(rig.refused).toMatchObject([{ kind: 'cancelled-by-caller', dispatched: false }]);
+  expect(rig.transport.attempts).toHaveLength(0);
 });
 
 test('a body that does not arrive before the deadline is refused', async () => {
-  const done = exchange(post('content-length: 9\r\n', 'abc'));
-  while (server.exchangesInFlight === 0) await new Promise(setImmediate);
-  clock.advance(1_000);
+  const done = rig.exchange(post('content-length: 9\r\n', 'abc'));
+  while (rig.server.exchangesInFlight === 0) await new Promise(setImmediate);
+  rig.clock.advance(1_000);
   expect(await done).toContain('"kind":"deadline-before-dispatch"');
 });
 
 // Guards against an error message that a caller takes for the answer to its earlier request.
 test('garbage behind a request does not replace its answer', async () => {
-  const done = exchange('GET /status/a HTTP/1.1\r\nhost: x\r\n\r\ngarbage\r\n\r\n');
-  reply(await attempts(1), 200, [], 'mine');
+  const done = rig.exchange('GET /status/a HTTP/1.1\r\nhost: x\r\n\r\ngarbage\r\n\r\n');
+  await rig.reply(1, 200, [], 'mine');
   const text = await done;
   expect(text.match(/HTTP\/1.1 /g)).toHaveLength(1);
   expect(text).toMatch(/^HTTP\/1.1 200 [^]*mine$/);
 });
 
 test('pipelined requests get their answers in the order of the requests', async () => {
-  const done = exchange(`GET /status/a HTTP/1.1\r\nhost: x\r\n\r\n${get('', '/status/b')}`);
-  reply(await attempts(2), 200, [], 'b');
-  reply(await attempts(1), 200, [], 'a');
+  const done = rig.exchange(`GET /status/a HTTP/1.1\r\nhost: x\r\n\r\n${get('', '/status/b')}`);
+  await rig.reply(2, 200, [], 'b');
+  await rig.reply(1, 200, [], 'a');
   expect(await done).toMatch(/\r\n\r\naHTTP[^]*\r\n\r\nb$/);
 });
 
 test('a large body is asked for only if it will be read', async () => {
   const head = 'expect: 100-continue\r\ncontent-length: 1';
-  expect(await exchange(post(`${head}001\r\n`, ''))).toMatch(/^HTTP\/1.1 413 /);
-  const done = exchange(post(`${head}\r\n`, 'x'));
-  reply(await attempts(1), 200, [], 'ok');
+  expect(await rig.exchange(post(`${head}001\r\n`, ''))).toMatch(/^HTTP\/1.1 413 /);
+  const done = rig.exchange(post(`${head}\r\n`, 'x'));
+  await rig.reply(1, 200, [], 'ok');
   expect(await done).toMatch(/^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 /);
 });
 
 test('close waits for the requests under way', async () => {
   const order: string[] = [];
-  const done = exchange('GET /status/a HTTP/1.1\r\nhost: x\r\n\r\n').then(() => order.push('end'));
-  const attempt = await attempts(1);
-  routes.phase = 'stopping';
-  const closed = server.close().then(() => order.push('closed'));
+  const done = rig
+    .exchange('GET /status/a HTTP/1.1\r\nhost: x\r\n\r\n')
+    .then(() => order.push('end'));
+  await rig.attempt(1);
+  rig.phase = 'stopping';
+  const closed = rig.server.close().then(() => order.push('closed'));
   order.push('answer');
-  reply(attempt, 200, [], 'ok');
+  await rig.reply(1, 200, [], 'ok');
   await Promise.all([done, closed]);
   expect(order[0]).toBe('answer');
-  expect(transport.attempts).toHaveLength(1);
+  expect(rig.transport.attempts).toHaveLength(1);
 });
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -4,6 +4,7 @@
 
 import type * as callTypes from '../../common/call/Types';
 import * as callerExchange from './CallerExchange';
+import * as keyEndpoint from './KeyEndpoint';
 import * as responseWriter from './ResponseWriter';
 
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -23,7 +24,12 @@
     requireHostHeader: false,
   });
 
-  public constructor(private readonly context: callerExchange.IExchangeContext) {
+  private readonly keys: keyEndpoint.KeyEndpoint;
+
+  public constructor(
+    private readonly context: callerExchange.IExchangeContext & keyEndpoint.IKeyEndpointContext,
+  ) {
+    this.keys = new keyEndpoint.KeyEndpoint(context);
     // Node drops headers beyond this number without notice; their size is limited anyway.
     this.server.maxHeadersCount = 0;
     const serve = (request: http.IncomingMessage, response: http.ServerResponse) =>
@@ -85,6 +91,10 @@
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (request.url?.startsWith(keyEndpoint.OWN_PREFIX) === true) {
+      this.keys.serve(request, response);
+      return;
+    }
     const exchanges = this.open.get(request.socket);
     const exchange = new callerExchange.CallerExchange(request, response, this.context, () =>
       exchanges?.delete(exchange),
--- a/src/node/server/Explain.ts
+++ b/src/node/server/Explain.ts
@@ -1,23 +1,27 @@
 import type * as serviceBalancer from '../../common/call/ServiceBalancer';
-import type * as membershipTypes from '../../common/membership/Types';
+import type * as probingTypes from '../../common/probing/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
+import type * as fleetTypes from '../fleet/Types';
 import type * as refusalLog from '../telemetry/RefusalLog';
 import type * as serverTypes from './Types';
 
-/** What the operators' endpoint reads. */
-export interface IExplainSources {
+/** The state of a daemon that operators can ask about. */
+export interface IExplainState {
   readonly phase: serverTypes.Phase;
   readonly peerAddress: string;
   readonly failureDomain: string;
   readonly policy: string;
   readonly table: tableTypes.ITable | undefined;
-  readonly members: readonly membershipTypes.IMember[];
+  readonly fleet: fleetTypes.IFleetStatus;
   readonly balancers: ReadonlyMap<string, serviceBalancer.ServiceBalancer>;
   readonly refusals: refusalLog.RefusalLog;
   readonly callsInFlight: number;
   readonly callsAnswered: number;
-  readonly probesSent: ReadonlyMap<string, number>;
+  readonly probes: readonly probingTypes.IProbeUse[];
+  /** Why this daemon sends no probes now, or undefined. */
+  readonly probeStop: probingTypes.ProbeStop | undefined;
+  readonly keyClaims: number;
   connectionsOf(address: string): { readonly open: number; readonly idle: number };
 }
 
@@ -37,23 +41,24 @@
   private readonly startMs: number;
 
   public constructor(
-    private readonly sources: IExplainSources,
+    private readonly read: () => IExplainState,
     private readonly clock: types.IClock,
   ) {
     this.startMs = clock.monotonicMs();
   }
 
   public get isReady(): boolean {
-    return this.sources.phase === 'ready';
+    return this.read().phase === 'ready';
   }
 
   public ready() {
-    const { phase, table } = this.sources;
-    return { ready: this.isReady, phase, tableVersion: table?.version ?? 0 };
+    const { phase, table } = this.read();
+    return { ready: phase === 'ready', phase, tableVersion: table?.version ?? 0 };
   }
 
   public status() {
-    const { sources } = this;
+    const sources = this.read();
+    const { members, departed, facts, lastRefusedTable, ...fleet } = sources.fleet;
     const { rss, heapUsed } = process.memoryUsage();
     return {
       ...this.ready(),
@@ -65,60 +70,79 @@
       callsInFlight: sources.callsInFlight,
       callsAnswered: sources.callsAnswered,
       callsRefused: sources.refusals.totals,
-      members: sources.members.map((member) => ({
-        address: member.address,
-        failureDomain: member.failureDomain,
-        leaving: member.leaving,
-        tableVersion: member.tableVersion,
-      })),
+      requestKeyClaims: sources.keyClaims,
       memory: { residentBytes: rss, heapBytes: heapUsed },
+      fleet: {
+        ...fleet,
+        members: members.map(({ record, state, silentMs }) => ({
+          ...record,
+          state,
+          silentMs: Math.round(silentMs),
+        })),
+        departed,
+        facts: facts.map(({ kind, subject, origin, ageMs, details }) => ({
+          kind,
+          subject,
+          origin,
+          ageMs,
+          details,
+        })),
+      },
     };
   }
 
   /** Why calls go to a server or avoid it. Undefined if the table does not list the address. */
   public server(address: string) {
-    const services = [...this.sources.balancers].flatMap(([name, balancer]) => {
+    const { balancers, connectionsOf } = this.read();
+    const services = [...balancers].flatMap(([name, balancer]) => {
       const found = this.serverOf(balancer, address);
       return found === undefined ? [] : [{ service: name, ...found }];
     });
     if (services.length === 0) return undefined;
-    return { address, connections: this.sources.connectionsOf(address), services };
+    return { address, connections: connectionsOf(address), services };
   }
 
   public refusals() {
-    const { totals, recent } = this.sources.refusals;
+    const { totals, recent } = this.read().refusals;
     return { totals, recent };
   }
 
   /** What the measuring budget and the budgets for extra attempts are spent on. */
   public budget() {
-    const { table, probesSent, callsAnswered } = this.sources;
-    const services = [...(table?.services.values() ?? [])].map((service) => ({
-      service: service.name,
-      fleetProbesPerSecond: service.probesPerSecond,
-      ownProbesPerSecond: Math.floor(service.probesPerSecond / (table?.maxDaemons ?? 1)),
-      probesSent: probesSent.get(service.name) ?? 0,
-      retryPercent: service.retryFraction * 100,
-      hedgePercent: service.hedgeFraction * 100,
-    }));
-    const probes = services.reduce((sum, service) => sum + service.probesSent, 0);
-    const probesPerAnsweredCall = callsAnswered === 0 ? 0 : round(probes / callsAnswered);
-    return { maxDaemons: table?.maxDaemons ?? 0, probesPerAnsweredCall, services };
+    const { table, probes, probeStop, callsAnswered } = this.read();
+    const sent = probes.reduce((sum, use) => sum + use.sent, 0);
+    return {
+      maxDaemons: table?.maxDaemons ?? 0,
+      probesStoppedBecause: probeStop ?? null,
+      probesPerAnsweredCall: callsAnswered === 0 ? 0 : round(sent / callsAnswered),
+      services: probes.map((use) => {
+        const row = table?.services.get(use.service);
+        return {
+          ...use,
+          retryPercent: (row?.retryFraction ?? 0) * 100,
+          hedgePercent: (row?.hedgeFraction ?? 0) * 100,
+        };
+      }),
+    };
   }
 
-  /** The table in force, and the version at each daemon that this one knows. */
+  /** The table in force, the version at each daemon that this one knows, and the last refusal. */
   public table() {
-    const { table, members, peerAddress } = this.sources;
-    const versions = members.map((member) => ({
-      address: member.address,
-      tableVersion: member.tableVersion,
+    const { table, fleet, peerAddress } = this.read();
+    const versions = fleet.members.map(({ record, state }) => ({
+      address: record.address,
+      tableVersion: record.tableVersion,
+      state,
     }));
-    const own = { address: peerAddress, tableVersion: table?.version ?? 0 };
+    const own = { address: peerAddress, tableVersion: table?.version ?? 0, state: 'live' };
     return {
       version: table?.version ?? 0,
       hash: table?.hash ?? '',
       maxDaemons: table?.maxDaemons ?? 0,
       versions: [own, ...versions],
+      conflicts: fleet.tableConflicts,
+      rejected: fleet.rejectedTables,
+      lastRefused: fleet.lastRefusedTable ?? null,
       services: [...(table?.services.values() ?? [])].map((service) => ({
         ...service,
         servers: (table?.servers.get(service.name) ?? []).map((row) => row.address),
--- a/src/node/server/OperatorServer.test.ts
+++ b/src/node/server/OperatorServer.test.ts
@@ -5,12 +5,13 @@
 import * as explainModule from './Explain';
 import * as operatorServer from './OperatorServer';
 
+const PROBES = { fleetBudget: 50, share: 2, inFlight: 0, waiting: 0, timedOut: 0 };
 const SERVER = '10.0.0.1:80';
 
 let rig: fixtures.IRig;
 let server: operatorServer.OperatorServer;
 let sources: {
-  -readonly [K in keyof explainModule.IExplainSources]: explainModule.IExplainSources[K];
+  -readonly [K in keyof explainModule.IExplainState]: explainModule.IExplainState[K];
 };
 
 beforeEach(async () => {
@@ -21,24 +22,23 @@
     failureDomain: 'a',
     policy: 'least-in-flight',
     table: { ...rig.table, version: 7 },
-    members: [
-      {
-        address: '10.0.1.2:1',
-        incarnation: 1,
-        heartbeat: 1,
-        failureDomain: 'b',
-        leaving: false,
-        tableVersion: 6,
-      },
-    ],
+    fleet: {
+      members: [{ record: { address: '10.0.1.2:1', tableVersion: 6 }, state: 'live', silentMs: 3 }],
+      departed: [],
+      facts: [],
+      tableConflicts: 0,
+      rejectedTables: 1,
+    } as unknown as explainModule.IExplainState['fleet'],
     balancers: new Map([['status', rig.balancer]]),
     refusals: new refusalLog.RefusalLog(rig.clock),
     callsInFlight: 0,
     callsAnswered: 4,
-    probesSent: new Map([['status', 2]]),
+    probes: [{ ...PROBES, service: 'status', sent: 2 }],
+    probeStop: 'after-start',
+    keyClaims: 0,
     connectionsOf: () => ({ open: 2, idle: 1 }),
   };
-  server = new operatorServer.OperatorServer(new explainModule.Explain(sources, rig.clock));
+  server = new operatorServer.OperatorServer(new explainModule.Explain(() => sources, rig.clock));
   await server.listen('127.0.0.1', 0);
 });
 
@@ -61,7 +61,11 @@
 
 test('tells the state of the daemon and of its peers', async () => {
   const { body } = await get('/status');
-  expect(body).toMatchObject({ tableVersion: 7, callsAnswered: 4, members: [{ tableVersion: 6 }] });
+  expect(body).toMatchObject({
+    tableVersion: 7,
+    callsAnswered: 4,
+    fleet: { members: [{ tableVersion: 6 }] },
+  });
 });
 
 test('tells why calls avoid a server', async () => {
@@ -87,10 +91,14 @@
 
 test('tells what the budget is spent on, and the versions of the table', async () => {
   expect(await get('/explain/budget')).toMatchObject({
-    body: { probesPerAnsweredCall: 0.5, services: [{ service: 'status', probesSent: 2 }] },
+    body: {
+      probesPerAnsweredCall: 0.5,
+      probesStoppedBecause: 'after-start',
+      services: [{ service: 'status', sent: 2 }],
+    },
   });
   expect(await get('/explain/table')).toMatchObject({
-    body: { version: 7, versions: [{ tableVersion: 7 }, { tableVersion: 6 }] },
+    body: { version: 7, rejected: 1, versions: [{ tableVersion: 7 }, { tableVersion: 6 }] },
   });
 });
 
--- a/src/node/server/RequestHead.ts
+++ b/src/node/server/RequestHead.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 
 import type * as callTypes from '../../common/call/Types';
+import * as requestKeyCodec from '../../common/keys/RequestKeyCodec';
 import type * as tableTypes from '../../common/table/Types';
 import * as headers from '../dispatch/Headers';
 import type * as serverTypes from './Types';
@@ -36,7 +37,7 @@
 }
 
 /** Builds a refusal that is certain to have run nowhere. */
-export function notRun(reason: callTypes.NotRunKind, detail: string): serverTypes.Refusal {
+export function notRun(reason: callTypes.NotRunKind, detail: string): serverTypes.NotRun {
   return { kind: 'not-run', reason, detail };
 }
 
@@ -66,7 +67,7 @@
   return timeoutMs >= 1 && timeoutMs <= MAX_TIMEOUT_MS ? timeoutMs : undefined;
 }
 
-function findRepeated(list: readonly string[]): serverTypes.Refusal | undefined {
+function findRepeated(list: readonly string[]): serverTypes.NotRun | undefined {
   const repeated = SINGLE_HEADERS.find(([name]) => headers.findAll(list, name).length > 1);
   if (repeated === undefined) return undefined;
   return notRun(repeated[1], `the header ${repeated[0]} occurs more than once`);
@@ -75,7 +76,7 @@
 function checkMessage(
   request: http.IncomingMessage,
   list: readonly string[],
-): serverTypes.Refusal | undefined {
+): serverTypes.NotRun | undefined {
   const repeated = findRepeated(list);
   if (repeated !== undefined) return repeated;
   if (request.httpVersion === '1.1' && headers.find(list, 'host') === undefined) {
@@ -91,7 +92,7 @@
 function readNumbers(
   list: readonly string[],
   service: tableTypes.IServiceRow,
-): { timeoutMs: number; depth: number; retriesSpent: number } | serverTypes.Refusal {
+): { timeoutMs: number; depth: number; retriesSpent: number } | serverTypes.NotRun {
   const timeoutMs = readTimeout(list, service.deadlineMs);
   if (timeoutMs === undefined) {
     const detail = `${headers.REQUEST_TIMEOUT_MS} must be an integer from 1 to ${MAX_TIMEOUT_MS}`;
@@ -113,7 +114,7 @@
 export function readHead(
   request: http.IncomingMessage,
   table: tableTypes.ITable,
-): IRequestHead | serverTypes.Refusal {
+): IRequestHead | serverTypes.NotRun {
   const list = headers.lowerCaseNames(request.rawHeaders);
   const target = splitTarget(request.url ?? '');
   const fault = checkMessage(request, list);
@@ -135,3 +136,26 @@
   const forwarded = headers.forwardedRequest(list);
   return { service, path: target.path, ...numbers, requestKey, headers: forwarded };
 }
+
+/** A request key of a daemon, and the service it was sent to. */
+export interface IKeyUse {
+  readonly key: string;
+  readonly service: string;
+}
+
+/**
+ * The request key that a request carries, or undefined if there is none, or none of a daemon. To be
+ * asked before a refusal, whatever else is wrong with the request.
+ */
+export function findKey(
+  request: http.IncomingMessage,
+  table: tableTypes.ITable | undefined,
+): IKeyUse | undefined {
+  const keys = headers.findAll(headers.lowerCaseNames(request.rawHeaders), headers.REQUEST_KEY);
+  const [key] = keys;
+  if (key === undefined || keys.length > 1) return undefined;
+  const service = splitTarget(request.url ?? '')?.service ?? '';
+  // Callers may use the header for purposes of their own where the service requires no key.
+  if (table?.services.get(service)?.requestKey === 'none') return undefined;
+  return requestKeyCodec.RequestKeyCodec.decode(key).ok ? { key, service } : undefined;
+}
--- a/src/node/server/ResponseWriter.ts
+++ b/src/node/server/ResponseWriter.ts
@@ -5,6 +5,7 @@
 import * as refusals from './Refusals';
 import type * as serverTypes from './Types';
 
+const OK = 200;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
@@ -74,3 +75,15 @@
   );
   return `HTTP/1.1 ${problem.status} ${reason}\r\n${lines.join('')}\r\n${body}`;
 }
+
+/** Sends an answer of the daemon itself as JSON. */
+export function writeOwn(response: http.ServerResponse, requestId: string, content: unknown): void {
+  const body = JSON.stringify(content);
+  response.writeHead(OK, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    [headers.REQUEST_OUTCOME]: 'answered',
+    [headers.REQUEST_ID]: requestId,
+  });
+  response.end(body);
+}
--- a/src/node/server/Types.ts
+++ b/src/node/server/Types.ts
@@ -1,4 +1,3 @@
-import type * as serviceBalancer from '../../common/call/ServiceBalancer';
 import type * as callTypes from '../../common/call/Types';
 import type * as tableTypes from '../../common/table/Types';
 
@@ -8,12 +7,14 @@
 /** What a caller gets when its request is not answered. */
 export type Refusal = Exclude<callTypes.CallOutcome, { kind: 'answered' }>;
 
-/** The table and the balancers that calls use. */
+/** A refusal of a request that is certain to have run nowhere. */
+export type NotRun = Extract<Refusal, { kind: 'not-run' }>;
+
+/** The table that calls use. */
 export interface IRoutes {
   /** The table in force, or undefined before the first one. */
   readonly table: tableTypes.ITable | undefined;
   readonly phase: Phase;
-  balancerOf(service: string): serviceBalancer.ServiceBalancer | undefined;
 }
 
 /** A refusal as it is logged, counted and listed for operators. */
--- a/src/node/settings/Settings.ts
+++ b/src/node/settings/Settings.ts
@@ -1,6 +1,7 @@
 import * as yaml from 'yaml';
 import * as zod from 'zod';
 
+import * as policyFactory from '../../common/policy/PolicyFactory';
 import type * as types from '../../common/Types';
 import * as addresses from './Addresses';
 
@@ -19,7 +20,7 @@
   peerAddress: ADDRESS,
   failureDomain: zod.string().min(1).max(63),
   platformUrl: zod.url({ protocol: /^http$/, error: 'expected an http URL' }),
-  policy: zod.enum(['least-in-flight']).default('least-in-flight'),
+  policy: zod.enum(policyFactory.POLICY_NAMES).default(policyFactory.DEFAULT_POLICY),
   logLevel: zod.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
   metricsAddress: ADDRESS.optional(),
   tracesUrl: zod.url({ protocol: /^https?$/, error: 'expected an http or https URL' }).optional(),
