State no table version in refusals of a daemon that is not ready

Cause: the fault tests wait until a refusal names a table version. A daemon holds a table up to a second before it has asked every source and is ready, so the test sent all its calls in that time and had none answered.

Change: a refusal as not-ready says version 0, as documented for a request that used no table.

--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -120,7 +120,8 @@
   private accept(): IAccepted | serverTypes.NotRun {
     const { routes } = this.context;
     const { table } = routes;
-    this.tableVersion = table?.version ?? 0;
+    // While the daemon starts, no request uses the table it may already hold.
+    if (routes.phase !== 'starting') this.tableVersion = table?.version ?? 0;
     if (routes.phase === 'stopping') {
       return requestHead.notRun('shutting-down', 'the daemon is about to stop');
     }
