--- /dev/null
+++ b/src/common/policy/Prober.ts
@@ -0,0 +1,64 @@
+import type * as serviceBalancer from '../call/ServiceBalancer';
+import type * as callTypes from '../call/Types';
+import type * as types from '../Types';
+import type * as selectionPolicy from './SelectionPolicy';
+import type * as serverState from './ServerState';
+import type * as policyTypes from './Types';
+
+/** Time after which a probe counts as unanswered. */
+const PROBE_TIMEOUT_MS = 500;
+
+/** Time between questions whether a server that left is back. */
+const READMISSION_INTERVAL_MS = 500;
+
+/** Sends the probes that the policy asks for, as far as the budget allows. */
+export class Prober {
+  private readonly askedAtMs = new Map<string, number>();
+
+  public constructor(
+    private readonly balancer: serviceBalancer.ServiceBalancer,
+    private readonly policy: selectionPolicy.SelectionPolicy,
+    private readonly budget: policyTypes.IProbeBudget,
+    private readonly transport: callTypes.IBackendTransport,
+    private readonly clock: types.IClock,
+  ) {}
+
+  /** To be called after each call has begun. */
+  public onCall(): void {
+    if (!this.budget.hasFree) return;
+    const { states } = this.balancer;
+    const nowMs = this.clock.monotonicMs();
+    const targets = [
+      ...states.filter((state) => this.isToBeReadmitted(state, nowMs)),
+      ...this.policy.probeTargets(states, nowMs),
+    ];
+    targets.forEach((target) => {
+      const server = states.find((state) => state.address === target.address);
+      if (server !== undefined) this.probe(server);
+    });
+  }
+
+  /** A server that left is used again only after it has stated that it is ready. */
+  private isToBeReadmitted(state: serverState.ServerState, nowMs: number): boolean {
+    if (this.balancer.avoidanceOf(state.address) !== 'leaving') return false;
+    const askedAtMs = this.askedAtMs.get(state.address) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs - askedAtMs < READMISSION_INTERVAL_MS) return false;
+    this.askedAtMs.set(state.address, nowMs);
+    return true;
+  }
+
+  private probe(server: serverState.ServerState): void {
+    const permit = this.budget.take();
+    if (permit === undefined) return;
+    this.transport.probe(server.row, PROBE_TIMEOUT_MS, (report) => {
+      if (report === undefined) {
+        permit.timedOut();
+        return;
+      }
+      permit.replied();
+      const nowMs = this.clock.monotonicMs();
+      this.balancer.recordReport(server.address, report);
+      this.policy.recordProbe(server, nowMs);
+    });
+  }
+}
