--- a/src/faults/PlannedStop.test.ts
+++ b/src/faults/PlannedStop.test.ts
@@ -36,7 +36,9 @@
     await traffic.more(60);
   }
   await traffic.stop();
-  const unanswered = fleet.caller.submissions.filter((one) => one.outcome !== 'answered');
+  const unanswered = fleet.caller.submissions
+    .filter((one) => one.outcome !== 'answered')
+    .map((one) => `${one.outcome} ${one.reason}`);
   expect(unanswered).toEqual([]);
   expect(fleet.audit(() => true)).toMatchObject({ wrongAnswers: 0, doubledRuns: 0 });
 }, 30_000);
