Wait for readiness instead of a table in the demo and the fault tests

Cause: with the planned start of daemons in main, a daemon holds a table before it is ready, and five fault tests met only refusals (not-ready).

--- a/src/demo/DemoFleet.ts
+++ b/src/demo/DemoFleet.ts
@@ -78,7 +78,7 @@
     const fleet = new DemoFleet(servers, daemons, platform, folder);
     await fleet.publishVms();
     await fleet.publishTable(servers);
-    await Promise.all(daemons.map((daemon) => daemon.holdsTable()));
+    await Promise.all(daemons.map((daemon) => daemon.becomesReady()));
     return fleet;
   }
 
--- a/src/faults/FaultFleet.ts
+++ b/src/faults/FaultFleet.ts
@@ -57,7 +57,7 @@
     this.network = new testNetwork.TestNetwork(options.daemons);
   }
 
-  /** Starts the fleet and waits until each daemon holds table version 1. */
+  /** Starts the fleet and waits until each daemon is ready. */
   public static async start(options: faultTypes.IFleetOptions): Promise<FaultFleet> {
     const fleet = new FaultFleet(options);
     fleet.folder = await fs.mkdtemp(path.join(os.tmpdir(), 'lavenderspar-faults-'));
@@ -85,7 +85,7 @@
     return this.servers.filter((server) => server.service.cells.name === service);
   }
 
-  /** Starts the daemon, or a new process at its address, and waits until it holds a table. */
+  /** Starts the daemon, or a new process at its address, and waits until it is ready. */
   public async startDaemon(index: number): Promise<void> {
     const daemon = await daemonProcess.DaemonProcess.start(this.options.sources, {
       name: `daemon-${index}`,
@@ -96,7 +96,7 @@
       settings: { platformBalancerLagMs: 300, ...this.options.settings },
     });
     this.daemons[index] = daemon;
-    await daemon.holdsTable();
+    await daemon.becomesReady();
   }
 
   /** Publishes a table with the servers that `keep` selects. */
--- a/src/standin/DaemonProcess.ts
+++ b/src/standin/DaemonProcess.ts
@@ -77,17 +77,27 @@
     }
   }
 
-  /** Waits until the daemon holds a table of at least `version`. */
-  public async holdsTable(version = 1): Promise<void> {
+  /** Waits until the daemon says that it is ready. */
+  public async becomesReady(): Promise<void> {
     const limitMs = performance.now() + READY_LIMIT_MS;
     while (performance.now() < limitMs) {
       if (!this.child.isRunning) break;
-      const held = await this.tableVersion();
-      if (held !== undefined && held >= version) return;
+      if (await this.isReady()) return;
       await pause(POLL_INTERVAL_MS);
     }
     const output = this.child.lines.join('\n');
-    throw new Error(`${this.place.name} did not reach table version ${version}: ${output}`);
+    throw new Error(`${this.place.name} did not become ready: ${output}`);
+  }
+
+  /** What the daemon tells the platform's balancer. */
+  public async isReady(): Promise<boolean> {
+    try {
+      const reply = await undici.request(`http://${this.place.operatorAddress}/ready`);
+      await reply.body.dump();
+      return reply.statusCode === 200;
+    } catch {
+      return false;
+    }
   }
 
   /** Stops the daemon as planned, and returns its exit code. */
