Share ejections of refusing servers, and apply drain facts to servers that a table adds

Cause: the fact 'refusing' existed in the protocol but no daemon sent it, and a server that a table added was used although a peer had reported it draining before. Tests: src/node/FactExchange.test.ts.

--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -46,8 +46,13 @@
 
   private readonly drainingEmitter = new emitter.Emitter<string>();
 
+  private readonly addedEmitter = new emitter.Emitter<string>();
+
   private maxDaemons = 1;
 
+  /** Fires with the address of each server that a table adds. */
+  public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
+
   /** Fires with the address of a server that this daemon found draining; to be shared. */
   public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
 
@@ -203,6 +208,7 @@
       });
       // At the start of a daemon all servers are new to it, but not cold.
       if (!isFirst) this.ejector.startWarmUp(row.address);
+      this.addedEmitter.fire(row.address);
     });
   }
 
--- a/src/node/FactExchange.test.ts
+++ b/src/node/FactExchange.test.ts
@@ -30,7 +30,11 @@
   return { clock, facts, services, suspicion, members, avoidance };
 }
 
-function factOfPeer(kind: 'draining' | 'suspect-request', subject: string, details: string[]) {
+function factOfPeer(
+  kind: 'draining' | 'refusing' | 'suspect-request',
+  subject: string,
+  details: string[],
+) {
   return { kind, subject, origin: 'peer', sequence: 1, ageMs: 10, lifetimeMs: 60_000, details };
 }
 
@@ -60,3 +64,34 @@
   clock.advance(500);
   expect(avoidance()).toBeUndefined();
 });
+
+test('an ejection is told to peers', () => {
+  const { facts, services, avoidance } = build();
+  const fail = (address: string) => {
+    const balancer = services.balancerOf('status');
+    const server = balancer?.states.find((state) => state.address === address);
+    if (balancer === undefined || server === undefined) throw new Error('no such server');
+    balancer.recordEnd(balancer.recordStart(server), 'failed');
+  };
+  [1, 2, 3].forEach(() => fail(SERVER));
+  expect(facts.about('refusing', SERVER)).toHaveLength(1);
+  expect(avoidance()).toBe('ejected');
+});
+
+test('a refusing server that a peer reported is ejected on the first failure', () => {
+  const { facts, services, avoidance } = build();
+  facts.merge(factOfPeer('refusing', SERVER, []));
+  expect(avoidance()).toBeUndefined();
+  const balancer = services.balancerOf('status');
+  const server = balancer?.states.find((state) => state.address === SERVER);
+  if (balancer === undefined || server === undefined) throw new Error('no such server');
+  balancer.recordEnd(balancer.recordStart(server), 'failed');
+  expect(avoidance()).toBe('ejected');
+});
+
+test('a server that a table adds is avoided if a peer saw it draining before', () => {
+  const { facts, services } = build();
+  facts.merge(factOfPeer('draining', '10.0.0.4:80', []));
+  services.update({ ...fixtures.makeTable({}, 4), version: 2 });
+  expect(services.balancerOf('status')?.avoidanceOf('10.0.0.4:80')).toBe('leaving');
+});
--- a/src/node/FactExchange.ts
+++ b/src/node/FactExchange.ts
@@ -44,8 +44,21 @@
           details: [...servers],
         }),
       ),
+      services.onEjected(({ address, durationMs }) =>
+        facts.record({
+          kind: 'refusing',
+          subject: address,
+          lifetimeMs: durationMs,
+          details: [],
+        }),
+      ),
+      // The fact may be older than the row of the server in the table.
+      services.onServerAdded((address) => {
+        if (facts.about('draining', address).length > 0) services.mergeDraining(address);
+      }),
       facts.onAdded(({ fact }) => {
         if (fact.kind === 'draining') services.mergeDraining(fact.subject);
+        if (fact.kind === 'refusing') services.mergeRefusing(fact.subject);
         if (fact.kind !== 'suspect-request') return;
         suspicion.merge({ fingerprint: fact.subject, servers: fact.details }, fact.ageMs);
       }),
--- a/src/node/ServiceSet.ts
+++ b/src/node/ServiceSet.ts
@@ -1,6 +1,7 @@
 import * as serviceBalancer from '../common/call/ServiceBalancer';
 import type * as callTypes from '../common/call/Types';
 import * as emitter from '../common/Emitter';
+import type * as ejector from '../common/policy/Ejector';
 import * as prober from '../common/policy/Prober';
 import type * as selectionPolicy from '../common/policy/SelectionPolicy';
 import type * as probeBudget from '../common/probing/ProbeBudget';
@@ -18,9 +19,19 @@
 
   private readonly drainingEmitter = new emitter.Emitter<string>();
 
+  private readonly ejectedEmitter = new emitter.Emitter<ejector.IEjection>();
+
+  private readonly addedEmitter = new emitter.Emitter<string>();
+
   /** Fires with the address of a server that this daemon found draining. */
   public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
 
+  /** Fires when this daemon ejects a server. */
+  public readonly onEjected: types.Event<ejector.IEjection> = this.ejectedEmitter.event;
+
+  /** Fires with the address of each server that a table adds. */
+  public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
+
   public constructor(
     private readonly makePolicy: () => selectionPolicy.SelectionPolicy,
     private readonly budget: probeBudget.ProbeBudget,
@@ -59,6 +70,11 @@
     this.services.forEach(({ balancer }) => balancer.mergeDraining(address));
   }
 
+  /** Takes the report of a peer that a server refuses work. */
+  public mergeRefusing(address: string): void {
+    this.services.forEach(({ balancer }) => balancer.mergeRefusing(address));
+  }
+
   /** Takes the backend servers that the platform's list reports as leaving. */
   public setLeaving(leaving: ReadonlySet<string>): void {
     this.services.forEach(({ balancer }) => {
@@ -77,6 +93,8 @@
     const policy = this.makePolicy();
     const balancer = new serviceBalancer.ServiceBalancer(policy, this.clock);
     balancer.onDraining((address) => this.drainingEmitter.fire(address));
+    balancer.onEjected((ejection) => this.ejectedEmitter.fire(ejection));
+    balancer.onServerAdded((address) => this.addedEmitter.fire(address));
     const budget = this.budgetOf(name);
     return {
       balancer,
