Load-aware: take cancelled waits as latency, ignore small differences, forget old ones

Cause: when a hedge answers first, the slow server's attempt is cancelled and its latency stays as it was, so the server is chosen again; and the average of exponential latencies differs between equal servers by a third, which spoils the balance. Change: a cancelled or timed-out wait that is longer than the average replaces it; a latency below twice the median counts as the median; an observed latency returns to the median within about 2 s. A single pass replaces the list of scores.

--- a/src/bench/virtual/Simulation.ts
+++ b/src/bench/virtual/Simulation.ts
@@ -127,11 +127,14 @@
       );
     };
     daemon.suspicion.onLoss((loss) => share((peer) => peer.suspicion.merge(loss, FACT_DELAY_MS)));
-    daemon.balancers.forEach((balancer, position) =>
+    daemon.balancers.forEach((balancer, position) => {
       balancer.onDraining((address) =>
         share((peer) => peer.balancers[position]?.mergeDraining(address)),
-      ),
-    );
+      );
+      balancer.onEjected(({ address }) =>
+        share((peer) => peer.balancers[position]?.mergeRefusing(address)),
+      );
+    });
     return daemon;
   }
 
--- a/src/common/policy/LoadAwarePolicy.ts
+++ b/src/common/policy/LoadAwarePolicy.ts
@@ -7,11 +7,21 @@
 /** Share of the slots that an unknown server is expected to have in use. */
 const ASSUMED_BUSY = 0.7;
 const ASSUMED_LATENCY_MS = 10;
+/** Latencies below this multiple of the median say more of the work than of the server. */
+const SLOW_FACTOR = 2;
+/** Time constant by which an observed latency returns to the median, so that it is tried again. */
+const LATENCY_DECAY_MS = 2_000;
+/** Time for which the median is kept, since sorting at each choice would cost too much. */
+const MEDIAN_KEPT_MS = 20;
 
 /** Chooses the server with the lowest product of estimated load and estimated latency. */
 export class LoadAwarePolicy extends selectionPolicy.SelectionPolicy {
   public readonly name = 'load-aware';
 
+  private medianMs = ASSUMED_LATENCY_MS;
+
+  private medianUntilMs = Number.NEGATIVE_INFINITY;
+
   public constructor(private readonly random: types.IRandom) {
     super();
   }
@@ -20,27 +30,63 @@
     candidates: readonly policyTypes.IServerState[],
     nowMs: number,
   ): policyTypes.IServerState {
-    const scores = candidates.map((server) => LoadAwarePolicy.scoreOf(server, nowMs));
-    const lowest = Math.min(...scores);
-    const tied = candidates.filter((_server, index) => scores[index] === lowest);
-    return tied[this.random.nextInteger(tied.length)] as policyTypes.IServerState;
+    this.refreshMedian(candidates, nowMs);
+    let best = candidates[0] as policyTypes.IServerState;
+    let lowest = Number.POSITIVE_INFINITY;
+    let tied = 0;
+    candidates.forEach((server) => {
+      const score = this.scoreOf(server, nowMs);
+      if (score > lowest) return;
+      tied = score === lowest ? tied + 1 : 1;
+      lowest = score;
+      if (tied === 1 || this.random.nextInteger(tied) === 0) best = server;
+    });
+    return best;
   }
 
   public override probeTargets(
     servers: readonly policyTypes.IServerState[],
   ): readonly policyTypes.IServerState[] {
-    return [...servers].sort((left, right) => left.reportedAtMs - right.reportedAtMs).slice(0, 1);
+    const [first] = servers;
+    if (first === undefined) return [];
+    return [
+      servers.reduce(
+        (stalest, server) => (server.reportedAtMs < stalest.reportedAtMs ? server : stalest),
+        first,
+      ),
+    ];
+  }
+
+  private refreshMedian(candidates: readonly policyTypes.IServerState[], nowMs: number): void {
+    if (nowMs < this.medianUntilMs) return;
+    const known = candidates
+      .map((server) => server.latencyMs)
+      .filter((latencyMs) => latencyMs !== undefined)
+      .sort((left, right) => left - right);
+    this.medianMs = known[Math.floor((known.length - 1) / 2)] ?? ASSUMED_LATENCY_MS;
+    this.medianUntilMs = nowMs + MEDIAN_KEPT_MS;
   }
 
-  private static scoreOf(server: policyTypes.IServerState, nowMs: number): number {
-    const ageMs = nowMs - server.reportedAtMs;
-    const trust = Math.exp(-ageMs / REPORT_DECAY_MS);
+  private scoreOf(server: policyTypes.IServerState, nowMs: number): number {
+    const load = LoadAwarePolicy.loadOf(server, nowMs);
+    return ((load + 1) * this.latencyOf(server, nowMs)) / (server.weight * server.warmth);
+  }
+
+  private static loadOf(server: policyTypes.IServerState, nowMs: number): number {
     const usual = server.slots * ASSUMED_BUSY;
-    const reported =
-      server.report === undefined ? usual : server.report.inFlight + server.report.queued;
-    const load = usual + (reported - usual) * trust + server.startedSinceReport;
+    const { report } = server;
+    if (report === undefined) return usual + server.startedSinceReport;
+    const trust = Math.exp((server.reportedAtMs - nowMs) / REPORT_DECAY_MS);
+    const excess = report.inFlight + report.queued - usual;
+    return usual + excess * trust + server.startedSinceReport;
+  }
+
+  private latencyOf(server: policyTypes.IServerState, nowMs: number): number {
+    const seenMs = server.latencyMs ?? this.medianMs;
+    const trust = Math.exp((server.latencyAtMs - nowMs) / LATENCY_DECAY_MS);
+    const latencyMs = this.medianMs + (seenMs - this.medianMs) * trust;
     const oldestMs = server.oldestStartMs === undefined ? 0 : nowMs - server.oldestStartMs;
-    const latencyMs = Math.max(server.latencyMs ?? ASSUMED_LATENCY_MS, oldestMs);
-    return ((load + 1) * latencyMs) / (server.weight * server.warmth);
+    const slowestMs = Math.max(latencyMs, oldestMs);
+    return slowestMs < SLOW_FACTOR * this.medianMs ? this.medianMs : slowestMs;
   }
 }
--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -10,6 +10,8 @@
 
   public latencyMs: number | undefined;
 
+  public latencyAtMs = Number.NEGATIVE_INFINITY;
+
   public report: policyTypes.ILoadReport | undefined;
 
   public reportedAtMs = Number.NEGATIVE_INFINITY;
@@ -64,10 +66,9 @@
     const startMs = this.startsMs.get(attempt);
     if (startMs === undefined) return;
     this.startsMs.delete(attempt);
-    if (result !== 'answered') return;
-    const latencyMs = nowMs - startMs;
-    const previousMs = this.latencyMs ?? latencyMs;
-    this.latencyMs = previousMs + LATENCY_SMOOTHING * (latencyMs - previousMs);
+    const elapsedMs = nowMs - startMs;
+    if (result === 'answered') this.recordLatency(elapsedMs, nowMs);
+    if (result === 'cancelled' || result === 'timed-out') this.recordWait(elapsedMs, nowMs);
   }
 
   /** Records the load that the server states about itself. */
@@ -83,4 +84,20 @@
     this.reportedAtMs = Number.NEGATIVE_INFINITY;
     this.startedSinceReport = 0;
   }
+
+  private recordLatency(latencyMs: number, nowMs: number): void {
+    const previousMs = this.latencyMs ?? latencyMs;
+    this.latencyMs = previousMs + LATENCY_SMOOTHING * (latencyMs - previousMs);
+    this.latencyAtMs = nowMs;
+  }
+
+  /**
+   * Takes the time that an attempt waited in vain. It is a lower bound of the latency, and often
+   * the only trace of a slow server, because the hedge has answered first.
+   */
+  private recordWait(waitedMs: number, nowMs: number): void {
+    if (this.latencyMs !== undefined && waitedMs <= this.latencyMs) return;
+    this.latencyMs = waitedMs;
+    this.latencyAtMs = nowMs;
+  }
 }
--- a/src/common/policy/Types.ts
+++ b/src/common/policy/Types.ts
@@ -20,8 +20,10 @@
   readonly inFlight: number;
   /** Start of the oldest attempt in flight, in monotonic milliseconds. */
   readonly oldestStartMs: number | undefined;
-  /** Moving average of the latency of answered attempts, in milliseconds. */
+  /** Moving average of the latency of answered attempts, or a longer wait in vain since. */
   readonly latencyMs: number | undefined;
+  /** Monotonic time at which `latencyMs` changed last. */
+  readonly latencyAtMs: number;
   readonly report: ILoadReport | undefined;
   /** Monotonic time of `report` in milliseconds. */
   readonly reportedAtMs: number;
