Load-aware: weigh the warm-up of a server instead of dividing by it

Cause: after an ejection of 1 s a server is warm after 10 s. Where another server fails every 2 s, half of the capacity is withheld, the queues grow, and the daemons shed calls. Change: the score of a cold server rises by up to a quarter, less as it warms up.

--- a/src/common/policy/LoadAwarePolicy.ts
+++ b/src/common/policy/LoadAwarePolicy.ts
@@ -11,6 +11,11 @@
 const SLOW_FACTOR = 2;
 /** Time constant by which an observed latency returns to the median, so that it is tried again. */
 const LATENCY_DECAY_MS = 2_000;
+/**
+ * Addition to the score of a server that has just come back, as a fraction. Dividing the score by
+ * the warmth instead makes the daemons shed calls when ejections follow each other.
+ */
+const COLD_PENALTY = 0.25;
 /** Time for which the median is kept, since sorting at each choice would cost too much. */
 const MEDIAN_KEPT_MS = 20;
 
@@ -69,7 +74,8 @@
 
   private scoreOf(server: policyTypes.IServerState, nowMs: number): number {
     const load = LoadAwarePolicy.loadOf(server, nowMs);
-    return ((load + 1) * this.latencyOf(server, nowMs)) / (server.weight * server.warmth);
+    const coldness = 1 + COLD_PENALTY * (1 - server.warmth);
+    return ((load + 1) * this.latencyOf(server, nowMs) * coldness) / server.weight;
   }
 
   private static loadOf(server: policyTypes.IServerState, nowMs: number): number {
