Hedge by success: shorter delay after hedges that won, a debt after long ones in vain

Cause: hedging after four times the mean comes too late for slow servers, and a shorter fixed delay spends the budget on long calls, which a second server answers no sooner. Change: the delay is 3 times the mean at first, shorter after each hedge that answered first (down to 2.5) and longer after each in vain (up to 5). A hedge in vain that ran longer than the mean is charged to the budget by its length.

--- a/src/common/call/HedgeDelay.ts
+++ b/src/common/call/HedgeDelay.ts
@@ -1,5 +1,11 @@
-/** A call waits for this multiple of the mean latency before it is hedged. */
-const MEANS_BEFORE_HEDGE = 4;
+/** Multiples of the mean latency that a call waits before it is hedged: at first, and the bounds. */
+const FIRST_MULTIPLE = 3;
+const LOWEST_MULTIPLE = 2.5;
+const HIGHEST_MULTIPLE = 5;
+
+/** Factors of the multiple when the hedge, or the attempt before it, answered first. */
+const AFTER_WIN = 0.95;
+const AFTER_LOSS = 1.03;
 
 /** Weight of the newest latency in the moving average. */
 const SMOOTHING = 0.05;
@@ -7,18 +13,37 @@
 /** Latency assumed before the first answer, in milliseconds. */
 const INITIAL_LATENCY_MS = 50;
 
-/** Decides how long a call waits for its answer before a second server is asked. */
+/**
+ * Decides how long a call waits for its answer before a second server is asked: shorter while
+ * hedges answer first, since servers are slow then, and longer while they do not, since the
+ * calls themselves are long then.
+ */
 export class HedgeDelay {
-  private meanMs: number | undefined;
+  private meanMs = INITIAL_LATENCY_MS;
+
+  private isKnown = false;
+
+  private multiple = FIRST_MULTIPLE;
 
   /** Time to wait, in milliseconds. */
   public get delayMs(): number {
-    return MEANS_BEFORE_HEDGE * (this.meanMs ?? INITIAL_LATENCY_MS);
+    return this.multiple * this.meanMs;
   }
 
   /** Takes the latency of an answered attempt. */
   public recordLatency(latencyMs: number): void {
-    const previousMs = this.meanMs ?? latencyMs;
-    this.meanMs = previousMs + SMOOTHING * (latencyMs - previousMs);
+    this.meanMs = this.isKnown ? this.meanMs + SMOOTHING * (latencyMs - this.meanMs) : latencyMs;
+    this.isKnown = true;
+  }
+
+  /** Takes whether a hedge answered before the attempt that it was to help. */
+  public recordHedge(won: boolean): void {
+    const multiple = this.multiple * (won ? AFTER_WIN : AFTER_LOSS);
+    this.multiple = Math.min(HIGHEST_MULTIPLE, Math.max(LOWEST_MULTIPLE, multiple));
+  }
+
+  /** A duration as a multiple of the mean latency. */
+  public inMeans(durationMs: number): number {
+    return durationMs / Math.max(this.meanMs, Number.MIN_VALUE);
   }
 }
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -150,6 +150,7 @@
     this.context.balancer.recordEnd(attempt.started, failures.toResult(outcome));
     switch (outcome.kind) {
       case 'answered':
+        this.recordHedges(attempt);
         this.endWithAnswer(outcome.answer, server.address);
         break;
       case 'refused':
@@ -166,6 +167,14 @@
     }
   }
 
+  private recordHedges(winner: IActiveAttempt): void {
+    if (this.hedges === 0 || this.active.size === 0) return;
+    const others = [...this.active].map(({ started }) => started.startMs);
+    const won = others.some((startMs) => startMs < winner.started.startMs);
+    const nowMs = this.context.clock.monotonicMs();
+    this.context.balancer.recordHedges(won, won ? [] : others.map((startMs) => nowMs - startMs));
+  }
+
   private endWithAnswer(answer: callTypes.IAnswer, server: string): void {
     if (this.ended) return;
     this.context.suspicion.recordAnswered(this.call.fingerprint);
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -112,6 +112,18 @@
     this.hedgeBudget.deposit();
   }
 
+  /**
+   * Takes that a hedged call was answered.
+   * @param lostMs Times that the hedges ran in vain.
+   */
+  public recordHedges(won: boolean, lostMs: readonly number[]): void {
+    this.hedgeDelay.recordHedge(won);
+    // Permits count hedges; those that run for long cost more, or long calls would use them up.
+    lostMs.forEach((durationMs) =>
+      this.hedgeBudget.charge(Math.max(0, this.hedgeDelay.inMeans(durationMs) - 1)),
+    );
+  }
+
   /** Takes the permit for a retry. Returns false if the budget is spent. */
   public takeRetry(): boolean {
     return this.retryBudget.take();
--- a/src/common/policy/RatioBudget.test.ts
+++ b/src/common/policy/RatioBudget.test.ts
@@ -43,3 +43,14 @@
   while (budget.take()) granted += 1;
   expect(granted).toBe(10);
 });
+
+test('a debt has to be earned before the next permit', () => {
+  const clock = new manualClock.ManualClock();
+  const budget = new ratioBudget.RatioBudget(0.5, clock);
+  budget.charge(1.5);
+  budget.deposit();
+  budget.deposit();
+  expect(budget.take()).toBe(false);
+  budget.deposit();
+  expect(budget.take()).toBe(true);
+});
--- a/src/common/policy/RatioBudget.ts
+++ b/src/common/policy/RatioBudget.ts
@@ -44,6 +44,11 @@
     return true;
   }
 
+  /** Takes permits afterwards for an attempt that cost more than one. The budget may run into debt. */
+  public charge(permits: number): void {
+    this.saved = Math.max(-MAX_SAVED, this.saved - permits);
+  }
+
   private refill(): void {
     if (this.fraction === 0) {
       this.saved = 0;
