Load-aware: weigh a report against what the server usually reports

Cause: a server that always reports no load attracts calls whenever a report is fresh, and one that reports an old high load for ever is avoided. Change: the policy uses the difference between the report and the moving average of the same server's reports.

--- a/src/common/policy/LoadAwarePolicy.ts
+++ b/src/common/policy/LoadAwarePolicy.ts
@@ -80,11 +80,13 @@
 
   private static loadOf(server: policyTypes.IServerState, nowMs: number): number {
     const usual = server.slots * ASSUMED_BUSY;
-    const { report } = server;
-    if (report === undefined) return usual + server.startedSinceReport;
+    const { report, usualReportedLoad, startedSinceReport } = server;
+    if (report === undefined || usualReportedLoad === undefined) return usual + startedSinceReport;
     const trust = Math.exp((server.reportedAtMs - nowMs) / REPORT_DECAY_MS);
-    const excess = report.inFlight + report.queued - usual;
-    return usual + excess * trust + server.startedSinceReport;
+    // Only the difference from what the server usually reports counts, so that a report that is
+    // always the same, true or not, neither attracts calls nor keeps them away.
+    const excess = report.inFlight + report.queued - usualReportedLoad;
+    return Math.max(0, usual + excess * trust) + startedSinceReport;
   }
 
   private latencyOf(server: policyTypes.IServerState, nowMs: number): number {
--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -4,6 +4,12 @@
 /** Weight of the newest latency in the moving average. */
 const LATENCY_SMOOTHING = 0.2;
 
+/** Weight of the newest report in the moving average of the reported load. */
+const REPORT_SMOOTHING = 0.05;
+
+/** Larger loads for each slot are outliers, which must not move the average far. */
+const LARGEST_USUAL_PER_SLOT = 3;
+
 /** What one daemon knows of one backend server. */
 export class ServerState implements policyTypes.IServerState {
   public row: tableTypes.IServerRow;
@@ -16,6 +22,8 @@
 
   public reportedAtMs = Number.NEGATIVE_INFINITY;
 
+  public usualReportedLoad: number | undefined;
+
   public startedSinceReport = 0;
 
   public warmth = 1;
@@ -75,6 +83,9 @@
   public recordReport(report: policyTypes.ILoadReport, nowMs: number): void {
     this.report = report;
     this.reportedAtMs = nowMs;
+    const load = Math.min(report.inFlight + report.queued, LARGEST_USUAL_PER_SLOT * this.slots);
+    const previous = this.usualReportedLoad ?? load;
+    this.usualReportedLoad = previous + REPORT_SMOOTHING * (load - previous);
     this.startedSinceReport = 0;
   }
 
--- a/src/common/policy/Types.ts
+++ b/src/common/policy/Types.ts
@@ -27,6 +27,8 @@
   readonly report: ILoadReport | undefined;
   /** Monotonic time of `report` in milliseconds. */
   readonly reportedAtMs: number;
+  /** Moving average of the load in the reports, running and waiting requests together. */
+  readonly usualReportedLoad: number | undefined;
   /** Attempts that this daemon has started since `report`. */
   readonly startedSinceReport: number;
   /** Share of the normal load that a returning or cold server is given, in (0, 1]. */
