--- a/src/node/fleet/Fleet.ts
+++ b/src/node/fleet/Fleet.ts
@@ -39,12 +39,14 @@
 
   private readonly readiness: readiness.Readiness;
 
+  /** @param valueSource Replaces the client of the configuration service, for tests. */
   public constructor(
     options: fleetTypes.IFleetOptions,
     peers: fleetTypes.IPeerSender,
     private readonly logger: bunyan,
     clock: types.IClock,
     random: types.IRandom,
+    valueSource?: platformReader.IValueSource,
   ) {
     this.distribution = new tableDistribution.TableDistribution(peers, logger, clock);
     this.table = this.distribution.table;
@@ -67,7 +69,7 @@
     this.loop = new exchangeLoop.ExchangeLoop(this.agent, this.distribution, peers, logger, clock);
     this.platform = new platformClient.PlatformClient(options.platformUrl);
     this.reader = new platformReader.PlatformReader(
-      this.platform,
+      valueSource ?? this.platform,
       {
         table: (text) => this.distribution.offer(text, 'platform'),
         vms: (text) => this.updateList(text),
--- a/src/node/platform/PlatformClient.ts
+++ b/src/node/platform/PlatformClient.ts
@@ -37,8 +37,13 @@
       if (reply.statusCode !== 200) {
         return { kind: 'failed', detail: `configuration service answered ${reply.statusCode}` };
       }
-      if (text.length > MAX_VALUE_BYTES) return { kind: 'failed', detail: 'value over 1 MB' };
+      if (Buffer.byteLength(text) > MAX_VALUE_BYTES) {
+        return { kind: 'failed', detail: 'value over 1 MB' };
+      }
       const revision = Number(reply.headers.revision);
+      if (!Number.isSafeInteger(revision)) {
+        return { kind: 'failed', detail: 'configuration service named no revision' };
+      }
       return { kind: 'value', value: { revision, text } };
     } catch (error) {
       return { kind: 'failed', detail: (error as Error).message };
