--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,12 +3,14 @@
 import * as inspect from './commands/inspect';
 import * as bench from './commands/bench';
 import * as serve from './commands/serve';
+import * as table from './commands/table';
 
 const program = new commander.Command('lavenderspar')
   .description('Load balancer for servers whose load shifts in milliseconds')
   .version('0.1.0');
 
 serve.register(program);
+table.register(program);
 inspect.register(program);
 bench.register(program);
 
