Publish the library and the executable as a package

Cause: the package named a main file and typings that did not exist, and the executable had no interpreter line.

A daemon of the library can be given a policy of its own. Refusals before the call name the service if the table lists it.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -39,4 +39,11 @@
     files: ['src/faults/**/*.ts'],
     rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
   },
+  {
+    files: ['src/cli/main.ts'],
+    rules: {
+      // The executable of package.json is compiled from this file.
+      'n/hashbang': ['error', { additionalExecutables: ['src/cli/main.ts'] }],
+    },
+  },
 ];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 import * as commander from 'commander';
 
 import * as inspect from './commands/inspect';
--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -3,6 +3,7 @@
 import * as callCoordinator from '../common/call/CallCoordinator';
 import type * as callTypes from '../common/call/Types';
 import * as policyFactory from '../common/policy/PolicyFactory';
+import type * as selectionPolicy from '../common/policy/SelectionPolicy';
 import * as probeBudget from '../common/probing/ProbeBudget';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../common/table/Types';
@@ -81,6 +82,8 @@
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
     random: types.IRandom,
+    makePolicy: () => selectionPolicy.SelectionPolicy = () =>
+      policyFactory.createPolicy(options.policy, random),
   ) {
     const { metrics, traces } = makeTelemetry.makeExporters(options, logger, clock, random);
     this.telemetry = new telemetryModule.Telemetry(logger, clock, metrics, traces);
@@ -92,12 +95,7 @@
       ? new observedTransport.ObservedTransport(this.transport, metrics, traces, clock)
       : this.transport;
     this.probes = new probeBudget.ProbeBudget(clock);
-    this.services = new serviceSet.ServiceSet(
-      () => policyFactory.createPolicy(options.policy, random),
-      this.probes,
-      transport,
-      clock,
-    );
+    this.services = new serviceSet.ServiceSet(makePolicy, this.probes, transport, clock);
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
     this.facts = new factExchange.FactExchange(
       fleet.facts,
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -128,9 +128,10 @@
     if (table === undefined || routes.phase === 'starting') {
       return requestHead.notRun('not-ready', 'the daemon is not ready yet');
     }
+    const named = requestHead.splitTarget(this.request.url ?? '')?.service ?? '';
+    if (table.services.has(named)) this.service = named;
     const head = requestHead.readHead(this.request, table);
     if ('kind' in head) return head;
-    this.service = head.service.name;
     return { head, table };
   }
 
--- /dev/null
+++ b/typings/lavenderspar.d.ts
@@ -0,0 +1,244 @@
+/**
+ * Public API of lavenderspar.
+ *
+ * Units: members whose name ends in `Ms` are milliseconds; monotonic times have an arbitrary
+ * origin and are comparable only within one process. Members whose name ends in `Bytes` are bytes.
+ * Addresses are an IP address and a port, as in `10.0.0.1:8080` or `[fd00::1]:8080`.
+ *
+ * Errors: expected failures are values of the type `Result`, with a tagged union or a list of
+ * problems as the error. Only `Daemon.start` rejects, with a `StartError`.
+ */
+
+/** Something that holds a resource or a registration until it is disposed. */
+export interface IDisposable {
+  /** Releases the resource. Has no effect when called again. */
+  dispose(): void;
+}
+
+/** A source of events of one type. Calling it registers a listener. */
+export type Event<T> = (listener: (event: T) => void) => IDisposable;
+
+/** An outcome that is either a value or an error. */
+export type Result<TValue, TError> =
+  { readonly ok: true; readonly value: TValue } | { readonly ok: false; readonly error: TError };
+
+/** Source of time. A daemon uses the clock of the operating system by default. */
+export interface IClock {
+  /** Monotonic time in milliseconds, from an arbitrary origin. May have a fraction. */
+  monotonicMs(): number;
+  /** Wall-clock time. Used only for display and for values that leave the process. */
+  wallTime(): Date;
+  /** Calls `callback` once after `delayMs` milliseconds, unless the timer is disposed first. */
+  setTimer(delayMs: number, callback: () => void): IDisposable;
+}
+
+/** Source of randomness. Not used for secrets. */
+export interface IRandom {
+  /** Returns a number in [0, 1). */
+  next(): number;
+  /** Returns an integer in [0, bound). `bound` is at least 1. */
+  nextInteger(bound: number): number;
+}
+
+/** Settings of one daemon. Read from YAML by `parseSettings`. */
+export interface Settings {
+  /** Address at which callers, or the platform's balancer, reach the daemon (HTTP/1.1). */
+  readonly callerAddress: string;
+  /** Address of the operators' endpoint (HTTP/1.1, read only). */
+  readonly operatorAddress: string;
+  /** Address at which peers reach the daemon (gRPC). It names the daemon in the fleet. */
+  readonly peerAddress: string;
+  /** Failure domain of the VM, from 1 to 63 characters. */
+  readonly failureDomain: string;
+  /** Base URL of the platform's configuration service, with the scheme `http`. */
+  readonly platformUrl: string;
+  /** Selection policy. Default: `load-aware`. */
+  readonly policy: string;
+  /** Lowest level that is logged. Default: `info`. */
+  readonly logLevel: 'trace' | 'debug' | 'info' | 'warn' | 'error';
+  /** Where metrics are sent over UDP. No metrics without it. */
+  readonly metricsAddress?: string | undefined;
+  /** URL of an OTLP collector for traces over HTTP. No traces without it. */
+  readonly tracesUrl?: string | undefined;
+  /** Fraction of calls to trace whose caller sent no `traceparent`, from 0 to 1. Default: 0.01. */
+  readonly tracesSampleFraction: number;
+  /**
+   * Time for which a daemon that stops still serves, so that the platform's balancer can notice
+   * that it is unready. From 0 to 120000. Default: 5000.
+   */
+  readonly platformBalancerLagMs: number;
+}
+
+/** One fault of the settings. */
+export interface ISettingsProblem {
+  /** Path of the setting, as in `logLevel`; empty if the text as a whole is at fault. */
+  readonly path: string;
+  /** What was expected and what was found. */
+  readonly message: string;
+}
+
+/** Reads settings in YAML. Every problem is reported; unknown settings are problems. */
+export function parseSettings(text: string): Result<Settings, readonly ISettingsProblem[]>;
+
+/** Class of work. Prompt work goes first; work at leisure is shed first. */
+export type WorkClass = 'prompt' | 'leisure';
+
+/** Whether callers must send a request key that a daemon has issued. */
+export type RequestKeyRule = 'required' | 'none';
+
+/** A service: one row of kind `service` of the table. */
+export interface IServiceRow {
+  readonly name: string;
+  readonly workClass: WorkClass;
+  /** Whether a request may be run twice without harm. Only then is it retried or hedged. */
+  readonly idempotent: boolean;
+  readonly requestKey: RequestKeyRule;
+  /** Deadline of a call that states none. */
+  readonly deadlineMs: number;
+  /** Probes per second that the whole fleet may send to the servers of this service. */
+  readonly probesPerSecond: number;
+  /** Hedged requests, as a fraction of first attempts. */
+  readonly hedgeFraction: number;
+  /** Retries, as a fraction of first attempts. */
+  readonly retryFraction: number;
+  readonly maxRequestBytes: number;
+  readonly maxAnswerBytes: number;
+}
+
+/** A backend server: one row of kind `server` of the table. */
+export interface IServerRow {
+  readonly service: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Relative share of work. 0 keeps the server listed but sends it no new work. */
+  readonly weight: number;
+  /** Requests that the server runs at once. */
+  readonly slots: number;
+  /** Connections that the whole fleet may hold to the server. */
+  readonly maxConnections: number;
+}
+
+/** A checked table. Immutable. */
+export interface ITable {
+  readonly version: number;
+  /** Hash of the text, to tell apart tables that carry the same version. */
+  readonly hash: string;
+  /** The upper limit on daemons running at once, replacements included. */
+  readonly maxDaemons: number;
+  readonly services: ReadonlyMap<string, IServiceRow>;
+  /** Servers by service name. Every service of `services` has an entry. */
+  readonly servers: ReadonlyMap<string, readonly IServerRow[]>;
+  /** The text that was checked, as published. */
+  readonly text: string;
+}
+
+/** One fault of a table, placed for a reader who has it open in a spreadsheet. */
+export interface ITableProblem {
+  /** Line of the text, from 1. */
+  readonly line: number;
+  readonly column: string;
+  readonly found: string;
+  /** The values accepted there, as a sentence fragment. */
+  readonly accepted: string;
+}
+
+/** Reads table text: CSV with a header row, at most 1 MB. */
+export const TableParser: {
+  /** Checks `text` and returns the table, or all problems in the order of their lines. */
+  parse(text: string): Result<ITable, readonly ITableProblem[]>;
+};
+
+/** Load that a backend server reports about itself, in an answer or to a probe. */
+export interface ILoadReport {
+  /** Requests that run now. */
+  readonly inFlight: number;
+  /** Requests that wait for a slot. */
+  readonly queued: number;
+  readonly draining: boolean;
+}
+
+/** A backend server as a selection policy sees it. */
+export interface IServerState {
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly weight: number;
+  readonly slots: number;
+  /** Attempts of this daemon that are in flight. */
+  readonly inFlight: number;
+  /** Start of the oldest attempt in flight, in monotonic milliseconds. */
+  readonly oldestStartMs: number | undefined;
+  /** Moving average of the latency of answered attempts, in milliseconds. */
+  readonly latencyMs: number | undefined;
+  readonly report: ILoadReport | undefined;
+  /** Monotonic time of `report` in milliseconds. */
+  readonly reportedAtMs: number;
+  /** Attempts that this daemon has started since `report`. */
+  readonly startedSinceReport: number;
+  /** Share of the normal load that a returning or cold server is given, in (0, 1]. */
+  readonly warmth: number;
+}
+
+/** Chooses the backend server for an attempt. Extend it for a policy of your own. */
+export abstract class SelectionPolicy {
+  /** The name that operators are shown. */
+  public abstract readonly name: string;
+
+  /**
+   * Returns one of `candidates`. It is never called with an empty list.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  public abstract choose(candidates: readonly IServerState[], nowMs: number): IServerState;
+
+  /**
+   * Returns the servers to probe now that a call has begun, the most important one first. The
+   * measuring budget decides how many of them are probed. By default there are none.
+   */
+  public probeTargets(servers: readonly IServerState[], nowMs: number): readonly IServerState[];
+
+  /** Records the reply to a probe. The report of `server` has been updated before. */
+  public recordProbe(server: IServerState, nowMs: number): void;
+}
+
+/**
+ * Stage in the life of a daemon. `starting`: calls are refused as `not-ready`. `draining`: it is
+ * unready, serves, and asks callers to move on. `stopping`: calls are refused as `shutting-down`.
+ */
+export type Phase = 'starting' | 'ready' | 'draining' | 'stopping';
+
+/** What a daemon uses instead of its defaults. */
+export interface IDaemonOptions {
+  /** Default: the clock of the operating system. */
+  readonly clock?: IClock;
+  /** Default: the random source of the JavaScript engine. */
+  readonly random?: IRandom;
+  /** Where the log goes, as JSON lines. Default: standard output. */
+  readonly logStream?: NodeJS.WritableStream;
+  /** Makes the policy of each service. Default: the policy that the settings name. */
+  readonly makePolicy?: () => SelectionPolicy;
+}
+
+/** An address of the settings cannot be used. The message names the setting and the reason. */
+export class StartError extends Error {
+  public constructor(setting: string, address: string, cause: Error);
+}
+
+/** One daemon of the fleet. */
+export class Daemon {
+  public constructor(settings: Settings, options?: IDaemonOptions);
+
+  /** The present stage in the life of the daemon. */
+  public get phase(): Phase;
+
+  /**
+   * Listens on the addresses of the settings, and begins to read the table. Resolves before the
+   * daemon is ready. Rejects with a `StartError`; then nothing is left open.
+   */
+  public start(): Promise<void>;
+
+  /**
+   * Stops as planned: becomes unready, serves on for `platformBalancerLagMs`, finishes every call
+   * in flight, hands over its request keys and leaves the fleet. Further calls return the same
+   * promise. It takes at most the longest deadline of a call in flight, and about 10 s more.
+   */
+  public stop(): Promise<void>;
+}
