--- /dev/null
+++ b/src/bench/overhead/Overhead.ts
@@ -0,0 +1,125 @@
+import * as hdr from 'hdr-histogram-js';
+import * as undici from 'undici';
+
+import * as overheadFleet from './OverheadFleet';
+import * as processUsage from './ProcessUsage';
+import type * as overheadTypes from './Types';
+
+const WAYS: readonly overheadTypes.Way[] = ['direct', 'proxy', 'daemon'];
+const WARM_UP_CALLS = 2_000;
+const MICROSECONDS_PER_MS = 1_000;
+const BODY = Buffer.from(JSON.stringify({ document: 'x'.repeat(200) }));
+
+interface IWay {
+  readonly urls: readonly string[];
+  readonly processId: number;
+  readonly histogram: hdr.Histogram;
+  processorUs: number;
+}
+
+function makeWay(urls: readonly string[], processId: number): IWay {
+  const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
+  return { urls, processId, histogram, processorUs: 0 };
+}
+
+async function callOnce(url: string, agent: undici.Agent): Promise<number> {
+  const startMs = performance.now();
+  const reply = await undici.request(url, { method: 'POST', body: BODY, dispatcher: agent });
+  await reply.body.arrayBuffer();
+  if (reply.statusCode !== 200) throw new Error(`${url} answered ${reply.statusCode}`);
+  return performance.now() - startMs;
+}
+
+/** Sends `calls` calls, `concurrency` at once, and records how long each takes. */
+async function measure(
+  way: IWay,
+  agent: undici.Agent,
+  calls: number,
+  concurrency: number,
+): Promise<void> {
+  const before = await processUsage.usageOf(way.processId);
+  let next = 0;
+  const loop = async () => {
+    while (next < calls) {
+      const url = way.urls[next % way.urls.length] ?? '';
+      next += 1;
+      const latencyMs = await callOnce(url, agent);
+      way.histogram.recordValue(Math.max(1, Math.round(latencyMs * MICROSECONDS_PER_MS)));
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, loop));
+  const after = await processUsage.usageOf(way.processId);
+  way.processorUs += after.processorUs - before.processorUs;
+}
+
+function percentiles(histogram: hdr.Histogram): overheadTypes.IPercentiles {
+  const at = (percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+  return { p50Ms: at(50), p99Ms: at(99), p999Ms: at(99.9) };
+}
+
+async function figures(
+  way: IWay,
+  direct: overheadTypes.IPercentiles,
+): Promise<overheadTypes.IWayFigures> {
+  const own = percentiles(way.histogram);
+  const difference = (key: keyof overheadTypes.IPercentiles) =>
+    Math.round((own[key] - direct[key]) * MICROSECONDS_PER_MS) / MICROSECONDS_PER_MS;
+  const { memoryMb } = await processUsage.usageOf(way.processId);
+  return {
+    ...own,
+    added: { p50Ms: difference('p50Ms'), p99Ms: difference('p99Ms'), p999Ms: difference('p999Ms') },
+    processorUsPerCall: Math.round(way.processorUs / way.histogram.totalCount),
+    memoryMb: Math.round(memoryMb),
+  };
+}
+
+/**
+ * Measures what a proxy adds to a call: direct, through the bare proxy and through a daemon, in
+ * turn within one run, so that changes of the machine's load meet all three.
+ */
+export async function runOverhead(
+  options: overheadTypes.IOverheadOptions,
+): Promise<overheadTypes.IOverheadResult> {
+  const { profileFolder, rounds, concurrency, calls } = options;
+  const profile =
+    profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
+  const fleet = await overheadFleet.OverheadFleet.start(profile);
+  const agent = new undici.Agent({ pipelining: 1 });
+  try {
+    const path = `${overheadFleet.SERVICE}/documents`;
+    const { proxy, daemon } = fleet;
+    const ways: Record<overheadTypes.Way, IWay> = {
+      direct: makeWay(
+        fleet.directUrls.map((url) => `${url}/documents`),
+        0,
+      ),
+      proxy: makeWay([`http://127.0.0.1:${proxy.port}/documents`], proxy.child.processId),
+      daemon: makeWay([`${daemon.url}/${path}`], daemon.child.processId),
+    };
+    for (const name of WAYS) await measure(ways[name], agent, WARM_UP_CALLS, concurrency);
+    WAYS.forEach((name) => {
+      ways[name].histogram.reset();
+      ways[name].processorUs = 0;
+    });
+    for (let round = 0; round < rounds; round += 1) {
+      for (const name of WAYS) {
+        await measure(ways[name], agent, Math.ceil(calls / rounds), concurrency);
+      }
+    }
+    const direct = percentiles(ways.direct.histogram);
+    return {
+      calls: ways.direct.histogram.totalCount,
+      concurrency,
+      ways: {
+        direct: await figures(ways.direct, direct),
+        proxy: await figures(ways.proxy, direct),
+        daemon: await figures(ways.daemon, direct),
+      },
+      insideDaemon: null,
+    };
+  } finally {
+    await agent.destroy();
+    await fleet.stop();
+  }
+}
--- /dev/null
+++ b/src/faults/MixedLoad.ts
@@ -0,0 +1,70 @@
+import type * as types from '../common/Types';
+import * as requestKeys from '../standin/RequestKeys';
+import type * as faultFleet from './FaultFleet';
+
+const READERS = 6;
+const ORDERERS = 4;
+const RESENDS = 2;
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+/** Reads, and orders with request keys that are sent again at random. */
+export class MixedLoad {
+  private running = true;
+
+  private sequence = 0;
+
+  private readonly done: Promise<unknown>;
+
+  /** @param targets Daemons that the platform's balancer sends callers to now. */
+  public constructor(
+    private readonly fleet: faultFleet.FaultFleet,
+    private readonly targets: ReadonlySet<number>,
+    private readonly random: types.IRandom,
+  ) {
+    const readers = Array.from({ length: READERS }, () => this.loop(() => this.read()));
+    const orderers = Array.from({ length: ORDERERS }, () => this.loop(() => this.order()));
+    this.done = Promise.all([...readers, ...orderers]);
+  }
+
+  public async stop(): Promise<void> {
+    this.running = false;
+    await this.done;
+  }
+
+  private async loop(action: () => Promise<unknown>): Promise<void> {
+    while (this.running) {
+      await action();
+      await pause(5 + 20 * this.random.next());
+    }
+  }
+
+  private url(): string {
+    const open = [...this.targets];
+    return this.fleet.daemon(open[this.random.nextInteger(open.length)] ?? 0).url;
+  }
+
+  private read(): Promise<unknown> {
+    this.sequence += 1;
+    const request = { service: 'reads', identity: `read-${this.sequence}` };
+    return this.fleet.caller.submit(this.url(), request);
+  }
+
+  private async order(): Promise<void> {
+    const [requestKey] = await requestKeys.fetchKeys(this.url(), 1);
+    if (requestKey === undefined) return;
+    this.sequence += 1;
+    const request = { service: 'orders', identity: `order-${this.sequence}`, requestKey };
+    const submit = () => this.fleet.caller.submit(this.url(), request);
+    const isConcurrent = this.random.next() < 0.3;
+    const [first] = await Promise.all([submit(), ...(isConcurrent ? [submit()] : [])]);
+    for (let resend = 0; resend < RESENDS; resend += 1) {
+      const isWanted = first?.outcome === 'unknown' || this.random.next() < 0.1;
+      if (isWanted) await submit();
+    }
+  }
+}
--- a/src/faults/Mutants.ts
+++ b/src/faults/Mutants.ts
@@ -9,7 +9,65 @@
   readonly test: string;
 }
 
-export const MUTANTS: readonly IMutant[] = [];
+export const MUTANTS: readonly IMutant[] = [
+  {
+    name: 'truncated answers are forwarded',
+    file: 'node/dispatch/AttemptHandler.ts',
+    find: "    const reason = this.status === 0 ? 'connection-lost' : 'answer-truncated';",
+    replace:
+      '    if (this.status !== 0) { this.onResponseEnd(); return; }\n    const reason = "connection-lost" as const;',
+    test: 'CompleteAnswers.test.ts',
+  },
+  {
+    name: 'the deadline always counts as not run',
+    file: 'common/call/Failures.ts',
+    find: 'if (this.unknown !== undefined || this.failedAnswer !== undefined) {',
+    replace: 'if (false as boolean) {',
+    test: 'NotRun.test.ts',
+  },
+  {
+    name: 'non-idempotent requests are retried after a loss',
+    file: 'common/call/RunningCall.ts',
+    find: 'if (this.call.service.idempotent && !isTooLarge) this.retry();',
+    replace: 'if (!isTooLarge) this.retry();',
+    test: 'NotRun.test.ts',
+  },
+  {
+    name: 'suspect requests are run',
+    file: 'common/suspicion/RequestSuspicion.ts',
+    find: 'return this.serversLost(fingerprint).length >= SERVERS_TO_REFUSE;',
+    replace: 'return false;',
+    test: 'NotRun.test.ts',
+  },
+  {
+    name: 'leaving servers are used',
+    file: 'common/call/ServiceBalancer.ts',
+    find: "if (server.availability.isLeaving) return 'leaving';",
+    replace: '',
+    test: 'Leaving.test.ts',
+  },
+  {
+    name: 'a stopping daemon does not wait for the platform balancer',
+    file: 'node/Daemon.ts',
+    find: 'await this.wait(lagMs);',
+    replace: '',
+    test: 'PlannedStop.test.ts',
+  },
+  {
+    name: 'a stopping daemon does not finish its calls',
+    file: 'node/Daemon.ts',
+    find: 'await this.finishCalls();',
+    replace: '',
+    test: 'PlannedStop.test.ts',
+  },
+  {
+    name: 'older table versions are accepted',
+    file: 'common/table/TableHolder.ts',
+    find: 'table.version < inForce.version',
+    replace: 'false as boolean',
+    test: 'TableVersions.test.ts',
+  },
+];
 
 /** Returns the mutant of that name, or undefined if no name is given. */
 export function mutantCalled(name: string | undefined): IMutant | undefined {
--- /dev/null
+++ b/src/faults/Watch.ts
@@ -0,0 +1,43 @@
+import type * as faultFleet from './FaultFleet';
+
+const SAMPLE_INTERVAL_MS = 100;
+const SECOND_MS = 1_000;
+
+/** Watches the version of the active table at each daemon, across its restarts. */
+export class VersionWatch {
+  /** Times at which a ready daemon had a lower version than before. */
+  public reversions = 0;
+
+  private readonly highest = new Map<number, number>();
+
+  private readonly timer = setInterval(() => {
+    this.fleet.daemons.forEach((_, index) => {
+      this.sample(index).catch(() => undefined);
+    });
+  }, SAMPLE_INTERVAL_MS);
+
+  public constructor(private readonly fleet: faultFleet.FaultFleet) {}
+
+  public stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private async sample(index: number): Promise<void> {
+    const daemon = this.fleet.daemon(index);
+    const before = this.highest.get(index) ?? 0;
+    if (!(await daemon.isReady())) return;
+    const version = await daemon.tableVersion();
+    if (version === undefined) return;
+    if (version < before) this.reversions += 1;
+    this.highest.set(index, Math.max(version, this.highest.get(index) ?? 0));
+  }
+}
+
+/** Counts the probes that arrived within one second of an earlier one beyond the budget. */
+export function budgetOverruns(probesMs: readonly number[], perSecond: number): number {
+  const sorted = [...probesMs].sort((first, second) => first - second);
+  return sorted.filter((atMs, position) => {
+    const earliest = sorted[position - perSecond];
+    return earliest !== undefined && atMs - earliest < SECOND_MS;
+  }).length;
+}
--- a/src/standin/BackendServer.ts
+++ b/src/standin/BackendServer.ts
@@ -86,6 +86,10 @@
     return this.queue.inFlight + this.queue.queued;
   }
 
+  public get isListening(): boolean {
+    return this.server !== undefined;
+  }
+
   public get state(): standinTypes.BackendState {
     if (this.drainingSinceMs !== undefined) return 'draining';
     const sinceMs = this.nowMs() - this.listeningSinceMs;
--- a/src/standin/Caller.ts
+++ b/src/standin/Caller.ts
@@ -24,6 +24,8 @@
   /** Whether an answer with status 200 was complete and belonged to the request. */
   readonly correct: boolean;
   readonly latencyMs: number;
+  /** When it ended, on the clock of `performance`. */
+  readonly endMs: number;
   readonly timeoutMs: number | undefined;
   /** Address of the daemon. */
   readonly daemon: string;
@@ -47,10 +49,12 @@
   public async submit(url: string, request: ITestRequest): Promise<ISubmission> {
     const startMs = performance.now();
     const outcome = await this.send(url, request);
+    const endMs = performance.now();
     const submission = {
       identity: request.identity,
       ...outcome,
-      latencyMs: performance.now() - startMs,
+      latencyMs: endMs - startMs,
+      endMs,
       timeoutMs: request.timeoutMs,
       daemon: url,
     };
--- a/src/standin/ChildProcess.ts
+++ b/src/standin/ChildProcess.ts
@@ -75,7 +75,7 @@
 
   private keep(line: string): void {
     this.lines.push(line);
-    if (this.lines.length > 50) this.lines.shift();
+    if (this.lines.length > 400) this.lines.shift();
   }
 }
 
@@ -90,7 +90,7 @@
   /** Starts a stand-in from the compiled files in `folder` and waits until it listens. */
   public static async start(
     folder: string,
-    kind: 'backend' | 'configuration',
+    kind: 'backend' | 'configuration' | 'echo' | 'proxy',
     options: object,
   ): Promise<StandInProcess> {
     const child = new ChildProcess([`${folder}/standin/main.js`, kind, JSON.stringify(options)]);
--- a/src/standin/DaemonProcess.ts
+++ b/src/standin/DaemonProcess.ts
@@ -43,13 +43,17 @@
   }
 
   /** Starts `lavenderspar serve` from the compiled files in `sources`. */
-  public static async start(sources: string, place: IDaemonPlace): Promise<DaemonProcess> {
+  public static async start(
+    sources: string,
+    place: IDaemonPlace,
+    nodeOptions: readonly string[] = [],
+  ): Promise<DaemonProcess> {
     const file = path.join(place.folder, `${place.name}.yaml`);
     const { callerAddress, operatorAddress, peerAddress, failureDomain, platformUrl } = place;
     const addresses = { callerAddress, operatorAddress, peerAddress };
     const settings = { ...addresses, failureDomain, platformUrl, logLevel: 'warn' };
     await fs.writeFile(file, yaml.stringify({ ...settings, ...place.settings }));
-    const serve = [path.join(sources, 'cli/main.js'), 'serve', file];
+    const serve = [...nodeOptions, path.join(sources, 'cli/main.js'), 'serve', file];
     if (place.vm === undefined) {
       return new DaemonProcess(place, new childProcess.ChildProcess(serve));
     }
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -1,8 +1,10 @@
 import * as seededRandom from '../common/SeededRandom';
 import * as systemClock from '../node/SystemClock';
 import * as backendServer from './BackendServer';
+import * as bareProxy from './BareProxy';
 import * as configurationService from './ConfigurationService';
 import * as controlServer from './ControlServer';
+import * as echoServer from './EchoServer';
 import type * as standinTypes from './Types';
 
 interface IBackendArguments extends standinTypes.IBackendOptions {
@@ -43,12 +45,22 @@
   announce(await service.listen(), await control.listen());
 }
 
+async function runEcho(): Promise<void> {
+  announce(await echoServer.listenEcho(), 0);
+}
+
+async function runProxy(options: { readonly addresses: readonly string[] }): Promise<void> {
+  announce(await new bareProxy.BareProxy(options.addresses).listen(), 0);
+}
+
 async function main(): Promise<void> {
   const [kind, options = '{}'] = process.argv.slice(2);
   if (kind === 'backend') await runBackend(JSON.parse(options) as IBackendArguments);
   else if (kind === 'configuration') {
     await runConfiguration(JSON.parse(options) as ConfigurationArguments);
-  } else throw new Error(`unknown kind of stand-in "${kind}": expected backend or configuration`);
+  } else if (kind === 'echo') await runEcho();
+  else if (kind === 'proxy') await runProxy(JSON.parse(options) as { addresses: string[] });
+  else throw new Error(`unknown kind of stand-in "${kind}"`);
   // Ends with the process that started it, whose end closes this pipe.
   process.stdin.once('end', () => process.kill(process.pid, 'SIGTERM')).resume();
 }
