Wire the overhead bench, and let long calls overlap the planned stop of a daemon

Cause: the mutant 'a stopping daemon does not finish its calls' survived, since no call was in flight when the lag of the platform's balancer had passed; the mutant of retries survived because the retry budget was spent on shed requests. Change: five long reads are in flight at each planned stop; a test of its own breaks servers under a load that is not shed.

--- a/src/cli/commands/bench.ts
+++ b/src/cli/commands/bench.ts
@@ -2,6 +2,7 @@
 
 import * as commander from 'commander';
 
+import * as overhead from '../../bench/overhead/Overhead';
 import * as companies from '../../bench/virtual/Companies';
 import * as comparison from '../../bench/virtual/Comparison';
 import * as report from '../../bench/virtual/Report';
@@ -12,6 +13,10 @@
 const DEFAULT_DURATION_SECONDS = 30;
 const DEFAULT_PROBES_PER_SECOND = 170;
 
+/** Measures what a daemon adds to a call, on real processes. */
+const OVERHEAD = 'overhead';
+const OVERHEAD_OPTIONS = { calls: 20_000, concurrency: 8, rounds: 10 };
+
 interface BenchFlags {
   readonly seed: number;
   readonly policy: string;
@@ -59,6 +64,10 @@
 }
 
 async function bench(scenarioName: string, flags: BenchFlags): Promise<void> {
+  if (scenarioName === OVERHEAD) {
+    write(JSON.stringify(await overhead.runOverhead(OVERHEAD_OPTIONS)));
+    return;
+  }
   const scenario = scenarios.SCENARIOS.get(scenarioName);
   const company = companies.COMPANIES.get(flags.company);
   if (scenario === undefined || company === undefined) throw new Error('unknown scenario');
@@ -89,6 +98,7 @@
 export function register(program: commander.Command): void {
   const scenario = new commander.Argument('<scenario>', 'load and faults to run').choices([
     ...scenarios.SCENARIOS.keys(),
+    OVERHEAD,
   ]);
   const policy = new commander.Option('--policy <name>', 'policy to compare')
     .choices([...policyFactory.POLICY_NAMES, 'oracle'])
--- a/src/faults/AtMostOnce.test.ts
+++ b/src/faults/AtMostOnce.test.ts
@@ -2,6 +2,7 @@
 import * as harness from './Harness';
 import * as keyedOrders from './KeyedOrders';
 import * as load from './Load';
+import * as testNetwork from './TestNetwork';
 
 const tests = new harness.Harness();
 
@@ -91,3 +92,24 @@
   const answered = fleet.caller.submissions.filter((one) => one.outcome === 'answered');
   expect(answered.length).toBeGreaterThan(5);
 }, 30_000);
+
+// Guards against a retry on another server after a server was lost with the request in flight.
+test('a request whose server was lost is not sent again', async () => {
+  const fleet = await tests.start({
+    daemons: 1,
+    seed: 24,
+    services: [harness.orders(4, { serviceMs: 30 })],
+  });
+  const url = () => fleet.daemon(0).url;
+  const traffic = new load.Load(fleet, 'orders', 'order', url, 6);
+  await traffic.more(100);
+  for (const server of fleet.servers) {
+    await load.eventually('a request runs', () => server.backend.inFlight > 0);
+    await server.backend.close();
+    await traffic.more(30);
+    await server.backend.listen(testNetwork.BACKEND_PORT, server.host);
+  }
+  await traffic.stop();
+  expectOnce(fleet);
+  expect(fleet.audit(() => true).outcomeUnknown).toBeGreaterThan(0);
+}, 30_000);
--- a/src/faults/Mutants.ts
+++ b/src/faults/Mutants.ts
@@ -30,7 +30,7 @@
     file: 'common/call/RunningCall.ts',
     find: 'if (this.call.service.idempotent && !isTooLarge) this.retry();',
     replace: 'if (!isTooLarge) this.retry();',
-    test: 'NotRun.test.ts',
+    test: 'AtMostOnce.test.ts',
   },
   {
     name: 'suspect requests are run',
--- a/src/faults/PlannedStop.test.ts
+++ b/src/faults/PlannedStop.test.ts
@@ -1,4 +1,5 @@
 import * as harness from './Harness';
+import * as keyedOrders from './KeyedOrders';
 import * as load from './Load';
 
 const tests = new harness.Harness();
@@ -14,7 +15,10 @@
   const fleet = await tests.start({
     daemons: 3,
     seed: 8,
-    services: [harness.orders(4, { serviceMs: 15 })],
+    services: [
+      harness.orders(4, { serviceMs: 15 }),
+      harness.reads(3, { deadline_ms: 10_000 }, { serviceMs: 700 }),
+    ],
     settings: { platformBalancerLagMs: lagMs },
   });
   const targets = new Set([0, 1, 2]);
@@ -25,12 +29,20 @@
   const traffic = new load.Load(fleet, 'orders', 'order', url, 9);
   await traffic.more(60);
   for (const index of [0, 0, 1, 2]) {
+    // Long enough to be in flight when the lag of the platform's balancer has passed.
+    const long = [1, 2, 3, 4, 5].map((number) =>
+      fleet.caller.submit(fleet.daemon(index).url, {
+        service: 'reads',
+        identity: `read ${number} of round ${traffic.sent}`,
+      }),
+    );
     const stopped = fleet.daemon(index).stop();
     const sinceMs = fleet.clock.monotonicMs();
     const balancerKnows = () => fleet.clock.monotonicMs() - sinceMs > lagMs / 2;
     await load.eventually('the balancer has taken the daemon out', balancerKnows);
     targets.delete(index);
     expect(await stopped).toBe(0);
+    await Promise.all(long);
     await fleet.startDaemon(index);
     targets.add(index);
     await traffic.more(60);
@@ -40,5 +52,5 @@
     .filter((one) => one.outcome !== 'answered')
     .map((one) => `${one.outcome} ${one.reason}`);
   expect(unanswered).toEqual([]);
-  expect(fleet.audit(() => true)).toMatchObject({ wrongAnswers: 0, doubledRuns: 0 });
+  expect(fleet.audit(keyedOrders.isOrder)).toMatchObject({ wrongAnswers: 0, doubledRuns: 0 });
 }, 30_000);
