--- a/typings/lavenderspar.d.ts
+++ b/typings/lavenderspar.d.ts
@@ -167,11 +167,15 @@
   readonly inFlight: number;
   /** Start of the oldest attempt in flight, in monotonic milliseconds. */
   readonly oldestStartMs: number | undefined;
-  /** Moving average of the latency of answered attempts, in milliseconds. */
+  /** Moving average of the latency of answered attempts, or a longer wait in vain since. */
   readonly latencyMs: number | undefined;
+  /** Monotonic time at which `latencyMs` changed last. */
+  readonly latencyAtMs: number;
   readonly report: ILoadReport | undefined;
   /** Monotonic time of `report` in milliseconds. */
   readonly reportedAtMs: number;
+  /** Moving average of the load in the reports, running and waiting requests together. */
+  readonly usualReportedLoad: number | undefined;
   /** Attempts that this daemon has started since `report`. */
   readonly startedSinceReport: number;
   /** Share of the normal load that a returning or cold server is given, in (0, 1]. */
