Load-aware: add the time on the network to the score

Cause: every call pays the way to its server, up to 3 ms of round trip at Ogunleye, and the policy ignored it. Change: the lowest latency of late, times 6, is added to the score.

--- a/src/common/policy/LoadAwarePolicy.ts
+++ b/src/common/policy/LoadAwarePolicy.ts
@@ -16,6 +16,10 @@
  * the warmth instead makes the daemons shed calls when ejections follow each other.
  */
 const COLD_PENALTY = 0.25;
+/** Weight of the time on the network, which every call pays, against a load that most do not. */
+const DISTANCE_WEIGHT = 6;
+/** Largest time on the network that is believed, as a share of the median latency. */
+const FARTHEST = 0.3;
 /** Time for which the median is kept, since sorting at each choice would cost too much. */
 const MEDIAN_KEPT_MS = 20;
 
@@ -75,7 +79,10 @@
   private scoreOf(server: policyTypes.IServerState, nowMs: number): number {
     const load = LoadAwarePolicy.loadOf(server, nowMs);
     const coldness = 1 + COLD_PENALTY * (1 - server.warmth);
-    return ((load + 1) * this.latencyOf(server, nowMs) * coldness) / server.weight;
+    // Few answers may all have been slow. Without the bound their server would get no more calls.
+    const fastestMs = Math.min(server.fastestMs ?? 0, FARTHEST * this.medianMs);
+    const distance = DISTANCE_WEIGHT * fastestMs;
+    return ((load + 1) * this.latencyOf(server, nowMs) * coldness + distance) / server.weight;
   }
 
   private static loadOf(server: policyTypes.IServerState, nowMs: number): number {
--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -4,6 +4,9 @@
 /** Weight of the newest latency in the moving average. */
 const LATENCY_SMOOTHING = 0.2;
 
+/** Share of each latency by which the fastest one rises, so that a longer way shows in time. */
+const FASTEST_DRIFT = 0.0003;
+
 /** Weight of the newest report in the moving average of the reported load. */
 const REPORT_SMOOTHING = 0.05;
 
@@ -16,6 +19,8 @@
 
   public latencyMs: number | undefined;
 
+  public fastestMs: number | undefined;
+
   public latencyAtMs = Number.NEGATIVE_INFINITY;
 
   public report: policyTypes.ILoadReport | undefined;
@@ -97,6 +102,8 @@
   }
 
   private recordLatency(latencyMs: number, nowMs: number): void {
+    const fastestMs = this.fastestMs ?? latencyMs;
+    this.fastestMs = Math.min(fastestMs + FASTEST_DRIFT * latencyMs, latencyMs);
     const previousMs = this.latencyMs ?? latencyMs;
     this.latencyMs = previousMs + LATENCY_SMOOTHING * (latencyMs - previousMs);
     this.latencyAtMs = nowMs;
