--- a/src/bench/virtual/BenchTable.ts
+++ b/src/bench/virtual/BenchTable.ts
@@ -18,6 +18,14 @@
   return `domain-${(index % company.failureDomains) + 1}`;
 }
 
+/**
+ * Service of the calls at a depth of a chain, on the servers of the service measured. One service
+ * for all depths would make outer calls hold the admission that their own inner calls wait for.
+ */
+export function nestedServiceOf(company: benchTypes.ICompany, depth: number): string {
+  return `${company.service}-${depth}`;
+}
+
 function serviceRow(name: string, workClass: tableTypes.WorkClass): tableTypes.IServiceRow {
   return {
     name,
@@ -65,6 +73,13 @@
     servers.set(LONG_SERVICE, serverRows(LONG_SERVICE, company, 0, company.servers));
   }
   if (scenario.depth !== undefined) {
+    const inner = Array.from({ length: scenario.depth - 2 }, (_item, index) =>
+      nestedServiceOf(company, index + 1),
+    );
+    inner.forEach((name) => {
+      rows.push({ ...serviceRow(name, 'prompt'), hedgeFraction });
+      servers.set(name, serverRows(name, company, 0, company.servers));
+    });
     rows.push({ ...serviceRow(FAILING_SERVICE, 'prompt'), hedgeFraction });
     servers.set(FAILING_SERVICE, serverRows(FAILING_SERVICE, company, 1, FAILING_SERVERS));
   }
--- a/src/bench/virtual/Simulation.ts
+++ b/src/bench/virtual/Simulation.ts
@@ -168,8 +168,9 @@
 
   private runNested(outer: benchTypes.ISimulatedCall, onEnd: (failed: boolean) => void): void {
     const isLeaf = outer.nestedWorkMs.length === 1;
-    const service = this.serviceOf(isLeaf ? benchTable.FAILING_SERVICE : this.company.service);
     const depth = outer.depth + 1;
+    const nested = benchTable.nestedServiceOf(this.company, depth);
+    const service = this.serviceOf(isLeaf ? benchTable.FAILING_SERVICE : nested);
     const inner = this.createCall(service, outer.nestedWorkMs, false, depth, outer.deadlineMs);
     const daemon = this.daemons[this.nestedRandom.nextInteger(this.daemons.length)];
     const { retriesSpent } = outer;
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -81,7 +81,7 @@
 
   private onAdmitted(): void {
     this.admittedAtMs = this.context.clock.monotonicMs();
-    this.context.balancer.recordFirstAttempt();
+    this.context.balancer.recordFirstAttempt(this.call.depth);
     this.sendNext();
     if (!this.ended) this.armHedge();
   }
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -11,6 +11,12 @@
 import * as hedgeDelay from './HedgeDelay';
 import * as serverAvailability from './ServerAvailability';
 
+/**
+ * Hedges earned by a nested call, relative to an outermost one. A hedge repeats all calls below it,
+ * so that equal budgets at 14 levels would multiply the calls of the innermost one.
+ */
+const NESTED_HEDGE_SHARE = 1 / 16;
+
 /** Why a server gets no new work. */
 export type AvoidanceReason = 'weight-zero' | 'leaving' | 'ejected' | 'connection-limit';
 
@@ -107,9 +113,9 @@
   }
 
   /** Counts the first attempt of a call, which earns a fraction of an extra attempt. */
-  public recordFirstAttempt(): void {
+  public recordFirstAttempt(depth: number): void {
     this.retryBudget.deposit();
-    this.hedgeBudget.deposit();
+    this.hedgeBudget.deposit(depth === 0 ? 1 : NESTED_HEDGE_SHARE);
   }
 
   /**
--- a/src/common/policy/RatioBudget.ts
+++ b/src/common/policy/RatioBudget.ts
@@ -32,9 +32,9 @@
     this.fraction = fraction;
   }
 
-  /** Counts a first attempt. */
-  public deposit(): void {
-    this.saved = Math.min(MAX_SAVED, this.saved + this.fraction);
+  /** Counts a first attempt, or a share of one. */
+  public deposit(share = 1): void {
+    this.saved = Math.min(MAX_SAVED, this.saved + this.fraction * share);
   }
 
   /** Takes a permit for an extra attempt. Returns false if there is none. */
