--- a/src/common/keys/KeyAuthority.ts
+++ b/src/common/keys/KeyAuthority.ts
@@ -57,7 +57,7 @@
   ) {
     this.own = new keyLedger.KeyLedger(issuer, secret, clock.monotonicMs(), limits.lifetimeMs);
     this.ledgers.set(this.own.name, this.own);
-    this.takeOvers = new keyTakeOver.KeyTakeOver(issuer.incarnation, clock);
+    this.takeOvers = new keyTakeOver.KeyTakeOver(clock);
     this.answers = new lruCache.LRUCache({
       maxSize: limits.maxCachedAnswerBytes,
       sizeCalculation: answerSize,
--- a/src/common/keys/KeyTakeOver.ts
+++ b/src/common/keys/KeyTakeOver.ts
@@ -21,17 +21,13 @@
 export class KeyTakeOver {
   private readonly pending = new Map<string, PendingTakeOver>();
 
-  public constructor(
-    private readonly ownIncarnation: number,
-    private readonly clock: types.IClock,
-  ) {}
+  public constructor(private readonly clock: types.IClock) {}
 
   /**
    * Adds a part. Parts must arrive in order; one that arrives again is accepted without effect.
    * @param freeClaims Number of records for which there is room.
    */
   public receive(part: keyTypes.IKeyTransferPart, freeClaims: number): PartReceipt {
-    if (part.successorIncarnation !== this.ownIncarnation) return { kind: 'refused' };
     this.giveUpIdle();
     const name = requestKeyCodec.RequestKeyCodec.encodeIssuer(part.issuer);
     const found = this.pending.get(name) ?? { records: [], nextPart: 0, lastReceivedMs: 0 };
