--- a/src/faults/FaultFleet.ts
+++ b/src/faults/FaultFleet.ts
@@ -51,11 +51,13 @@
 
   private listRevision = 0;
 
+  private closed = false;
+
   private constructor(private readonly options: faultTypes.IFleetOptions) {
     this.network = new testNetwork.TestNetwork(options.daemons);
   }
 
-  /** Starts the fleet and waits until each daemon holds table version 1. */
+  /** Starts the fleet and waits until each daemon is ready. */
   public static async start(options: faultTypes.IFleetOptions): Promise<FaultFleet> {
     const fleet = new FaultFleet(options);
     fleet.folder = await fs.mkdtemp(path.join(os.tmpdir(), 'lavenderspar-faults-'));
@@ -69,6 +71,10 @@
     return fleet;
   }
 
+  public get isClosed(): boolean {
+    return this.closed;
+  }
+
   public daemon(index: number): daemonProcess.DaemonProcess {
     const daemon = this.daemons[index];
     if (daemon === undefined) throw new Error(`no daemon ${index}`);
@@ -79,7 +85,7 @@
     return this.servers.filter((server) => server.service.cells.name === service);
   }
 
-  /** Starts the daemon, or a new process at its address, and waits until it holds a table. */
+  /** Starts the daemon, or a new process at its address, and waits until it is ready. */
   public async startDaemon(index: number): Promise<void> {
     const daemon = await daemonProcess.DaemonProcess.start(this.options.sources, {
       name: `daemon-${index}`,
@@ -90,7 +96,7 @@
       settings: { platformBalancerLagMs: 300, ...this.options.settings },
     });
     this.daemons[index] = daemon;
-    await daemon.holdsTable();
+    await daemon.becomesReady();
   }
 
   /** Publishes a table with the servers that `keep` selects. */
@@ -138,6 +144,7 @@
 
   /** Ends everything that the fleet started. */
   public async close(): Promise<void> {
+    this.closed = true;
     await Promise.all(this.daemons.map((daemon) => daemon.child.kill()));
     await this.caller.close();
     await Promise.all(this.servers.map((server) => server.backend.close()));
--- /dev/null
+++ b/src/node/server/Explain.ts
@@ -0,0 +1,174 @@
+import type * as serviceBalancer from '../../common/call/ServiceBalancer';
+import type * as probingTypes from '../../common/probing/Types';
+import type * as tableTypes from '../../common/table/Types';
+import type * as types from '../../common/Types';
+import type * as fleetTypes from '../fleet/Types';
+import type * as refusalLog from '../telemetry/RefusalLog';
+import type * as serverTypes from './Types';
+
+/** The state of a daemon that operators can ask about. */
+export interface IExplainState {
+  readonly phase: serverTypes.Phase;
+  readonly peerAddress: string;
+  readonly failureDomain: string;
+  readonly policy: string;
+  readonly table: tableTypes.ITable | undefined;
+  readonly fleet: fleetTypes.IFleetStatus;
+  readonly balancers: ReadonlyMap<string, serviceBalancer.ServiceBalancer>;
+  readonly refusals: refusalLog.RefusalLog;
+  readonly callsInFlight: number;
+  readonly callsAnswered: number;
+  readonly probes: readonly probingTypes.IProbeUse[];
+  /** Why this daemon sends no probes now, or undefined. */
+  readonly probeStop: probingTypes.ProbeStop | undefined;
+  readonly keyClaims: number;
+  connectionsOf(address: string): { readonly open: number; readonly idle: number };
+}
+
+const REASONS: Record<serviceBalancer.AvoidanceReason, string> = {
+  'weight-zero': 'its weight in the table is 0',
+  leaving: 'the VM list, the server itself or a peer says that it is leaving',
+  ejected: 'it failed several times in a row and is left out for a while',
+  'connection-limit': 'this daemon holds its full share of connections to it',
+};
+
+function round(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
+
+/** Answers the questions of operators from the state of one daemon. */
+export class Explain {
+  private readonly startMs: number;
+
+  public constructor(
+    private readonly read: () => IExplainState,
+    private readonly clock: types.IClock,
+  ) {
+    this.startMs = clock.monotonicMs();
+  }
+
+  public get isReady(): boolean {
+    return this.read().phase === 'ready';
+  }
+
+  public ready() {
+    const { phase, table } = this.read();
+    return { ready: phase === 'ready', phase, tableVersion: table?.version ?? 0 };
+  }
+
+  public status() {
+    const sources = this.read();
+    const { members, departed, facts, lastRefusedTable, ...fleet } = sources.fleet;
+    const { rss, heapUsed } = process.memoryUsage();
+    return {
+      ...this.ready(),
+      tableHash: sources.table?.hash ?? '',
+      peerAddress: sources.peerAddress,
+      failureDomain: sources.failureDomain,
+      policy: sources.policy,
+      uptimeMs: Math.round(this.clock.monotonicMs() - this.startMs),
+      callsInFlight: sources.callsInFlight,
+      callsAnswered: sources.callsAnswered,
+      callsRefused: sources.refusals.totals,
+      requestKeyClaims: sources.keyClaims,
+      memory: { residentBytes: rss, heapBytes: heapUsed },
+      fleet: {
+        ...fleet,
+        members: members.map(({ record, state, silentMs }) => ({
+          ...record,
+          state,
+          silentMs: Math.round(silentMs),
+        })),
+        departed,
+        facts: facts.map(({ kind, subject, origin, ageMs, details }) => ({
+          kind,
+          subject,
+          origin,
+          ageMs,
+          details,
+        })),
+      },
+    };
+  }
+
+  /** Why calls go to a server or avoid it. Undefined if the table does not list the address. */
+  public server(address: string) {
+    const { balancers, connectionsOf } = this.read();
+    const services = [...balancers].flatMap(([name, balancer]) => {
+      const found = this.serverOf(balancer, address);
+      return found === undefined ? [] : [{ service: name, ...found }];
+    });
+    if (services.length === 0) return undefined;
+    return { address, connections: connectionsOf(address), services };
+  }
+
+  public refusals() {
+    const { totals, recent } = this.read().refusals;
+    return { totals, recent };
+  }
+
+  /** What the measuring budget and the budgets for extra attempts are spent on. */
+  public budget() {
+    const { table, probes, probeStop, callsAnswered } = this.read();
+    const sent = probes.reduce((sum, use) => sum + use.sent, 0);
+    return {
+      maxDaemons: table?.maxDaemons ?? 0,
+      probesStoppedBecause: probeStop ?? null,
+      probesPerAnsweredCall: callsAnswered === 0 ? 0 : round(sent / callsAnswered),
+      services: probes.map((use) => {
+        const row = table?.services.get(use.service);
+        return {
+          ...use,
+          retryPercent: (row?.retryFraction ?? 0) * 100,
+          hedgePercent: (row?.hedgeFraction ?? 0) * 100,
+        };
+      }),
+    };
+  }
+
+  /** The table in force, the version at each daemon that this one knows, and the last refusal. */
+  public table() {
+    const { table, fleet, peerAddress } = this.read();
+    const versions = fleet.members.map(({ record, state }) => ({
+      address: record.address,
+      tableVersion: record.tableVersion,
+      state,
+    }));
+    const own = { address: peerAddress, tableVersion: table?.version ?? 0, state: 'live' };
+    return {
+      version: table?.version ?? 0,
+      hash: table?.hash ?? '',
+      maxDaemons: table?.maxDaemons ?? 0,
+      versions: [own, ...versions],
+      conflicts: fleet.tableConflicts,
+      rejected: fleet.rejectedTables,
+      lastRefused: fleet.lastRefusedTable ?? null,
+      services: [...(table?.services.values() ?? [])].map((service) => ({
+        ...service,
+        servers: (table?.servers.get(service.name) ?? []).map((row) => row.address),
+      })),
+    };
+  }
+
+  private serverOf(balancer: serviceBalancer.ServiceBalancer, address: string) {
+    const state = balancer.states.find((known) => known.address === address);
+    if (state === undefined) return undefined;
+    const nowMs = this.clock.monotonicMs();
+    const avoided = balancer.avoidanceOf(address);
+    const { oldestStartMs, latencyMs, report } = state;
+    return {
+      usable: avoided === undefined,
+      avoidedBecause: avoided ?? null,
+      explanation: avoided === undefined ? 'it may receive new work' : REASONS[avoided],
+      weight: state.weight,
+      slots: state.slots,
+      warmth: round(state.warmth),
+      inFlight: state.inFlight,
+      oldestAttemptMs: oldestStartMs === undefined ? null : Math.round(nowMs - oldestStartMs),
+      latencyMs: latencyMs === undefined ? null : round(latencyMs),
+      report: report ?? null,
+      reportAgeMs: report === undefined ? null : Math.round(nowMs - state.reportedAtMs),
+      startedSinceReport: state.startedSinceReport,
+    };
+  }
+}
