Add the fleet benchmark

Cause: docs/CAPACITY.md needs measured slopes for membership, table and probes. Change: npm run bench:fleet measures bytes sent, processor time and memory for 17, 64 and 200 members, the framing of gRPC through a counting relay on loopback, the parser and the choice of a probe.

--- /dev/null
+++ b/bench/fleet/GossipBench.ts
@@ -0,0 +1,171 @@
+import * as net from 'node:net';
+import * as perfHooks from 'node:perf_hooks';
+
+import * as manualClock from '../../src/common/ManualClock';
+import * as gossipAgent from '../../src/common/membership/GossipAgent';
+import * as memberRules from '../../src/common/membership/MemberRules';
+import * as seededRandom from '../../src/common/SeededRandom';
+import * as tableGenerator from '../../src/common/table/TableGenerator';
+import * as virtualFleet from '../../src/common/testing/VirtualFleet';
+import * as messages from '../../src/node/fleet/Messages';
+import * as peer from '../../src/node/peer/generated/peer';
+import * as peerClient from '../../src/node/peer/PeerClient';
+import * as peerServer from '../../src/node/peer/PeerServer';
+
+const WARM_UP_MS = 20_000;
+const MEASURED_SECONDS = 10;
+const EXCHANGES = 1_000;
+const AGENTS = 40;
+
+/** Figures of one fleet size. */
+export interface IGossipFigures {
+  readonly members: number;
+  readonly bytesSentPerSecond: number;
+  readonly messagesPerSecond: number;
+  /** Processor time of one exchange, both daemons together, encoding included. */
+  readonly exchangeMs: number;
+  readonly memberTableBytes: number;
+}
+
+/** Advances the heartbeats of all members, as the exchanges of other daemons would. */
+function refresh(agent: gossipAgent.GossipAgent, members: number, heartbeat: number): void {
+  for (let index = 0; index < members; index += 1) {
+    agent.members.merge({
+      address: virtualFleet.addressOf(index),
+      incarnation: 3_686_400_000_000_000,
+      heartbeat,
+      failureDomain: 'region-0-domain-1',
+      leaving: false,
+      tableVersion: 4_711,
+    });
+  }
+}
+
+function newAgent(index: number, members: number, clock: manualClock.ManualClock) {
+  const agent = new gossipAgent.GossipAgent(
+    {
+      address: virtualFleet.addressOf(index),
+      failureDomain: 'region-0-domain-1',
+      incarnation: memberRules.newIncarnation(clock.wallTime(), 0),
+      sizeOf: messages.sizeOf,
+      tableState: () => ({ version: 4_711, hash: '0123456789abcdef' }),
+    },
+    clock,
+    new seededRandom.SeededRandom(index),
+  );
+  refresh(agent, members, 10_000);
+  return agent;
+}
+
+function exchangeOnce(from: gossipAgent.GossipAgent, to: gossipAgent.GossipAgent): void {
+  const sent = peer.ExchangeRequest.encode(messages.toWire(from.takeMessage())).finish();
+  const message = messages.fromWire(peer.ExchangeRequest.decode(sent));
+  if (message === undefined) throw new Error('message without a sender');
+  const reply = peer.ExchangeReply.encode(messages.toWire(to.receive(message))).finish();
+  const received = messages.fromWire(peer.ExchangeReply.decode(reply));
+  if (received !== undefined) from.merge(received);
+}
+
+function measureExchange(members: number): number {
+  const clock = new manualClock.ManualClock(1_800_000_000_000);
+  const [from, to] = [newAgent(300, members, clock), newAgent(301, members, clock)];
+  let totalMs = 0;
+  for (let count = 0; count < EXCHANGES * 2; count += 1) {
+    clock.advance(500);
+    refresh(from, members, 10_001 + count);
+    refresh(to, members, 10_001 + count);
+    const startMs = perfHooks.performance.now();
+    exchangeOnce(from, to);
+    // The first half lets the engine compile the code.
+    if (count >= EXCHANGES) totalMs += perfHooks.performance.now() - startMs;
+  }
+  return totalMs / EXCHANGES;
+}
+
+/** Heap that `create` holds, per call. Needs the option --expose-gc. */
+function heapOf(create: () => unknown, times: number): number {
+  const kept: unknown[] = [create()];
+  globalThis.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  for (let count = 0; count < times; count += 1) kept.push(create());
+  globalThis.gc?.();
+  const bytes = (process.memoryUsage().heapUsed - before) / times;
+  if (kept.length !== times + 1) throw new Error('a measured value was dropped');
+  return bytes;
+}
+
+/** Heap of one fact in the store and in the queue of messages. */
+export function measureFact(): number {
+  const clock = new manualClock.ManualClock();
+  const facts = 2_000;
+  const bytes = heapOf(() => {
+    const agent = newAgent(300, 0, clock);
+    for (let index = 0; index < facts; index += 1) {
+      agent.facts.merge({
+        ...{
+          kind: 'slow',
+          subject: `10.0.0.1:${index}`,
+          origin: virtualFleet.addressOf(index % 200),
+        },
+        ...{ sequence: index, ageMs: 0, lifetimeMs: 60_000, details: [] },
+      });
+    }
+    return agent;
+  }, 5);
+  return bytes / facts;
+}
+
+export function measureGossip(members: number): IGossipFigures {
+  const fleet = new virtualFleet.VirtualFleet({ size: members, seed: 1, sizeOf: messages.sizeOf });
+  const sizes = { services: 1, servers: 1, maxDaemons: members };
+  fleet.publish(tableGenerator.generateTable(sizes, 1));
+  fleet.clock.advance(WARM_UP_MS);
+  const total = () => fleet.daemons.reduce((sum, { agent }) => sum + agent.budget.totalBytes, 0);
+  const before = total();
+  const messagesBefore = fleet.messages;
+  fleet.clock.advance(MEASURED_SECONDS * 1_000);
+  const daemonSeconds = members * MEASURED_SECONDS;
+  const clock = new manualClock.ManualClock();
+  return {
+    members,
+    bytesSentPerSecond: (total() - before) / daemonSeconds,
+    messagesPerSecond: (fleet.messages - messagesBefore) / daemonSeconds,
+    exchangeMs: measureExchange(members),
+    memberTableBytes: heapOf(() => newAgent(300, members, clock), AGENTS),
+  };
+}
+
+/** Bytes on the network for one exchange beyond the encoded messages, TCP/IP headers excluded. */
+export async function measureFraming(): Promise<number> {
+  const clock = new manualClock.ManualClock(1_800_000_000_000);
+  const message = messages.toWire(newAgent(300, 200, clock).takeMessage());
+  const server = new peerServer.PeerServer({
+    exchange: () => message,
+    fetchTable: () => Promise.reject(new Error('not measured')),
+  });
+  await server.listen('127.0.0.1:21999');
+  let bytes = 0;
+  const relay = net.createServer((socket) => {
+    const upstream = net.connect(21_999, '127.0.0.1');
+    [socket, upstream].forEach((end) => {
+      end.on('error', () => undefined);
+      end.on('data', (chunk) => {
+        bytes += chunk.length;
+      });
+    });
+    socket.pipe(upstream).pipe(socket);
+  });
+  await new Promise<void>((resolve) => {
+    relay.listen(21_998, '127.0.0.1', resolve);
+  });
+  const client = new peerClient.PeerClient();
+  // The first exchange opens the connection.
+  await client.exchange('127.0.0.1:21998', message);
+  const before = bytes;
+  for (let count = 0; count < 100; count += 1) await client.exchange('127.0.0.1:21998', message);
+  const perExchange = (bytes - before) / 100;
+  client.dispose();
+  server.dispose();
+  relay.close();
+  return perExchange - 2 * peer.ExchangeRequest.encode(message).finish().length;
+}
--- a/bench/fleet/main.ts
+++ b/bench/fleet/main.ts
@@ -1,9 +1,23 @@
 import * as tableGenerator from '../../src/common/table/TableGenerator';
+import * as gossipBench from './GossipBench';
+import * as probeBench from './ProbeBench';
 import * as tableBench from './TableBench';
 
+const FLEET_SIZES = [17, 64, 200];
+const TODAY = { services: 3, servers: 36, maxDaemons: 19 };
+
+function print(name: string, figures: unknown): void {
+  process.stdout.write(`${name} ${JSON.stringify(figures)}\n`);
+}
+
 async function main(): Promise<void> {
-  const figures = await tableBench.measureTable(tableGenerator.TARGET_SIZES);
-  process.stdout.write(`${JSON.stringify(figures)}\n`);
+  print('table', await tableBench.measureTable(tableGenerator.TARGET_SIZES));
+  print('table', await tableBench.measureTable(TODAY));
+  print('probes', probeBench.measureProbes(tableGenerator.TARGET_SIZES));
+  print('probes', probeBench.measureProbes(TODAY));
+  print('framing', { bytesPerExchange: await gossipBench.measureFraming() });
+  print('facts', { bytesPerFact: gossipBench.measureFact() });
+  FLEET_SIZES.forEach((members) => print('gossip', gossipBench.measureGossip(members)));
 }
 
 main().catch((error: Error) => {
--- a/src/common/testing/VirtualFleet.ts
+++ b/src/common/testing/VirtualFleet.ts
@@ -47,6 +47,9 @@
   /** Virtual time of each read of the configuration service, failed ones included. */
   public readonly readsAtMs: number[] = [];
 
+  /** Messages and replies sent between daemons, without tables. */
+  public messages = 0;
+
   /** Whether a daemon can read the configuration service. */
   public canRead: (daemon: IVirtualDaemon) => boolean = () => true;
 
@@ -142,8 +145,10 @@
 
   private send(from: IVirtualDaemon, outgoing: gossipAgent.IOutgoing | undefined): void {
     outgoing?.targets.forEach((target) => {
+      this.messages += 1;
       this.deliver(from.address, target, (to) => {
         const reply = to.agent.receive(outgoing.message);
+        this.messages += 1;
         this.compare(to, outgoing.message);
         this.deliver(target, from.address, () => {
           from.agent.merge(reply);
