--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -4,16 +4,26 @@
 /** Weight of the newest latency in the moving average. */
 const LATENCY_SMOOTHING = 0.2;
 
+/** Weight of the newest report in the moving average of the reported load. */
+const REPORT_SMOOTHING = 0.05;
+
+/** Larger loads for each slot are outliers, which must not move the average far. */
+const LARGEST_USUAL_PER_SLOT = 3;
+
 /** What one daemon knows of one backend server. */
 export class ServerState implements policyTypes.IServerState {
   public row: tableTypes.IServerRow;
 
   public latencyMs: number | undefined;
 
+  public latencyAtMs = Number.NEGATIVE_INFINITY;
+
   public report: policyTypes.ILoadReport | undefined;
 
   public reportedAtMs = Number.NEGATIVE_INFINITY;
 
+  public usualReportedLoad: number | undefined;
+
   public startedSinceReport = 0;
 
   public warmth = 1;
@@ -64,16 +74,18 @@
     const startMs = this.startsMs.get(attempt);
     if (startMs === undefined) return;
     this.startsMs.delete(attempt);
-    if (result !== 'answered') return;
-    const latencyMs = nowMs - startMs;
-    const previousMs = this.latencyMs ?? latencyMs;
-    this.latencyMs = previousMs + LATENCY_SMOOTHING * (latencyMs - previousMs);
+    const elapsedMs = nowMs - startMs;
+    if (result === 'answered') this.recordLatency(elapsedMs, nowMs);
+    if (result === 'cancelled' || result === 'timed-out') this.recordWait(elapsedMs, nowMs);
   }
 
   /** Records the load that the server states about itself. */
   public recordReport(report: policyTypes.ILoadReport, nowMs: number): void {
     this.report = report;
     this.reportedAtMs = nowMs;
+    const load = Math.min(report.inFlight + report.queued, LARGEST_USUAL_PER_SLOT * this.slots);
+    const previous = this.usualReportedLoad ?? load;
+    this.usualReportedLoad = previous + REPORT_SMOOTHING * (load - previous);
     this.startedSinceReport = 0;
   }
 
@@ -83,4 +95,20 @@
     this.reportedAtMs = Number.NEGATIVE_INFINITY;
     this.startedSinceReport = 0;
   }
+
+  private recordLatency(latencyMs: number, nowMs: number): void {
+    const previousMs = this.latencyMs ?? latencyMs;
+    this.latencyMs = previousMs + LATENCY_SMOOTHING * (latencyMs - previousMs);
+    this.latencyAtMs = nowMs;
+  }
+
+  /**
+   * Takes the time that an attempt waited in vain. It is a lower bound of the latency, and often
+   * the only trace of a slow server, because the hedge has answered first.
+   */
+  private recordWait(waitedMs: number, nowMs: number): void {
+    if (this.latencyMs !== undefined && waitedMs <= this.latencyMs) return;
+    this.latencyMs = waitedMs;
+    this.latencyAtMs = nowMs;
+  }
 }
