Replace silent connections to peers, and close those of departed ones

Cause: a gRPC channel whose connection stopped responding was used again for every exchange, a channel to a replaced peer could wait up to two minutes before it connected again, and channels to departed addresses were kept for ever. Change: an exchange that gets no reply in time drops the channel; reconnects wait at most 2 s; departed members' channels are closed. Each channel has its own connection, because the shared pool would hand out the silent one again. The test relays the connection and stops relaying it: replies are yes, no, yes.

--- a/src/node/fleet/Fleet.ts
+++ b/src/node/fleet/Fleet.ts
@@ -66,6 +66,9 @@
     );
     this.members = this.agent.members;
     this.facts = this.agent.facts;
+    this.members.onChanged(({ kind, record }) => {
+      if (kind === 'departed') peers.forget(record.address);
+    });
     this.loop = new exchangeLoop.ExchangeLoop(this.agent, this.distribution, peers, logger, clock);
     this.platform = new platformClient.PlatformClient(options.platformUrl);
     this.reader = new platformReader.PlatformReader(
--- a/src/node/fleet/Types.ts
+++ b/src/node/fleet/Types.ts
@@ -19,6 +19,8 @@
 export interface IPeerSender {
   exchange(address: string, request: peer.ExchangeRequest): Reply<peer.ExchangeReply>;
   fetchTable(address: string, request: peer.FetchTableRequest): Reply<peer.FetchTableReply>;
+  /** Closes the connection to a peer that departed. */
+  forget(address: string): void;
 }
 
 /** The fleet as one daemon sees it, for operators. Byte counts are since the start. */
--- a/src/node/peer/PeerClient.ts
+++ b/src/node/peer/PeerClient.ts
@@ -5,6 +5,14 @@
 
 const CALL_TIMEOUT_MS = 1_000;
 
+const CHANNEL_OPTIONS: grpc.ChannelOptions = {
+  // A replaced peer or a healed partition is reached again within this time, not after minutes.
+  'grpc.initial_reconnect_backoff_ms': 500,
+  'grpc.max_reconnect_backoff_ms': 2_000,
+  // With the shared pool a new client would get the connection of the old one.
+  'grpc.use_local_subchannel_pool': 1,
+};
+
 type Reply<T> = types.Result<T, grpc.ServiceError>;
 type Method<TRequest, TReply> = (
   request: TRequest,
@@ -17,12 +25,19 @@
 export class PeerClient implements types.IDisposable {
   private readonly clients = new Map<string, peer.PeerClient>();
 
-  public exchange(
+  /** @param timeoutMs Time for a reply. */
+  public constructor(private readonly timeoutMs = CALL_TIMEOUT_MS) {}
+
+  public async exchange(
     address: string,
     request: peer.ExchangeRequest,
   ): Promise<Reply<peer.ExchangeReply>> {
     const client = this.clientOf(address);
-    return this.call(client.exchange.bind(client), request);
+    const reply = await this.call(client.exchange.bind(client), request);
+    // The connection may be one that stopped responding for good while new ones work.
+    const isSilent = !reply.ok && reply.error.code === grpc.status.DEADLINE_EXCEEDED;
+    if (isSilent && this.clients.get(address) === client) this.forget(address);
+    return reply;
   }
 
   public fetchTable(
@@ -57,6 +72,12 @@
     return this.call(client.handOverKeys.bind(client), request);
   }
 
+  /** Closes the connection to a peer. A later message opens a new one. */
+  public forget(address: string): void {
+    this.clients.get(address)?.close();
+    this.clients.delete(address);
+  }
+
   public dispose(): void {
     this.clients.forEach((client) => client.close());
     this.clients.clear();
@@ -65,7 +86,7 @@
   private clientOf(address: string): peer.PeerClient {
     const known = this.clients.get(address);
     if (known !== undefined) return known;
-    const client = new peer.PeerClient(address, grpc.credentials.createInsecure());
+    const client = new peer.PeerClient(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
     this.clients.set(address, client);
     return client;
   }
@@ -74,7 +95,7 @@
     method: Method<TRequest, TReply>,
     request: TRequest,
   ): Promise<Reply<TReply>> {
-    const options = { deadline: Date.now() + CALL_TIMEOUT_MS };
+    const options = { deadline: Date.now() + this.timeoutMs };
     return new Promise((resolve) => {
       method(request, new grpc.Metadata(), options, (error, reply) => {
         if (error === null) resolve({ ok: true, value: reply });
