Create no spans for calls that are not sampled

Cause: a call outside of the sample still started two non-recording spans and rebuilt its headers.

Change: the sample is decided before a span starts. A call outside of it gets a traceparent without the sampled flag, so that deeper daemons do not decide again; an unsampled traceparent of the caller passes unchanged.

--- a/src/node/telemetry/MakeTelemetry.ts
+++ b/src/node/telemetry/MakeTelemetry.ts
@@ -39,6 +39,7 @@
           peerAddress,
           options.tracesSampleFraction,
           openTelemetryTraces.exportTo(tracesUrl),
+          random,
         );
   return { metrics, traces };
 }
--- a/src/node/telemetry/OpenTelemetryTraces.ts
+++ b/src/node/telemetry/OpenTelemetryTraces.ts
@@ -5,6 +5,7 @@
 import * as sdk from '@opentelemetry/sdk-trace-base';
 
 import type * as callTypes from '../../common/call/Types';
+import type * as types from '../../common/Types';
 import * as headers from '../dispatch/Headers';
 import * as names from './Names';
 import type * as telemetryTypes from './Types';
@@ -18,6 +19,19 @@
   return `${VERSION}-${traceId}-${spanId}-${traceFlags.toString(16).padStart(2, '0')}`;
 }
 
+function isSampled({ traceFlags }: api.SpanContext): boolean {
+  return (traceFlags & api.TraceFlags.SAMPLED) !== 0;
+}
+
+interface ISampledCall {
+  readonly span: api.Span;
+  readonly context: api.Context;
+}
+
+interface IUnsampledCall {
+  readonly unsampled: telemetryTypes.ITracedAttempt;
+}
+
 /** Makes the processor that sends spans to an OTLP collector over HTTP. */
 export function exportTo(url: string): sdk.SpanProcessor {
   return new sdk.BatchSpanProcessor(
@@ -32,18 +46,22 @@
 
   private readonly tracer: api.Tracer;
 
-  private readonly calls = new Map<string, { span: api.Span; context: api.Context }>();
+  private readonly identifiers = new sdk.RandomIdGenerator();
+
+  private readonly calls = new Map<string, ISampledCall | IUnsampledCall>();
 
   /** @param sampleFraction Fraction of the calls to trace whose caller sent no `traceparent`. */
-  public constructor(instance: string, sampleFraction: number, processor: sdk.SpanProcessor) {
+  public constructor(
+    instance: string,
+    private readonly sampleFraction: number,
+    processor: sdk.SpanProcessor,
+    private readonly random: types.IRandom,
+  ) {
     this.provider = new sdk.BasicTracerProvider({
       resource: resources.resourceFromAttributes({
         'service.name': 'lavenderspar',
         'service.instance.id': instance,
       }),
-      sampler: new sdk.ParentBasedSampler({
-        root: new sdk.TraceIdRatioBasedSampler(sampleFraction),
-      }),
       spanProcessors: [processor],
     });
     this.tracer = this.provider.getTracer('lavenderspar');
@@ -52,6 +70,11 @@
   public startCall(call: callTypes.ICall): void {
     const stated = headers.find(call.headers, headers.TRACE_PARENT);
     const parent = stated === undefined ? null : core.parseTraceParent(stated);
+    if (parent !== null && !isSampled(parent)) return;
+    if (parent === null && this.random.next() >= this.sampleFraction) {
+      this.calls.set(call.requestId, this.makeUnsampled());
+      return;
+    }
     const root =
       parent === null
         ? api.ROOT_CONTEXT
@@ -71,6 +94,7 @@
     const call = this.calls.get(requestId);
     if (call === undefined) return;
     this.calls.delete(requestId);
+    if ('unsampled' in call) return;
     call.span.setAttributes({ ...attributes });
     if (attributes.outcome !== 'answered') call.span.setStatus({ code: api.SpanStatusCode.ERROR });
     call.span.end();
@@ -82,6 +106,7 @@
   ): telemetryTypes.ITracedAttempt | undefined {
     const call = this.calls.get(requestId);
     if (call === undefined) return undefined;
+    if ('unsampled' in call) return call.unsampled;
     const span = this.tracer.startSpan(
       names.ATTEMPT,
       { kind: api.SpanKind.CLIENT, attributes: { 'server.address': server } },
@@ -97,6 +122,19 @@
     };
   }
 
+  /**
+   * A call that is not traced costs no span. It still carries a `traceparent`, or each daemon
+   * deeper in the call tree would decide on its own, and trace fragments.
+   */
+  private makeUnsampled(): IUnsampledCall {
+    const traceParent = traceParentOf({
+      traceId: this.identifiers.generateTraceId(),
+      spanId: this.identifiers.generateSpanId(),
+      traceFlags: api.TraceFlags.NONE,
+    });
+    return { unsampled: { traceParent, end: () => undefined } };
+  }
+
   /** Sends the spans that are left. A collector that does not answer delays it by 2 s at most. */
   public async close(): Promise<void> {
     await this.provider.shutdown();
--- a/src/node/telemetry/Telemetry.test.ts
+++ b/src/node/telemetry/Telemetry.test.ts
@@ -29,8 +29,9 @@
   const stream = { write: (line: string) => lines.push(JSON.parse(line) as never) };
   const logger = bunyan.createLogger({ name: 'test', level: 'info', stream: stream as never });
   const exported = new sdk.InMemorySpanExporter();
+  const random = new seededRandom.SeededRandom(1);
   const processor = new sdk.SimpleSpanProcessor(exported);
-  const traces = new openTelemetryTraces.OpenTelemetryTraces('10.0.0.9:1', 0, processor);
+  const traces = new openTelemetryTraces.OpenTelemetryTraces('10.0.0.9:1', 0, processor, random);
   const telemetry = new telemetryModule.Telemetry(logger, clock, undefined, traces);
   const inner = new fakeTransport.FakeTransport();
   const transport = new observedTransport.ObservedTransport(inner, undefined, traces, clock);
@@ -81,6 +82,10 @@
   telemetry.onRefused(refusal('request'), 1);
   expect(exported.getFinishedSpans()).toHaveLength(0);
   expect(inner.attempts[0]?.call.headers[1]).toMatch(/^00-[0-9a-f]{32}-[0-9a-f]{16}-00$/);
+  const unsampled = callWith(['traceparent', PARENT.replace(/01$/, '00')]);
+  telemetry.onStarted(unsampled);
+  transport.send(unsampled, SERVER, LISTENER);
+  expect(inner.attempts[1]?.call.headers).toEqual(unsampled.headers);
 });
 
 test('refusals are logged with their request id, at a bounded rate', () => {
