--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -46,8 +46,13 @@
 
   private readonly drainingEmitter = new emitter.Emitter<string>();
 
+  private readonly addedEmitter = new emitter.Emitter<string>();
+
   private maxDaemons = 1;
 
+  /** Fires with the address of each server that a table adds. */
+  public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
+
   /** Fires with the address of a server that this daemon found draining; to be shared. */
   public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
 
@@ -112,6 +117,18 @@
     this.hedgeBudget.deposit();
   }
 
+  /**
+   * Takes that a hedged call was answered.
+   * @param lostMs Times that the hedges ran in vain.
+   */
+  public recordHedges(won: boolean, lostMs: readonly number[]): void {
+    this.hedgeDelay.recordHedge(won);
+    // Permits count hedges; those that run for long cost more, or long calls would use them up.
+    lostMs.forEach((durationMs) =>
+      this.hedgeBudget.charge(Math.max(0, this.hedgeDelay.inMeans(durationMs) - 1)),
+    );
+  }
+
   /** Takes the permit for a retry. Returns false if the budget is spent. */
   public takeRetry(): boolean {
     return this.retryBudget.take();
@@ -203,6 +220,7 @@
       });
       // At the start of a daemon all servers are new to it, but not cold.
       if (!isFirst) this.ejector.startWarmUp(row.address);
+      this.addedEmitter.fire(row.address);
     });
   }
 
