--- a/typings/lavenderspar.d.ts
+++ b/typings/lavenderspar.d.ts
@@ -169,6 +169,8 @@
   readonly oldestStartMs: number | undefined;
   /** Moving average of the latency of answered attempts, or a longer wait in vain since. */
   readonly latencyMs: number | undefined;
+  /** Lowest latency of late, close to the time on the network; undefined before an answer. */
+  readonly fastestMs: number | undefined;
   /** Monotonic time at which `latencyMs` changed last. */
   readonly latencyAtMs: number;
   readonly report: ILoadReport | undefined;
