Bound the answers that hand-overs in progress hold

Cause: the parts of a hand-over wait in memory until the last one arrives. Several predecessors that stop together could each send up to 32 MB of stored answers, beside the cache of the successor.

Change: answers beyond the size of the cache are left out while parts are collected, and their outcomes are kept. A later claim then gets 'answered' without the answer.

--- a/src/common/keys/KeyAuthority.test.ts
+++ b/src/common/keys/KeyAuthority.test.ts
@@ -261,3 +261,18 @@
   to.close();
   expect(to.transfers().map(({ issuer }) => issuer.incarnation)).toEqual([2]);
 });
+
+// Several predecessors that stop together would otherwise fill the memory with their answers.
+test('answers beyond the cache are left out of a hand-over, and their outcomes kept', () => {
+  const { authority } = setUp();
+  const { authority: to } = setUp({ maxCachedAnswerBytes: 10 }, 2);
+  const keys = [issueOne(authority), issueOne(authority)] as [string, string];
+  keys.forEach((key) => authority.claim(key, 'a', 'f'));
+  keys.forEach((key) => authority.complete(key, 'a', answered));
+  authority.close();
+  parts(authority, 2).forEach((part) => expect(to.takeOver(part)).toBe(true));
+  const [first, second] = keys.map((key) => to.claim(key, 'b', 'f'));
+  expect(first).toEqual({ kind: 'completed', outcome: answered });
+  const outcome = { kind: 'answered', answer: undefined };
+  expect(second).toEqual({ kind: 'completed', outcome });
+});
--- a/src/common/keys/KeyAuthority.ts
+++ b/src/common/keys/KeyAuthority.ts
@@ -2,6 +2,7 @@
 
 import type * as callTypes from '../call/Types';
 import type * as types from '../Types';
+import * as answerSize from './AnswerSize';
 import * as keyLedger from './KeyLedger';
 import * as keyTakeOver from './KeyTakeOver';
 import * as requestKeyCodec from './RequestKeyCodec';
@@ -16,12 +17,6 @@
   maxStoredAnswerBytes: 1_024 * 1_024,
 };
 
-/** Bytes that a stored answer counts for. */
-export function answerSize(answer: callTypes.IAnswer): number {
-  const headerSize = answer.headers.reduce((total, text) => total + text.length, 0);
-  return 1 + headerSize + answer.body.length;
-}
-
 function cacheKeyOf(ledger: keyLedger.KeyLedger, sequence: number): string {
   return `${ledger.name}/${sequence}`;
 }
@@ -57,10 +52,10 @@
   ) {
     this.own = new keyLedger.KeyLedger(issuer, secret, clock.monotonicMs(), limits.lifetimeMs);
     this.ledgers.set(this.own.name, this.own);
-    this.takeOvers = new keyTakeOver.KeyTakeOver(clock);
+    this.takeOvers = new keyTakeOver.KeyTakeOver(clock, limits.maxCachedAnswerBytes);
     this.answers = new lruCache.LRUCache({
       maxSize: limits.maxCachedAnswerBytes,
-      sizeCalculation: answerSize,
+      sizeCalculation: answerSize.answerSize,
     });
   }
 
@@ -226,7 +221,8 @@
   }
 
   private store(cacheKey: string, answer: callTypes.IAnswer | undefined): void {
-    if (answer === undefined || answerSize(answer) > this.limits.maxStoredAnswerBytes) return;
+    if (answer === undefined || answerSize.answerSize(answer) > this.limits.maxStoredAnswerBytes)
+      return;
     this.answers.set(cacheKey, answer);
   }
 
--- a/src/common/keys/KeyTakeOver.ts
+++ b/src/common/keys/KeyTakeOver.ts
@@ -1,4 +1,5 @@
 import type * as types from '../Types';
+import * as answerSize from './AnswerSize';
 import * as requestKeyCodec from './RequestKeyCodec';
 import type * as keyTypes from './Types';
 
@@ -13,6 +14,7 @@
 
 interface PendingTakeOver {
   readonly records: keyTypes.IKeyRecord[];
+  answerBytes: number;
   nextPart: number;
   lastReceivedMs: number;
 }
@@ -21,7 +23,11 @@
 export class KeyTakeOver {
   private readonly pending = new Map<string, PendingTakeOver>();
 
-  public constructor(private readonly clock: types.IClock) {}
+  /** @param maxAnswerBytes Answers beyond this are left out, and their outcomes kept. */
+  public constructor(
+    private readonly clock: types.IClock,
+    private readonly maxAnswerBytes: number,
+  ) {}
 
   /**
    * Adds a part. Parts must arrive in order; one that arrives again is accepted without effect.
@@ -30,11 +36,16 @@
   public receive(part: keyTypes.IKeyTransferPart, freeClaims: number): PartReceipt {
     this.giveUpIdle();
     const name = requestKeyCodec.RequestKeyCodec.encodeIssuer(part.issuer);
-    const found = this.pending.get(name) ?? { records: [], nextPart: 0, lastReceivedMs: 0 };
+    const found = this.pending.get(name) ?? {
+      records: [],
+      answerBytes: 0,
+      nextPart: 0,
+      lastReceivedMs: 0,
+    };
     if (part.part < found.nextPart) return { kind: 'accepted' };
     if (part.part > found.nextPart) return { kind: 'refused' };
     if (this.pendingRecordCount() + part.records.length > freeClaims) return { kind: 'refused' };
-    part.records.forEach((record) => found.records.push(record));
+    part.records.forEach((record) => this.add(found, record));
     found.nextPart += 1;
     found.lastReceivedMs = this.clock.monotonicMs();
     if (!part.last) {
@@ -45,6 +56,20 @@
     return { kind: 'complete', records: found.records };
   }
 
+  private add(pending: PendingTakeOver, record: keyTypes.IKeyRecord): void {
+    const { outcome } = record;
+    const answer = outcome?.kind === 'answered' ? outcome.answer : undefined;
+    const size = answer === undefined ? 0 : answerSize.answerSize(answer);
+    const otherBytes = [...this.pending.values()]
+      .filter((each) => each !== pending)
+      .reduce((total, { answerBytes }) => total + answerBytes, 0);
+    const fits = otherBytes + pending.answerBytes + size <= this.maxAnswerBytes;
+    if (fits) pending.answerBytes += size;
+    const isKept = fits || answer === undefined;
+    const kept = isKept ? outcome : ({ kind: 'answered', answer: undefined } as const);
+    pending.records.push({ ...record, outcome: kept });
+  }
+
   private pendingRecordCount(): number {
     return [...this.pending.values()].reduce((total, { records }) => total + records.length, 0);
   }
--- a/src/node/keys/KeyHandOver.ts
+++ b/src/node/keys/KeyHandOver.ts
@@ -1,4 +1,5 @@
-import * as keyAuthority from '../../common/keys/KeyAuthority';
+import * as answerSize from '../../common/keys/AnswerSize';
+import type * as keyAuthority from '../../common/keys/KeyAuthority';
 import * as requestKeyCodec from '../../common/keys/RequestKeyCodec';
 import type * as keyTypes from '../../common/keys/Types';
 import type * as types from '../../common/Types';
@@ -36,7 +37,7 @@
 function sizeOf(record: keyTypes.IKeyRecord): number {
   const { outcome } = record;
   const answer = outcome?.kind === 'answered' ? outcome.answer : undefined;
-  return RECORD_OVERHEAD_BYTES + (answer === undefined ? 0 : keyAuthority.answerSize(answer));
+  return RECORD_OVERHEAD_BYTES + (answer === undefined ? 0 : answerSize.answerSize(answer));
 }
 
 function groupsOf(records: readonly keyTypes.IKeyRecord[]): keyTypes.IKeyRecord[][] {
--- a/src/node/keys/KeyRefusals.ts
+++ b/src/node/keys/KeyRefusals.ts
@@ -1,3 +1,4 @@
+import * as answerSize from '../../common/keys/AnswerSize';
 import * as keyAuthority from '../../common/keys/KeyAuthority';
 import type * as keyTypes from '../../common/keys/Types';
 import type * as types from './Types';
@@ -57,6 +58,6 @@
 export function withoutLargeAnswer(outcome: keyTypes.KeyOutcome): keyTypes.KeyOutcome {
   if (outcome.kind !== 'answered' || outcome.answer === undefined) return outcome;
   const limit = keyAuthority.DEFAULT_LIMITS.maxStoredAnswerBytes;
-  const isLarge = keyAuthority.answerSize(outcome.answer) > limit;
+  const isLarge = answerSize.answerSize(outcome.answer) > limit;
   return isLarge ? { kind: 'answered', answer: undefined } : outcome;
 }
