--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -17,6 +17,9 @@
  */
 const NESTED_HEDGE_SHARE = 1 / 16;
 
+/** Permits that a retry costs in addition if it was in vain, so that a dead service gets fewer. */
+const FAILED_RETRY_CHARGE = 2;
+
 /** Why a server gets no new work. */
 export type AvoidanceReason = 'weight-zero' | 'leaving' | 'ejected' | 'connection-limit';
 
@@ -135,6 +138,11 @@
     return this.retryBudget.take();
   }
 
+  /** Takes that a call failed in spite of `count` retries. */
+  public recordFailedRetries(count: number): void {
+    this.retryBudget.charge(FAILED_RETRY_CHARGE * count);
+  }
+
   /** Takes the permit for a hedge. Returns false if a budget is spent. */
   public takeHedge(): boolean {
     // Hedges count against both budgets: at depth 14, two separate budgets would multiply.
