--- a/src/cli/commands/bench.ts
+++ b/src/cli/commands/bench.ts
@@ -2,6 +2,8 @@
 
 import * as commander from 'commander';
 
+import * as overhead from '../../bench/overhead/Overhead';
+import * as live from '../../bench/live/Live';
 import * as companies from '../../bench/virtual/Companies';
 import * as comparison from '../../bench/virtual/Comparison';
 import * as report from '../../bench/virtual/Report';
@@ -13,6 +15,11 @@
 /** Two probes per daemon and second, see docs/decisions/measuring-cost.md. */
 const DEFAULT_PROBES_PER_SECOND = 34;
 
+/** Measures what a daemon adds to a call, on real processes. */
+const OVERHEAD = 'overhead';
+// Two calls at once keep every process below saturation, where latency would be queueing only.
+const OVERHEAD_OPTIONS = { calls: 20_000, concurrency: 2, rounds: 10 };
+
 interface BenchFlags {
   readonly seed: number;
   readonly policy: string;
@@ -20,6 +27,7 @@
   readonly seconds: number;
   readonly probes: number;
   readonly virtual?: boolean;
+  readonly live?: boolean;
   readonly allFeatures?: boolean;
   readonly report?: string;
 }
@@ -59,7 +67,27 @@
   await fs.writeFile(path, content);
 }
 
+async function benchLive(scenario: string, flags: BenchFlags): Promise<void> {
+  const policies = [flags.policy, ...policyFactory.POLICY_NAMES].filter(
+    (name) => name !== 'oracle',
+  );
+  const { seed, seconds } = flags;
+  const options = { scenario, policies: [...new Set(policies)], seed, seconds };
+  const result = await live.runLive(options, (policy, { answered, p50Ms, p99Ms, p999Ms }) => {
+    write(`${policy}: ${answered} answered, p50 ${p50Ms}, p99 ${p99Ms}, p99.9 ${p999Ms} ms`);
+  });
+  write(JSON.stringify(result));
+}
+
 async function bench(scenarioName: string, flags: BenchFlags): Promise<void> {
+  if (scenarioName === OVERHEAD) {
+    write(JSON.stringify(await overhead.runOverhead(OVERHEAD_OPTIONS)));
+    return;
+  }
+  if (flags.live === true) {
+    await benchLive(scenarioName, flags);
+    return;
+  }
   const scenario = scenarios.SCENARIOS.get(scenarioName);
   const company = companies.COMPANIES.get(flags.company);
   if (scenario === undefined || company === undefined) throw new Error('unknown scenario');
@@ -90,6 +118,7 @@
 export function register(program: commander.Command): void {
   const scenario = new commander.Argument('<scenario>', 'load and faults to run').choices([
     ...scenarios.SCENARIOS.keys(),
+    OVERHEAD,
   ]);
   const policy = new commander.Option('--policy <name>', 'policy to compare')
     .choices([...policyFactory.POLICY_NAMES, 'oracle'])
@@ -103,7 +132,8 @@
     .addArgument(scenario)
     .option('--seed <n>', 'seed of load, faults and choices', toNumber, 1)
     .addOption(policy)
-    .option('--virtual', 'run on a virtual clock (the only kind at present)')
+    .option('--virtual', 'run on a virtual clock (the default)')
+    .option('--live', 'run over real daemons: steady, straggler, noisy, fastfail or drain')
     .addOption(company)
     .option('--seconds <n>', 'virtual seconds of load', toNumber, DEFAULT_DURATION_SECONDS)
     .option('--probes <n>', 'probes per second of the fleet', toNumber, DEFAULT_PROBES_PER_SECOND)
