--- a/src/common/policy/LoadAwarePolicy.ts
+++ b/src/common/policy/LoadAwarePolicy.ts
@@ -87,13 +87,15 @@
 
   private static loadOf(server: policyTypes.IServerState, nowMs: number): number {
     const usual = server.slots * ASSUMED_BUSY;
-    const { report, usualReportedLoad, startedSinceReport } = server;
-    if (report === undefined || usualReportedLoad === undefined) return usual + startedSinceReport;
+    const { report, usualReportedLoad } = server;
+    // Attempts that were cancelled or failed bring no report, but no longer load the server.
+    const started = Math.min(server.startedSinceReport, server.inFlight);
+    if (report === undefined || usualReportedLoad === undefined) return usual + started;
     const trust = Math.exp((server.reportedAtMs - nowMs) / REPORT_DECAY_MS);
     // Only the difference from what the server usually reports counts, so that a report that is
     // always the same, true or not, neither attracts calls nor keeps them away.
     const excess = report.inFlight + report.queued - usualReportedLoad;
-    return Math.max(0, usual + excess * trust) + startedSinceReport;
+    return Math.max(0, usual + excess * trust) + started;
   }
 
   private latencyOf(server: policyTypes.IServerState, nowMs: number): number {
--- /dev/null
+++ b/src/common/policy/Subset.ts
@@ -0,0 +1,37 @@
+import * as crypto from 'node:crypto';
+
+import type * as tableTypes from '../table/Types';
+
+/** Servers of one service up to which a daemon uses all of them. */
+export const LARGEST_WHOLE_SERVICE = 30;
+
+function rankOf(daemon: string, address: string): string {
+  return crypto.createHash('sha256').update(`${daemon} ${address}`).digest('hex');
+}
+
+/**
+ * Returns the servers that a daemon uses, at most `size` and spread evenly over the failure
+ * domains. The choice depends on the arguments alone, and a change of one server replaces at most
+ * one server of the subset in its failure domain (rendezvous hashing).
+ * @param daemon The daemon's own address.
+ */
+export function subsetOf(
+  rows: readonly tableTypes.IServerRow[],
+  daemon: string,
+  size = LARGEST_WHOLE_SERVICE,
+): readonly tableTypes.IServerRow[] {
+  if (rows.length <= size) return rows;
+  const ranked = rows
+    .map((row) => ({ row, rank: rankOf(daemon, row.address) }))
+    .sort((left, right) => (left.rank < right.rank ? -1 : 1));
+  const taken = new Map<string, number>();
+  return ranked
+    .map(({ row }) => {
+      const position = taken.get(row.failureDomain) ?? 0;
+      taken.set(row.failureDomain, position + 1);
+      return { row, position };
+    })
+    .sort((left, right) => left.position - right.position)
+    .slice(0, size)
+    .map(({ row }) => row);
+}
