Measure the time inside a daemon, use request keys in the demo, and tighten the table test

Cause: the mutant 'older table versions are accepted' survived one run, since the test could end before a daemon had read the older version. Change: the test waits until the older version has been delivered and the platform has been read again. The overhead bench measures the time inside a daemon in a run of its own, with a preloaded module.

--- a/src/bench/overhead/Overhead.ts
+++ b/src/bench/overhead/Overhead.ts
@@ -1,3 +1,7 @@
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
 import * as hdr from 'hdr-histogram-js';
 import * as undici from 'undici';
 
@@ -74,6 +78,27 @@
   };
 }
 
+/** Measures the time inside a daemon, in a run of its own since it slows the daemon down. */
+async function measureInside(
+  options: overheadTypes.IOverheadOptions,
+): Promise<overheadTypes.IPercentiles> {
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'lavenderspar-inside-'));
+  const file = path.join(folder, 'inside.json');
+  const preload = ['--require', path.join(__dirname, 'InsideTimes.js')];
+  const fleet = await overheadFleet.OverheadFleet.start(preload, { INSIDE_TIMES: file });
+  const agent = new undici.Agent({ pipelining: 1 });
+  try {
+    const way = makeWay([`${fleet.daemon.url}/${overheadFleet.SERVICE}/documents`], 0);
+    await measure(way, agent, options.calls, options.concurrency);
+  } finally {
+    await agent.destroy();
+    await fleet.stop();
+  }
+  const text = await fs.readFile(file, 'utf8');
+  await fs.rm(folder, { recursive: true, force: true });
+  return JSON.parse(text) as overheadTypes.IPercentiles;
+}
+
 /**
  * Measures what a proxy adds to a call: direct, through the bare proxy and through a daemon, in
  * turn within one run, so that changes of the machine's load meet all three.
@@ -87,7 +112,7 @@
   const fleet = await overheadFleet.OverheadFleet.start(profile);
   const agent = new undici.Agent({ pipelining: 1 });
   try {
-    const path = `${overheadFleet.SERVICE}/documents`;
+    const daemonUrl = `${fleet.daemon.url}/${overheadFleet.SERVICE}/documents`;
     const { proxy, daemon } = fleet;
     const ways: Record<overheadTypes.Way, IWay> = {
       direct: makeWay(
@@ -95,7 +120,7 @@
         0,
       ),
       proxy: makeWay([`http://127.0.0.1:${proxy.port}/documents`], proxy.child.processId),
-      daemon: makeWay([`${daemon.url}/${path}`], daemon.child.processId),
+      daemon: makeWay([daemonUrl], daemon.child.processId),
     };
     for (const name of WAYS) await measure(ways[name], agent, WARM_UP_CALLS, concurrency);
     WAYS.forEach((name) => {
@@ -116,7 +141,7 @@
         proxy: await figures(ways.proxy, direct),
         daemon: await figures(ways.daemon, direct),
       },
-      insideDaemon: null,
+      insideDaemon: await measureInside(options),
     };
   } finally {
     await agent.destroy();
--- a/src/bench/overhead/OverheadFleet.ts
+++ b/src/bench/overhead/OverheadFleet.ts
@@ -24,8 +24,14 @@
     private readonly folder: string,
   ) {}
 
-  /** @param nodeOptions Options of Node.js for the daemon. */
-  public static async start(nodeOptions: readonly string[]): Promise<OverheadFleet> {
+  /**
+   * @param nodeOptions Options of Node.js for the daemon.
+   * @param environment Variables of the environment of the daemon.
+   */
+  public static async start(
+    nodeOptions: readonly string[],
+    environment: NodeJS.ProcessEnv = {},
+  ): Promise<OverheadFleet> {
     const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'lavenderspar-overhead-'));
     const start = (kind: 'echo' | 'configuration' | 'proxy', options: object) =>
       childProcess.StandInProcess.start(SOURCES, kind, options);
@@ -40,6 +46,7 @@
       {
         name: 'daemon',
         folder,
+        environment,
         callerAddress: `127.0.0.1:${caller}`,
         operatorAddress: `127.0.0.1:${operator}`,
         peerAddress: `127.0.0.1:${peer}`,
--- a/src/bench/overhead/Types.ts
+++ b/src/bench/overhead/Types.ts
@@ -35,5 +35,5 @@
   readonly concurrency: number;
   readonly ways: Readonly<Record<Way, IWayFigures>>;
   /** Time from the arrival of a request at the daemon to its response, without the server's time. */
-  readonly insideDaemon: IPercentiles | null;
+  readonly insideDaemon: IPercentiles;
 }
--- a/src/demo/Workload.ts
+++ b/src/demo/Workload.ts
@@ -1,5 +1,6 @@
 import type * as types from '../common/Types';
 import * as caller from '../standin/Caller';
+import * as requestKeys from '../standin/RequestKeys';
 import * as services from './Services';
 
 function pause(durationMs: number): Promise<void> {
@@ -41,6 +42,15 @@
     this.running = false;
   }
 
+  /** A new request key, from any daemon that issues one now. */
+  private async takeKeys(): Promise<{ requestKey?: string }> {
+    for (const url of this.urls()) {
+      const [requestKey] = await requestKeys.fetchKeys(url, 1);
+      if (requestKey !== undefined) return { requestKey };
+    }
+    return {};
+  }
+
   private async loop(service: services.IDemoService): Promise<void> {
     const { name } = service.cells;
     while (this.running) {
@@ -49,7 +59,8 @@
       this.sequence += 1;
       const identity = `${name}-${this.sequence}`;
       // A caller waits for its answer before it sends its next request.
-      await this.caller.submit(url, { service: name, identity });
+      const keys = service.cells.idempotent === 'no' ? await this.takeKeys() : {};
+      await this.caller.submit(url, { service: name, identity, ...keys });
       await pause(service.pauseMs * 2 * this.random.next());
     }
   }
--- a/src/faults/Mutants.ts
+++ b/src/faults/Mutants.ts
@@ -67,6 +67,20 @@
     replace: 'false as boolean',
     test: 'TableVersions.test.ts',
   },
+  {
+    name: 'a key is granted to every attempt',
+    file: 'common/keys/KeyAuthority.ts',
+    find: "return { kind: record.attempt === attempt ? 'granted' : 'in-progress' };",
+    replace: "return { kind: 'granted' };",
+    test: 'AtMostOnce.test.ts',
+  },
+  {
+    name: 'each daemon spends the whole measuring budget',
+    file: 'common/probing/ProbeBudget.ts',
+    find: 'return Math.floor(budget / this.table.maxDaemons);',
+    replace: 'return budget;',
+    test: 'MeasuringBudget.test.ts',
+  },
 ];
 
 /** Returns the mutant of that name, or undefined if no name is given. */
--- a/src/faults/TableVersions.test.ts
+++ b/src/faults/TableVersions.test.ts
@@ -43,6 +43,15 @@
   const first = fleet.daemon(0);
   await load.eventually('version 3 is active', async () => (await first.tableVersion()) === 3);
   fleet.publishTable(2);
+  const revisionOfSecond = 3;
+  await load.eventually(
+    'the older version has been read',
+    () => platform.delivered.get(`${network.address(0)} table`) === revisionOfSecond,
+  );
+  // A further read of the platform shows that the daemon has finished with the one before.
+  const {calls} = platform;
+  await load.eventually('the platform is read again', () => platform.calls > calls + 2);
+  expect(await first.tableVersion()).toBe(3);
   network.heal();
   fleet.daemon(2).child.signal('SIGCONT');
   await everywhere(fleet, 3);
--- a/src/standin/ConfigurationService.ts
+++ b/src/standin/ConfigurationService.ts
@@ -43,6 +43,9 @@
   /** Calls received by second of the monotonic clock. */
   public readonly callsBySecond = new Map<number, number>();
 
+  /** Highest revision sent, by reader and name, as in `127.0.0.1 table`. */
+  public readonly delivered = new Map<string, number>();
+
   private readonly values = new Map<string, IValue>();
 
   private readonly watches = new Set<IWatch>();
@@ -131,7 +134,7 @@
     const waitMs = Math.min(Number(url.searchParams.get('waitMs') ?? 0), MAX_WAIT_MS);
     const value = this.valueFor(name, reader);
     if (value !== undefined && value.revision > after) {
-      response.writeHead(200, { revision: `${value.revision}` }).end(value.text);
+      this.deliver(name, reader, value, response);
     } else if (waitMs > 0) {
       this.watch(name, after, reader, response, waitMs);
     } else {
@@ -174,6 +177,16 @@
     if (value === undefined || value.revision <= watch.after) return;
     this.watches.delete(watch);
     watch.timer.dispose();
-    watch.response.writeHead(200, { revision: `${value.revision}` }).end(value.text);
+    this.deliver(watch.name, watch.reader, value, watch.response);
+  }
+
+  private deliver(
+    name: string,
+    reader: string,
+    value: IValue,
+    response: http.ServerResponse,
+  ): void {
+    this.delivered.set(`${reader} ${name}`, value.revision);
+    response.writeHead(200, { revision: `${value.revision}` }).end(value.text);
   }
 }
--- a/src/standin/DaemonProcess.ts
+++ b/src/standin/DaemonProcess.ts
@@ -18,6 +18,8 @@
   readonly platformUrl: string;
   /** Set if the process shall act as a VM with its own IP address. See `LoopbackVm`. */
   readonly vm?: { readonly address: string; readonly bindAddress: string };
+  /** Further variables of the environment of the process. */
+  readonly environment?: NodeJS.ProcessEnv;
   /** Further settings of the daemon. */
   readonly settings?: Readonly<Record<string, unknown>>;
 }
@@ -55,10 +57,11 @@
     await fs.writeFile(file, yaml.stringify({ ...settings, ...place.settings }));
     const serve = [...nodeOptions, path.join(sources, 'cli/main.js'), 'serve', file];
     if (place.vm === undefined) {
-      return new DaemonProcess(place, new childProcess.ChildProcess(serve));
+      return new DaemonProcess(place, new childProcess.ChildProcess(serve, place.environment));
     }
     const preload = ['--require', path.join(sources, 'standin/LoopbackVm.js')];
     const environment = {
+      ...place.environment,
       VM_ADDRESS: place.vm.address,
       VM_BIND_ADDRESS: place.vm.bindAddress,
       VM_PEER_PORT: peerAddress.slice(peerAddress.lastIndexOf(':') + 1),
