Remove what nothing uses, and keep unframed answers out of crash suspicion

An answer whose end is not marked counted as the loss of the server, so two of them made daemons refuse a harmless request as a suspected crash. Test: 'does not suspect a request whose answers have no marked end'.

--- a/bench/fleet/GossipBench.ts
+++ b/bench/fleet/GossipBench.ts
@@ -103,7 +103,7 @@
     for (let index = 0; index < facts; index += 1) {
       agent.facts.merge({
         ...{
-          kind: 'slow',
+          kind: 'refusing',
           subject: `10.0.0.1:${index}`,
           origin: virtualFleet.addressOf(index % 200),
         },
--- a/bench/fleet/main.ts
+++ b/bench/fleet/main.ts
@@ -4,6 +4,10 @@
 import * as tableBench from './TableBench';
 
 const FLEET_SIZES = [17, 64, 200];
+
+/** 770 servers in 92 services. */
+const SERVERS_OF_A_SERVICE = 8;
+const MOST_SERVERS_TODAY = 15;
 const TODAY = { services: 3, servers: 36, maxDaemons: 19 };
 
 function print(name: string, figures: unknown): void {
@@ -13,8 +17,8 @@
 async function main(): Promise<void> {
   print('table', await tableBench.measureTable(tableGenerator.TARGET_SIZES));
   print('table', await tableBench.measureTable(TODAY));
-  print('probes', probeBench.measureProbes(tableGenerator.TARGET_SIZES));
-  print('probes', probeBench.measureProbes(TODAY));
+  print('probes', probeBench.measureProbes(SERVERS_OF_A_SERVICE));
+  print('probes', probeBench.measureProbes(MOST_SERVERS_TODAY));
   print('framing', { bytesPerExchange: await gossipBench.measureFraming() });
   print('facts', { bytesPerFact: gossipBench.measureFact() });
   FLEET_SIZES.forEach((members) => print('gossip', gossipBench.measureGossip(members)));
--- a/src/common/call/CallCoordinator.test.ts
+++ b/src/common/call/CallCoordinator.test.ts
@@ -164,3 +164,14 @@
   endAttempt(rig, 0, { kind: 'refused', draining: true });
   expect(rig.balancer.avoidanceOf(attemptAt(rig, 0).server)).toBe('leaving');
 });
+
+test('does not suspect a request whose answers have no marked end', () => {
+  const rig = fixtures.makeRig();
+  rig.start();
+  const outcome: callTypes.AttemptOutcome = { kind: 'lost', reason: 'answer-unframed', detail: '' };
+  endAttempt(rig, 0, outcome);
+  endAttempt(rig, 1, outcome);
+  endAttempt(rig, 2, outcome);
+  expect(rig.suspicion.isSuspect('fingerprint')).toBe(false);
+  expect(rig.outcomes).toMatchObject([{ kind: 'unknown', reason: 'answer-truncated' }]);
+});
--- a/src/common/call/Failures.ts
+++ b/src/common/call/Failures.ts
@@ -30,6 +30,13 @@
   }
 }
 
+function toUnknownKind(
+  reason: Extract<callTypes.AttemptOutcome, { kind: 'lost' }>['reason'],
+): callTypes.UnknownOutcomeKind {
+  if (reason === 'silent') return 'connection-lost';
+  return reason === 'answer-unframed' ? 'answer-truncated' : reason;
+}
+
 /** What went wrong in a call so far, and the outcome that follows if nothing else succeeds. */
 export class Failures {
   private refused = false;
@@ -53,8 +60,7 @@
   }
 
   public recordLost(outcome: Extract<callTypes.AttemptOutcome, { kind: 'lost' }>): void {
-    const reason = outcome.reason === 'silent' ? 'connection-lost' : outcome.reason;
-    this.unknown = { reason, detail: outcome.detail };
+    this.unknown = { reason: toUnknownKind(outcome.reason), detail: outcome.detail };
   }
 
   public recordTimeout(): void {
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -83,7 +83,13 @@
   /** Bytes may have reached the server, and no complete answer came back. */
   | {
       readonly kind: 'lost';
-      readonly reason: 'connection-lost' | 'answer-truncated' | 'answer-too-large' | 'silent';
+      readonly reason:
+        | 'connection-lost'
+        | 'answer-truncated'
+        /** The server marked no end of the answer, so that it cannot be known to be complete. */
+        | 'answer-unframed'
+        | 'answer-too-large'
+        | 'silent';
       readonly detail: string;
     };
 
--- a/src/common/membership/GossipAgent.ts
+++ b/src/common/membership/GossipAgent.ts
@@ -15,14 +15,6 @@
  * time each side has removed the other, and a stale VM list may name neither.
  */
 const DEPARTED_SHARE = 0.1;
-/** `slow` and `silent` are left to the regular exchange: each daemon soon sees them itself. */
-const URGENT_KINDS: ReadonlySet<membershipTypes.FactKind> = new Set([
-  'draining',
-  'refusing',
-  'suspect-request',
-  'keys-moved',
-]);
-
 /** Heartbeats without a record that are no sign of missing records: members that just left. */
 const TOLERATED_UNKNOWN = 2;
 
@@ -92,8 +84,8 @@
     this.facts = new factStore.FactStore(options.address, clock, options.incarnation);
     this.budget = new gossipBudget.GossipBudget(clock);
     this.composer = new messageComposer.MessageComposer(this.members, this.facts);
-    this.facts.onAdded(({ key, fact, isNews }) => {
-      if (isNews && URGENT_KINDS.has(fact.kind)) this.addUrgent(key);
+    this.facts.onAdded(({ key, isNews }) => {
+      if (isNews) this.addUrgent(key);
     });
   }
 
--- a/src/common/membership/Types.ts
+++ b/src/common/membership/Types.ts
@@ -36,8 +36,7 @@
 }
 
 /** Kind of an observation that daemons share because it stays true for a while. */
-export type FactKind =
-  'draining' | 'slow' | 'refusing' | 'silent' | 'suspect-request' | 'keys-moved';
+export type FactKind = 'draining' | 'refusing' | 'suspect-request' | 'keys-moved';
 
 /** A shared observation. The pair of kind and subject identifies what it speaks of. */
 export interface IFact {
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -131,7 +131,7 @@
 
   private refuseFraming(controller: undici.Dispatcher.DispatchController): void {
     const detail = 'the answer has neither a length nor chunks';
-    this.end({ kind: 'lost', reason: 'answer-truncated', detail });
+    this.end({ kind: 'lost', reason: 'answer-unframed', detail });
     controller.abort(new Error(detail));
   }
 
--- a/src/node/fleet/Messages.ts
+++ b/src/node/fleet/Messages.ts
@@ -4,9 +4,7 @@
 
 const TO_WIRE: Record<membershipTypes.FactKind, peer.FactKind> = {
   draining: peer.FactKind.FACT_KIND_DRAINING,
-  slow: peer.FactKind.FACT_KIND_SLOW,
   refusing: peer.FactKind.FACT_KIND_REFUSING,
-  silent: peer.FactKind.FACT_KIND_SILENT,
   'suspect-request': peer.FactKind.FACT_KIND_SUSPECT_REQUEST,
   'keys-moved': peer.FactKind.FACT_KIND_KEYS_MOVED,
 };
