Charge failed retries only where the request ran nowhere

Cause: in one full test run NotRun.test.ts ('a request that crashes servers is refused after two servers') got not-run for the harmless request at its end. The charge for retries in vain left the budget in debt after a crashing request, which may have cost that call its retry. Not reproduced: the test alone passed twice without this change and three times with it, and the full run passed with it. Change: the charge applies to calls that end as not-run, as with a dead service, and not to those that end as unknown.

--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -237,7 +237,7 @@
     this.deadlineTimer?.dispose();
     this.hedgeTimer?.dispose();
     const { admission } = this.context.balancer;
-    if (outcome !== undefined && outcome.kind !== 'answered' && this.retries > 0) {
+    if (outcome?.kind === 'not-run' && this.retries > 0) {
       this.context.balancer.recordFailedRetries(this.retries);
     }
     if (this.admittedAtMs === undefined) admission.withdraw(this.ticket);
