Limit admission by call depth, and use a subset of a large service's servers

Cause: calls nested in one service waited for places that their own outer calls held, until the deadline (found by the deep scenario when all depths shared a service). The subset of servers for large services existed but was not used. Change: the concurrency limit applies to each depth by itself. Daemons use at most 30 servers of a service.

--- a/src/common/call/AdmissionQueue.ts
+++ b/src/common/call/AdmissionQueue.ts
@@ -9,8 +9,8 @@
 
 /** A call that asks for admission. */
 export interface ITicket {
-  /** Calls deeper in a call tree go first: work was already spent on them. */
-  readonly nested: boolean;
+  /** Number of daemons that the call tree passed before this one, from 0. */
+  readonly depth: number;
   /** Monotonic time in milliseconds. */
   readonly deadlineMs: number;
   /** Called once when the call may start. */
@@ -28,13 +28,19 @@
   readonly latestStartMs: number;
 }
 
-/** Holds the calls of one service while its servers are busy. */
-export class AdmissionQueue {
-  private readonly nested: IWaiting[] = [];
-
-  private readonly outer: IWaiting[] = [];
+/** The calls of one depth. */
+interface ILane {
+  running: number;
+  readonly waiting: IWaiting[];
+}
 
-  private running = 0;
+/**
+ * Holds the calls of one service while its servers are busy. The limit applies to each call depth
+ * by itself: if an outer call could take the place that its own inner call waits for, the two
+ * would block each other until the deadline.
+ */
+export class AdmissionQueue {
+  private readonly lanes = new Map<number, ILane>();
 
   private durationMs = 0;
 
@@ -45,57 +51,65 @@
 
   /** Calls that run now. */
   public get inFlight(): number {
-    return this.running;
+    return [...this.lanes.values()].reduce((sum, lane) => sum + lane.running, 0);
   }
 
   /** Calls that wait. */
   public get waiting(): number {
-    return this.nested.length + this.outer.length;
+    return [...this.lanes.values()].reduce((sum, lane) => sum + lane.waiting.length, 0);
   }
 
   /** Admits a call, lets it wait, or refuses it. */
   public enter(ticket: ITicket): Admission {
-    if (this.waiting === 0 && this.running < this.limit.value) {
-      this.running += 1;
+    const lane = this.laneOf(ticket.depth);
+    if (lane.waiting.length === 0 && lane.running < this.limit.value) {
+      lane.running += 1;
       return 'admitted';
     }
     const nowMs = this.clock.monotonicMs();
     const longestWaitMs = (ticket.deadlineMs - nowMs) * MAX_WAIT_SHARE;
-    if (this.expectedWaitMs(ticket.nested) > longestWaitMs) return 'refused';
-    const line = ticket.nested ? this.nested : this.outer;
-    line.push({ ticket, latestStartMs: nowMs + longestWaitMs });
+    if (this.expectedWaitMs(lane) > longestWaitMs) return 'refused';
+    lane.waiting.push({ ticket, latestStartMs: nowMs + longestWaitMs });
     return 'waiting';
   }
 
   /** Takes a call out of the queue that its caller has given up. */
   public withdraw(ticket: ITicket): void {
-    [this.nested, this.outer].forEach((line) => {
-      const index = line.findIndex((entry) => entry.ticket === ticket);
-      if (index >= 0) line.splice(index, 1);
-    });
+    const { waiting } = this.laneOf(ticket.depth);
+    const index = waiting.findIndex((entry) => entry.ticket === ticket);
+    if (index >= 0) waiting.splice(index, 1);
   }
 
   /** Records the end of an admitted call, and admits those that now may start. */
-  public leave(durationMs: number): void {
-    this.running -= 1;
+  public leave(ticket: ITicket, durationMs: number): void {
+    const lane = this.laneOf(ticket.depth);
+    lane.running -= 1;
     this.durationMs += DURATION_SMOOTHING * (durationMs - this.durationMs);
-    this.admitWaiting();
+    this.admitWaiting(lane);
   }
 
-  private admitWaiting(): void {
-    while (this.waiting > 0 && this.running < this.limit.value) {
-      const next = (this.nested.shift() ?? this.outer.shift()) as IWaiting;
+  private admitWaiting(lane: ILane): void {
+    const entry = lane;
+    while (entry.waiting.length > 0 && entry.running < this.limit.value) {
+      const next = entry.waiting.shift() as IWaiting;
       if (next.latestStartMs < this.clock.monotonicMs()) {
         next.ticket.onShed();
       } else {
-        this.running += 1;
+        entry.running += 1;
         next.ticket.onAdmitted();
       }
     }
   }
 
-  private expectedWaitMs(nested: boolean): number {
-    const ahead = nested ? this.nested.length : this.waiting;
-    return ((ahead + 1) * this.durationMs) / Math.max(1, this.limit.value);
+  private expectedWaitMs(lane: ILane): number {
+    return ((lane.waiting.length + 1) * this.durationMs) / Math.max(1, this.limit.value);
+  }
+
+  private laneOf(depth: number): ILane {
+    const known = this.lanes.get(depth);
+    if (known !== undefined) return known;
+    const lane = { running: 0, waiting: [] };
+    this.lanes.set(depth, lane);
+    return lane;
   }
 }
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -56,7 +56,7 @@
     private readonly onEnd: (outcome: callTypes.CallOutcome | undefined) => void,
   ) {
     this.ticket = {
-      nested: call.depth > 0,
+      depth: call.depth,
       deadlineMs: call.deadlineMs,
       onAdmitted: () => this.onAdmitted(),
       onShed: () => this.shed('the call waited too long for a backend server'),
@@ -249,7 +249,7 @@
     if (this.admittedAtMs === undefined) admission.withdraw(this.ticket);
     this.onEnd(outcome);
     if (this.admittedAtMs !== undefined) {
-      admission.leave(this.context.clock.monotonicMs() - this.admittedAtMs);
+      admission.leave(this.ticket, this.context.clock.monotonicMs() - this.admittedAtMs);
     }
   }
 }
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -107,9 +107,15 @@
     return undefined;
   }
 
-  /** Takes over the rows of a new table. Known servers keep their estimates. */
-  public update(table: tableTypes.ITable, service: tableTypes.IServiceRow): void {
-    const rows = table.servers.get(service.name) ?? [];
+  /**
+   * Takes over the rows of a new table. Known servers keep their estimates.
+   * @param rows The servers that this daemon uses; by default all of the service.
+   */
+  public update(
+    table: tableTypes.ITable,
+    service: tableTypes.IServiceRow,
+    rows: readonly tableTypes.IServerRow[] = table.servers.get(service.name) ?? [],
+  ): void {
     const isFirst = this.servers.size === 0;
     this.maxDaemons = table.maxDaemons;
     this.retryBudget.setFraction(service.retryFraction);
--- a/src/node/CallRunner.test.ts
+++ b/src/node/CallRunner.test.ts
@@ -21,6 +21,7 @@
   const table = fixtures.makeTable({ requestKey, idempotent: false });
   const random = new seededRandom.SeededRandom(1);
   const services = new serviceSet.ServiceSet(
+    '10.0.1.1:1',
     () => policyFactory.createPolicy('random', random),
     new probeBudget.ProbeBudget(clock),
     transport,
--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -95,7 +95,13 @@
       ? new observedTransport.ObservedTransport(this.transport, metrics, traces, clock)
       : this.transport;
     this.probes = new probeBudget.ProbeBudget(clock);
-    this.services = new serviceSet.ServiceSet(makePolicy, this.probes, transport, clock);
+    this.services = new serviceSet.ServiceSet(
+      options.peerAddress,
+      makePolicy,
+      this.probes,
+      transport,
+      clock,
+    );
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
     this.facts = new factExchange.FactExchange(
       fleet.facts,
--- a/src/node/FactExchange.test.ts
+++ b/src/node/FactExchange.test.ts
@@ -16,6 +16,7 @@
   const random = new seededRandom.SeededRandom(1);
   const facts = new factStore.FactStore('10.0.1.1:1', clock, 1);
   const services = new serviceSet.ServiceSet(
+    '10.0.1.1:1',
     () => policyFactory.createPolicy('random', random),
     new probeBudget.ProbeBudget(clock),
     new fakeTransport.FakeTransport(),
@@ -95,3 +96,9 @@
   services.update({ ...fixtures.makeTable({}, 4), version: 2 });
   expect(services.balancerOf('status')?.avoidanceOf('10.0.0.4:80')).toBe('leaving');
 });
+
+test('a large service is used through a subset of its servers', () => {
+  const { services } = build();
+  services.update({ ...fixtures.makeTable({}, 60), version: 2 });
+  expect(services.balancerOf('status')?.states).toHaveLength(30);
+});
--- a/src/node/ServiceSet.ts
+++ b/src/node/ServiceSet.ts
@@ -4,6 +4,7 @@
 import type * as ejector from '../common/policy/Ejector';
 import * as prober from '../common/policy/Prober';
 import type * as selectionPolicy from '../common/policy/SelectionPolicy';
+import * as subset from '../common/policy/Subset';
 import type * as probeBudget from '../common/probing/ProbeBudget';
 import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
@@ -32,7 +33,9 @@
   /** Fires with the address of each server that a table adds. */
   public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
 
+  /** @param ownAddress Peer address of this daemon, by which it chooses its subset of servers. */
   public constructor(
+    private readonly ownAddress: string,
     private readonly makePolicy: () => selectionPolicy.SelectionPolicy,
     private readonly budget: probeBudget.ProbeBudget,
     private readonly transport: callTypes.IBackendTransport,
@@ -60,7 +63,8 @@
       .forEach((name) => this.services.delete(name));
     table.services.forEach((row, name) => {
       const service = this.services.get(name) ?? this.create(name);
-      service.balancer.update(table, row);
+      const rows = subset.subsetOf(table.servers.get(name) ?? [], this.ownAddress);
+      service.balancer.update(table, row, rows);
       this.services.set(name, service);
     });
   }
