--- a/src/faults/TableVersions.test.ts
+++ b/src/faults/TableVersions.test.ts
@@ -49,7 +49,7 @@
     () => platform.delivered.get(`${network.address(0)} table`) === revisionOfSecond,
   );
   // A further read of the platform shows that the daemon has finished with the one before.
-  const {calls} = platform;
+  const { calls } = platform;
   await load.eventually('the platform is read again', () => platform.calls > calls + 2);
   expect(await first.tableVersion()).toBe(3);
   network.heal();
