Let a call use only servers of the table that it began with

Cause: a retry or hedge after a change of the table could choose a server that only the newer version names, so that one call mixed two versions. Change: the balancer leaves out servers that the call's own table does not name; servers that the newer table dropped were left out already. Both have a test; the first failed before the change (two attempts in place of one).

--- a/src/common/call/CallCoordinator.test.ts
+++ b/src/common/call/CallCoordinator.test.ts
@@ -1,5 +1,6 @@
 import * as fakeTransport from '../testing/FakeTransport';
 import * as fixtures from '../testing/Fixtures';
+import type * as tableTypes from '../table/Types';
 import type * as callTypes from './Types';
 
 const ANSWER: callTypes.IAnswer = { status: 200, headers: [], body: new Uint8Array() };
@@ -183,3 +184,25 @@
   expect(rig.transport.attempts).toHaveLength(4);
   expect(rig.outcomes).toMatchObject([{ kind: 'not-run', reason: 'no-backend-server' }]);
 });
+
+test('retries no call on a server that only a newer table names', () => {
+  const rig = fixtures.makeRig({}, 1);
+  rig.start();
+  const newer = { ...fixtures.makeTable({}, 2), version: 2 };
+  rig.balancer.update(newer, rig.table.services.get('status') as tableTypes.IServiceRow);
+  endAttempt(rig, 0, LOST);
+  expect(rig.transport.attempts).toHaveLength(1);
+  expect(rig.outcomes).toMatchObject([{ kind: 'unknown' }]);
+});
+
+test('retries no call on a server that the newer table no longer names', () => {
+  const rig = fixtures.makeRig({}, 2);
+  rig.start();
+  const servers = rig.table.servers.get('status') ?? [];
+  const tried = attemptAt(rig, 0).server;
+  const rows = servers.filter(({ address }) => address === tried);
+  const newer = { ...rig.table, version: 2, servers: new Map([['status', rows]]) };
+  rig.balancer.update(newer, rig.table.services.get('status') as tableTypes.IServiceRow);
+  endAttempt(rig, 0, LOST);
+  expect(rig.transport.attempts).toHaveLength(1);
+});
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -103,7 +103,7 @@
       this.expire();
       return;
     }
-    const server = this.context.balancer.choose(this.tried);
+    const server = this.context.balancer.choose(this.tried, this.call.table);
     if (server === undefined) {
       if (this.active.size === 0) this.finish(this.failures.toOutcome());
       return;
@@ -144,7 +144,7 @@
 
   private hedge(): void {
     if (this.ended || this.hasLostServers()) return;
-    const server = this.context.balancer.choose(this.tried);
+    const server = this.context.balancer.choose(this.tried, this.call.table);
     if (server !== undefined && this.context.balancer.takeHedge()) {
       this.hedges += 1;
       this.send(server);
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -57,6 +57,10 @@
 
   private readonly addedEmitter = new emitter.Emitter<string>();
 
+  private table: tableTypes.ITable | undefined;
+
+  private service = '';
+
   private maxDaemons = 1;
 
   /** Fires with the address of each server that a table adds. */
@@ -86,11 +90,20 @@
     return [...this.servers.values()].map(({ state }) => state);
   }
 
-  /** Returns the server for the next attempt, or undefined if none may be used. */
-  public choose(excluded: ReadonlySet<string>): serverState.ServerState | undefined {
+  /**
+   * Returns the server for the next attempt, or undefined if none may be used.
+   * @param table The table that the call began with. Servers that only a newer one names are left
+   * out, so that a call uses one version throughout.
+   */
+  public choose(
+    excluded: ReadonlySet<string>,
+    table: tableTypes.ITable | undefined = this.table,
+  ): serverState.ServerState | undefined {
+    const named = table === this.table ? undefined : this.addressesIn(table);
     const candidates: serverState.ServerState[] = [];
     this.servers.forEach(({ state }, address) => {
-      if (!excluded.has(address) && this.avoidanceOf(address) === undefined) candidates.push(state);
+      if (excluded.has(address) || named?.has(address) === false) return;
+      if (this.avoidanceOf(address) === undefined) candidates.push(state);
     });
     if (candidates.length === 0) return undefined;
     const chosen = this.policy.choose(candidates, this.clock.monotonicMs());
@@ -117,6 +130,8 @@
     rows: readonly tableTypes.IServerRow[] = table.servers.get(service.name) ?? [],
   ): void {
     const isFirst = this.servers.size === 0;
+    this.table = table;
+    this.service = service.name;
     this.maxDaemons = table.maxDaemons;
     this.retryBudget.setFraction(service.retryFraction);
     this.hedgeBudget.setFraction(service.hedgeFraction);
@@ -244,6 +259,10 @@
     });
   }
 
+  private addressesIn(table: tableTypes.ITable | undefined): ReadonlySet<string> {
+    return new Set(table?.servers.get(this.service)?.map(({ address }) => address));
+  }
+
   private connectionShare(server: serverState.ServerState): number {
     return Math.max(1, Math.floor(server.row.maxConnections / this.maxDaemons));
   }
