--- a/src/faults/CompleteAnswers.test.ts
+++ b/src/faults/CompleteAnswers.test.ts
@@ -29,12 +29,13 @@
   expect(submissions.filter((one) => one.status === 200).length).toBeGreaterThan(300);
 }, 30_000);
 
-// Guards against answers that are forwarded after the caller's deadline.
-test('no answer arrives after its deadline', async () => {
+// Guards against calls that wait for an answer beyond their deadline. What becomes of an answer that
+// arrives late is tested in CallCoordinator.test.ts, on a manual clock.
+test('a call ends at its deadline without an answer', async () => {
   const fleet = await tests.start({
     daemons: 1,
     seed: 2,
-    services: [harness.orders(2, { serviceMs: 60 })],
+    services: [harness.orders(2, { serviceMs: 600_000 })],
   });
   const timeoutMs = 50;
   const requests = Array.from({ length: 40 }, (_, index) => index);
@@ -50,9 +51,5 @@
   const counts = fleet.audit(() => true);
   expect(counts).toMatchObject({ wrongAnswers: 0, falseNotRun: 0, doubledRuns: 0 });
   expect(counts.outcomeUnknown).toBeGreaterThan(0);
-  const late = fleet.caller.submissions.filter(
-    // The allowance covers the way back through two event loops on a busy machine.
-    (one) => one.outcome === 'answered' && one.latencyMs > timeoutMs + 200,
-  );
-  expect(late).toEqual([]);
+  expect(counts.answered).toBe(0);
 }, 30_000);
