--- a/src/bench/virtual/Scenarios.ts
+++ b/src/bench/virtual/Scenarios.ts
@@ -12,6 +12,8 @@
 const DRAIN_EVERY_MS = 5_000;
 const DAWN_AT_MS = 10_000;
 const DAWN_RISE_MS = 1_000;
+/** Two seconds before the measured part of a run begins. */
+const OVERLOAD_UNTIL_MS = 1_000;
 
 function every(world: benchTypes.IWorld, intervalMs: number, action: () => void): void {
   world.clock.setTimer(intervalMs, () => {
@@ -170,6 +172,10 @@
     },
   },
   { name: 'deep', busy: 0.5, depth: 14 },
+  // Twice the capacity: answered / calls, times two, is the goodput as a share of the capacity.
+  { name: 'overload', busy: 2 },
+  // Twice the capacity until two seconds before the measured part, which has to be normal again.
+  { name: 'recovery', busy: 0.5, loadAt: (nowMs) => (nowMs < OVERLOAD_UNTIL_MS ? 4 : 1) },
 ];
 
 /** The scenarios by name. */
