--- a/src/common/call/HedgeDelay.ts
+++ b/src/common/call/HedgeDelay.ts
@@ -36,7 +36,7 @@
     this.isKnown = true;
   }
 
-  /** Takes whether a hedge answered before the attempt that it was to help. */
+  /** Records whether a hedge answered before the attempt that it was to help. */
   public recordHedge(won: boolean): void {
     const multiple = this.multiple * (won ? AFTER_WIN : AFTER_LOSS);
     this.multiple = Math.min(HIGHEST_MULTIPLE, Math.max(LOWEST_MULTIPLE, multiple));
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -148,7 +148,7 @@
   }
 
   /**
-   * Takes that a hedged call was answered.
+   * Records that a hedged call was answered.
    * @param lostMs Times that the hedges ran in vain.
    */
   public recordHedges(won: boolean, lostMs: readonly number[]): void {
@@ -164,7 +164,7 @@
     return this.retryBudget.take();
   }
 
-  /** Takes that a call failed in spite of `count` retries. */
+  /** Records that a call failed in spite of `count` retries. */
   public recordFailedRetries(count: number): void {
     this.retryBudget.charge(FAILED_RETRY_CHARGE * count);
   }
