--- a/src/standin/TableText.ts
+++ b/src/standin/TableText.ts
@@ -1,3 +1,5 @@
+import * as columns from '../common/table/Columns';
+
 /** Cells of a service row by column. */
 export interface IServiceCells {
   readonly name: string;
@@ -20,26 +22,6 @@
   readonly weight?: number;
 }
 
-const COLUMNS = [
-  'kind',
-  'name',
-  'service',
-  'version',
-  'max_daemons',
-  'class',
-  'idempotent',
-  'request_key',
-  'deadline_ms',
-  'probes_per_second',
-  'hedge_percent',
-  'retry_percent',
-  'address',
-  'failure_domain',
-  'weight',
-  'slots',
-  'max_connections',
-];
-
 /** Writes a table as its operators would publish it. */
 export function tableText(
   version: number,
@@ -52,8 +34,10 @@
     ...services.map((cells) => ({ kind: 'service', ...cells })),
     ...servers.map((cells) => ({ kind: 'server', ...cells })),
   ];
-  const lines = rows.map((row) => COLUMNS.map((column) => `${row[column] ?? ''}`).join(','));
-  return [COLUMNS.join(','), ...lines].join('\n');
+  const lines = rows.map((row) =>
+    columns.COLUMN_NAMES.map((column) => `${row[column] ?? ''}`).join(','),
+  );
+  return [columns.COLUMN_NAMES.join(','), ...lines].join('\n');
 }
 
 /** Writes a VM list. */
