--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,6 +6,7 @@
   {
     ignores: [
       'dist/**',
+      'target/**',
       'node_modules/**',
       'src/node/peer/generated/**',
       'reports/**',
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -4,6 +4,7 @@
 import type * as commander from 'commander';
 
 import * as daemon from '../../node/Daemon';
+import * as startError from '../../node/StartError';
 import * as settings from '../../node/settings/Settings';
 import * as systemClock from '../../node/SystemClock';
 import * as systemRandom from '../../node/SystemRandom';
@@ -58,7 +59,7 @@
   try {
     await instance.start();
   } catch (error) {
-    if (!(error instanceof daemon.StartError)) throw error;
+    if (!(error instanceof startError.StartError)) throw error;
     logger.fatal({ err: error }, 'daemon cannot start');
     fail(error.message, exitCodes.CANNOT_START);
   }
--- a/src/common/call/Failures.ts
+++ b/src/common/call/Failures.ts
@@ -15,7 +15,8 @@
  * daemon happened deeper in the call tree and was retried there, if at all.
  */
 export function isLocalFailure(answer: callTypes.IAnswer): boolean {
-  return RETRYABLE_STATUSES.has(answer.status) && !hasHeader(answer, REQUEST_OUTCOME);
+  const { isFailure = RETRYABLE_STATUSES.has(answer.status) } = answer;
+  return isFailure && !hasHeader(answer, REQUEST_OUTCOME);
 }
 
 /** How the end of an attempt counts for the standing of its server. */
@@ -34,7 +35,8 @@
   reason: Extract<callTypes.AttemptOutcome, { kind: 'lost' }>['reason'],
 ): callTypes.UnknownOutcomeKind {
   if (reason === 'silent') return 'connection-lost';
-  return reason === 'answer-unframed' ? 'answer-truncated' : reason;
+  if (reason === 'answer-unframed' || reason === 'answer-invalid') return 'answer-truncated';
+  return reason;
 }
 
 /** What went wrong in a call so far, and the outcome that follows if nothing else succeeds. */
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -47,6 +47,8 @@
 
   private hedgeTimer: types.IDisposable | undefined;
 
+  private selection: types.IDisposable | undefined;
+
   private admittedAtMs: number | undefined;
 
   private retries = 0;
@@ -55,6 +57,9 @@
 
   private reroutes = 0;
 
+  /** Attempts of which bytes may have reached a server. */
+  private sent = 0;
+
   private ended = false;
 
   /** @param onEnd Called exactly once; with undefined if the call was cancelled. */
@@ -103,12 +108,11 @@
       this.expire();
       return;
     }
-    const server = this.context.balancer.choose(this.tried, this.call.table);
-    if (server === undefined) {
-      if (this.active.size === 0) this.finish(this.failures.toOutcome());
-      return;
-    }
-    this.send(server);
+    this.selection = this.context.balancer.select(this.tried, this.call.table, (server) => {
+      if (this.ended) return;
+      if (server !== undefined) this.send(server);
+      else if (this.active.size === 0) this.finish(this.failures.toOutcome());
+    });
   }
 
   private send(server: serverState.ServerState): void {
@@ -124,6 +128,7 @@
     attempt.handle = transport.send(call, server.row, {
       onSent: () => {
         attempt.sent = true;
+        this.sent += 1;
       },
       onLoadReport: (report) => balancer.recordReport(server.address, report),
       onEnd: (outcome) => this.endAttempt(attempt, outcome),
@@ -230,6 +235,7 @@
     const spent = this.call.retriesSpent + this.retries;
     const isAllowed =
       spent < MAX_RETRIES_SPENT &&
+      this.sent < (this.call.maxAttempts ?? Number.POSITIVE_INFINITY) &&
       !this.context.suspicion.isSuspect(this.call.fingerprint) &&
       this.context.balancer.takeRetry();
     if (!isAllowed) {
@@ -261,6 +267,7 @@
     this.ended = true;
     this.deadlineTimer?.dispose();
     this.hedgeTimer?.dispose();
+    this.selection?.dispose();
     const { admission } = this.context.balancer;
     if (outcome?.kind === 'not-run' && this.retries > 0) {
       this.context.balancer.recordFailedRetries(this.retries);
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,5 +1,6 @@
 import * as emitter from '../Emitter';
 import * as ejector from '../policy/Ejector';
+import * as freshSelection from '../policy/FreshSelection';
 import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
 import * as serverState from '../policy/ServerState';
@@ -10,6 +11,7 @@
 import * as concurrencyLimit from './ConcurrencyLimit';
 import * as hedgeDelay from './HedgeDelay';
 import * as serverAvailability from './ServerAvailability';
+import type * as callTypes from './Types';
 
 /**
  * Hedges earned by a nested call, relative to an outermost one. A hedge repeats all calls below it,
@@ -23,6 +25,20 @@
 /** Why a server gets no new work. */
 export type AvoidanceReason = 'weight-zero' | 'leaving' | 'ejected' | 'connection-limit';
 
+/** Asks servers right before each dispatch, in place of the selection policy. */
+export interface IFreshness {
+  readonly checker: callTypes.IServerChecker;
+  readonly random: types.IRandom;
+  /** Failure domain of this daemon. */
+  readonly failureDomain: string;
+}
+
+function isSameProcess(known: tableTypes.IServerRow, row: tableTypes.IServerRow): boolean {
+  return known.instance === row.instance && known.startedAtMs === row.startedAtMs;
+}
+
+const NO_SELECTION: types.IDisposable = { dispose: () => undefined };
+
 /** An attempt that the balancer counts as in flight. */
 export interface IStartedAttempt {
   readonly server: serverState.ServerState;
@@ -63,6 +79,10 @@
 
   private maxDaemons = 1;
 
+  private healthPath: string | undefined;
+
+  private readonly replies = new freshSelection.FreshReplies();
+
   /** Fires with the address of each server that a table adds. */
   public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
 
@@ -72,11 +92,15 @@
   /** Fires when this daemon ejects a server on failures that it saw itself; to be shared. */
   public readonly onEjected: types.Event<ejector.IEjection>;
 
-  /** @param ejects Whether servers that fail are ejected. The bench runs its baselines without. */
+  /**
+   * @param ejects Whether servers that fail are ejected. The bench runs its baselines without.
+   * @param freshness Used for services whose servers answer a health path.
+   */
   public constructor(
     private readonly policy: selectionPolicy.SelectionPolicy,
     private readonly clock: types.IClock,
     private readonly ejects = true,
+    private readonly freshness?: IFreshness,
   ) {
     this.ejector = new ejector.Ejector(clock);
     this.onEjected = this.ejector.onEjected;
@@ -99,17 +123,42 @@
     excluded: ReadonlySet<string>,
     table: tableTypes.ITable | undefined = this.table,
   ): serverState.ServerState | undefined {
-    const named = table === this.table ? undefined : this.addressesIn(table);
-    const candidates: serverState.ServerState[] = [];
-    this.servers.forEach(({ state }, address) => {
-      if (excluded.has(address) || named?.has(address) === false) return;
-      if (this.avoidanceOf(address) === undefined) candidates.push(state);
-    });
+    const candidates = this.candidates(excluded, table);
     if (candidates.length === 0) return undefined;
     const chosen = this.policy.choose(candidates, this.clock.monotonicMs());
     return this.servers.get(chosen.address)?.state;
   }
 
+  /**
+   * Chooses the server for the next attempt as `choose` does, but asks a few servers first where
+   * they can be asked.
+   * @param onSelected Called once, at once or later, unless the selection is disposed before.
+   */
+  public select(
+    excluded: ReadonlySet<string>,
+    table: tableTypes.ITable | undefined,
+    onSelected: (server: serverState.ServerState | undefined) => void,
+  ): types.IDisposable {
+    const { freshness, healthPath } = this;
+    if (freshness === undefined || healthPath === undefined) {
+      onSelected(this.choose(excluded, table));
+      return NO_SELECTION;
+    }
+    const selection = new freshSelection.FreshSelection(
+      this.candidates(excluded, table),
+      this.replies,
+      {
+        ...freshness,
+        clock: this.clock,
+        healthPath,
+        onReply: (server, reply) => this.recordCheck(server, reply),
+      },
+      onSelected,
+    );
+    selection.begin();
+    return selection;
+  }
+
   /** Why a server gets no new work, or undefined if it may be used. */
   public avoidanceOf(address: string): AvoidanceReason | undefined {
     const server = this.servers.get(address);
@@ -132,6 +181,7 @@
     const isFirst = this.servers.size === 0;
     this.table = table;
     this.service = service.name;
+    this.healthPath = service.healthPath;
     this.maxDaemons = table.maxDaemons;
     this.retryBudget.setFraction(service.retryFraction);
     this.hedgeBudget.setFraction(service.hedgeFraction);
@@ -197,6 +247,11 @@
     state.warmth = this.ejector.warmthOf(state.address);
   }
 
+  /** Sets how much of the fleet's allowance of retries this daemon may spend. */
+  public setRetryReserve(maxSaved: number, perSecond: number): void {
+    this.retryBudget.setReserve(maxSaved, perSecond);
+  }
+
   /** Takes a load report that came with an answer or as the reply to a probe. */
   public recordReport(address: string, report: policyTypes.ILoadReport): void {
     const server = this.servers.get(address);
@@ -245,7 +300,7 @@
     this.ejector.setServers([...listed]);
     rows.forEach((row) => {
       const known = this.servers.get(row.address);
-      if (known !== undefined) {
+      if (known !== undefined && isSameProcess(known.state.row, row)) {
         known.state.row = row;
         return;
       }
@@ -259,6 +314,25 @@
     });
   }
 
+  private candidates(
+    excluded: ReadonlySet<string>,
+    table: tableTypes.ITable | undefined,
+  ): serverState.ServerState[] {
+    const named = table === this.table ? undefined : this.addressesIn(table);
+    const candidates: serverState.ServerState[] = [];
+    this.servers.forEach(({ state }, address) => {
+      if (excluded.has(address) || named?.has(address) === false) return;
+      if (this.avoidanceOf(address) === undefined) candidates.push(state);
+    });
+    return candidates;
+  }
+
+  private recordCheck(server: serverState.ServerState, reply: policyTypes.CheckReply): void {
+    const report = 'report' in reply ? reply.report : undefined;
+    if (report !== undefined) server.recordReport(report, this.clock.monotonicMs());
+    else if (reply.kind === 'ready') server.dropReport();
+  }
+
   private addressesIn(table: tableTypes.ITable | undefined): ReadonlySet<string> {
     return new Set(table?.servers.get(this.service)?.map(({ address }) => address));
   }
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -39,6 +39,8 @@
   /** Names in lower case and values, in turn, as received. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** Whether the server failed by its own account. By default the status tells. */
+  readonly isFailure?: boolean | undefined;
 }
 
 /** What a call ends with. Exactly one outcome reaches the caller. */
@@ -72,13 +74,22 @@
   readonly retriesSpent: number;
   /** Hash of method, path and body; identifies a request that is sent again. May be computed late. */
   readonly fingerprint: string;
+  /** Servers that the call may be sent to in all, where the operators limit them. */
+  readonly maxAttempts?: number | undefined;
+  /** Version of the operators' configuration that routed the call. */
+  readonly configurationVersion?: number | undefined;
 }
 
 /** How one attempt at a backend server ended. */
 export type AttemptOutcome =
   | { readonly kind: 'answered'; readonly answer: IAnswer }
   /** No byte reached the server, or the server stated that it did not run the request. */
-  | { readonly kind: 'not-sent'; readonly detail: string }
+  | {
+      readonly kind: 'not-sent';
+      /** By default the server was not reached. */
+      readonly reason?: 'connection-limit' | undefined;
+      readonly detail: string;
+    }
   | { readonly kind: 'refused'; readonly draining: boolean }
   /** Bytes may have reached the server, and no complete answer came back. */
   | {
@@ -89,6 +100,8 @@
         /** The server marked no end of the answer, so that it cannot be known to be complete. */
         | 'answer-unframed'
         | 'answer-too-large'
+        /** The bytes belong to no answer of this request. */
+        | 'answer-invalid'
         | 'silent';
       readonly detail: string;
     };
@@ -120,3 +133,14 @@
     onReply: (report: policyTypes.ILoadReport | undefined) => void,
   ): void;
 }
+
+/** Asks servers for their health and load right before a dispatch. */
+export interface IServerChecker {
+  /** @param onReply Called once, at the latest after `timeoutMs` milliseconds. */
+  check(
+    server: tableTypes.IServerRow,
+    healthPath: string,
+    timeoutMs: number,
+    onReply: (reply: policyTypes.CheckReply) => void,
+  ): void;
+}
--- /dev/null
+++ b/src/common/directory/Directory.ts
@@ -0,0 +1,190 @@
+import * as emitter from '../Emitter';
+import type * as routingTypes from '../routing/Types';
+import type * as types from '../Types';
+import type * as directoryTypes from './Types';
+
+/**
+ * Time after the return of the directory service in which a server that is missing may still come
+ * back, in milliseconds. Entries that lapsed during an outage return within about two seconds.
+ */
+export const LAPSE_GRACE_MS = 2_200;
+
+interface IEntry {
+  readonly server: directoryTypes.IRegistration;
+  readonly revision: number;
+  /** Whether the entry was removed, and is kept until the grace time ends. */
+  readonly lapsed: boolean;
+}
+
+/**
+ * The newest published state: the configuration, which never goes back to an older version, and
+ * the backend servers. Reads may overlap and arrive out of order; the revision of each item decides.
+ */
+export class Directory implements types.IDisposable {
+  private readonly changedEmitter = new emitter.Emitter<void>();
+
+  private readonly problemEmitter = new emitter.Emitter<directoryTypes.IDirectoryProblem>();
+
+  private readonly entries = new Map<string, IEntry>();
+
+  /** Revisions at which servers were removed, so that an older read does not bring them back. */
+  private readonly removals = new Map<string, number>();
+
+  private inForce: routingTypes.IConfiguration | undefined;
+
+  private configurationRevision = 0;
+
+  private knownRevision = 0;
+
+  private graceUntilMs = Number.NEGATIVE_INFINITY;
+
+  private graceTimer: types.IDisposable | undefined;
+
+  /** Fires when the configuration or a server has changed. */
+  public readonly onChanged: types.Event<void> = this.changedEmitter.event;
+
+  /** Fires for each item that could not be used. */
+  public readonly onProblem: types.Event<directoryTypes.IDirectoryProblem> =
+    this.problemEmitter.event;
+
+  public constructor(private readonly clock: types.IClock) {}
+
+  /** The configuration in force, or undefined before the first one. */
+  public get configuration(): routingTypes.IConfiguration | undefined {
+    return this.inForce;
+  }
+
+  /** The highest revision that was applied in full. */
+  public get revision(): number {
+    return this.knownRevision;
+  }
+
+  /**
+   * The servers that may be used. Of two servers at one address the one that started last holds
+   * it, because addresses are given to other servers after a while.
+   */
+  public get servers(): readonly directoryTypes.IRegistration[] {
+    const byAddress = new Map<string, IEntry>();
+    this.entries.forEach((entry) => {
+      const other = byAddress.get(entry.server.address);
+      if (other === undefined || Directory.isLater(entry, other)) {
+        byAddress.set(entry.server.address, entry);
+      }
+    });
+    return [...byAddress.values()].map(({ server }) => server);
+  }
+
+  /** Applies changes in the order of their revisions. */
+  public apply(records: readonly directoryTypes.DirectoryRecord[], revision: number): void {
+    const changed = records.map((record) => this.take(record)).some(Boolean);
+    this.knownRevision = Math.max(this.knownRevision, revision);
+    if (changed) this.changedEmitter.fire();
+  }
+
+  /** Takes over a listing. Servers that it does not name were removed. */
+  public replace(listing: directoryTypes.IDirectoryListing): void {
+    const { records, revision } = listing;
+    const listed = new Set(records.map((record) => Directory.idOf(record)));
+    const removed = [...this.entries]
+      .filter(([id, entry]) => !listed.has(id) && entry.revision <= revision && !entry.lapsed)
+      .map(([id]) => this.remove(id, revision));
+    const changed = records.map((record) => this.take(record)).some(Boolean);
+    this.knownRevision = Math.max(this.knownRevision, revision);
+    if (changed || removed.some(Boolean)) this.changedEmitter.fire();
+  }
+
+  /** Tells that the directory service responds again after an outage. */
+  public onReturned(): void {
+    this.graceUntilMs = this.clock.monotonicMs() + LAPSE_GRACE_MS;
+    this.graceTimer?.dispose();
+    this.graceTimer = this.clock.setTimer(LAPSE_GRACE_MS, () => this.dropLapsed());
+  }
+
+  public dispose(): void {
+    this.graceTimer?.dispose();
+  }
+
+  private static isLater(entry: IEntry, other: IEntry): boolean {
+    const byStart = entry.server.startedAtMs - other.server.startedAtMs;
+    return byStart > 0 || (byStart === 0 && entry.revision > other.revision);
+  }
+
+  private static idOf(record: directoryTypes.DirectoryRecord): string | undefined {
+    if (record.kind === 'server') return record.server.id;
+    return record.kind === 'configuration' ? undefined : record.id;
+  }
+
+  private take(record: directoryTypes.DirectoryRecord): boolean {
+    switch (record.kind) {
+      case 'configuration':
+        return this.takeConfiguration(record.configuration, record.revision);
+      case 'server':
+        return this.takeServer(record.server, record.revision);
+      case 'server-removed':
+        return this.remove(record.id, record.revision);
+      default:
+        this.problemEmitter.fire({
+          kind: 'unusable-item',
+          subject: record.key,
+          detail: record.problem,
+          revision: record.revision,
+        });
+        return record.id !== undefined && this.remove(record.id, record.revision, true);
+    }
+  }
+
+  private takeConfiguration(offered: routingTypes.IConfiguration, revision: number): boolean {
+    if (revision <= this.configurationRevision) return false;
+    const { inForce } = this;
+    const version = inForce?.version ?? 0;
+    if (inForce !== undefined && offered.version <= version) {
+      const isSame = JSON.stringify(offered) === JSON.stringify(inForce);
+      this.configurationRevision = revision;
+      if (!isSame) this.reportConfiguration(offered.version, version, revision);
+      return false;
+    }
+    this.inForce = offered;
+    this.configurationRevision = revision;
+    return true;
+  }
+
+  private reportConfiguration(offered: number, version: number, revision: number): void {
+    this.problemEmitter.fire({
+      kind: offered === version ? 'conflicting-configuration' : 'older-configuration',
+      subject: `${offered}`,
+      detail: `version ${version} is in force`,
+      revision,
+    });
+  }
+
+  private takeServer(server: directoryTypes.IRegistration, revision: number): boolean {
+    const known = this.entries.get(server.id);
+    const lastRevision = Math.max(known?.revision ?? 0, this.removals.get(server.id) ?? 0);
+    const isReturn = known?.lapsed === true && revision > known.revision;
+    if (revision <= lastRevision && !isReturn) return false;
+    this.removals.delete(server.id);
+    this.entries.set(server.id, { server, revision, lapsed: false });
+    return true;
+  }
+
+  /** Returns whether the servers changed. */
+  private remove(id: string, revision: number, isFinal = false): boolean {
+    const known = this.entries.get(id);
+    if (revision <= (this.removals.get(id) ?? 0) || revision < (known?.revision ?? 0)) return false;
+    this.removals.set(id, revision);
+    if (known === undefined) return false;
+    const isGrace = this.clock.monotonicMs() < this.graceUntilMs;
+    if (isGrace && !isFinal && known.server.state === 'ready') {
+      this.entries.set(id, { ...known, lapsed: true });
+      return false;
+    }
+    this.entries.delete(id);
+    return true;
+  }
+
+  private dropLapsed(): void {
+    const lapsed = [...this.entries].filter(([, entry]) => entry.lapsed);
+    lapsed.forEach(([id]) => this.entries.delete(id));
+    if (lapsed.length > 0) this.changedEmitter.fire();
+  }
+}
--- /dev/null
+++ b/src/common/policy/FreshSelection.ts
@@ -0,0 +1,211 @@
+import type * as callTypes from '../call/Types';
+import type * as types from '../Types';
+import type * as policyTypes from './Types';
+import type * as serverState from './ServerState';
+
+/** Servers asked at once. Three of them are all slow in 2 of 100 cases if a quarter is slow. */
+const SERVERS_PER_ROUND = 3;
+
+/** Rounds before the best server seen so far is taken. */
+const MAX_ROUNDS = 3;
+
+/** Time for the replies of one round, in milliseconds: a round trip between failure domains. */
+const ROUND_TIMEOUT_MS = 12;
+
+/** Age up to which a reply serves further calls, in milliseconds; short beside a slow block. */
+const REPLY_KEPT_MS = 10;
+
+/** Time after which a reply is no longer waited for at all, in milliseconds. */
+const CHECK_TIMEOUT_MS = 1_000;
+
+/** Occupancy of the slots from which on a server may work more slowly. */
+const BUSY_SHARE = 0.8;
+
+/** Expected duration of work on a server that is nearly full, relative to an idle one. */
+const BUSY_FACTOR = 1.5;
+
+/** Cost up to which a server is taken without waiting for the other replies of the round. */
+const GOOD_COST = 1.25;
+
+/** Factors of the cost of a server that is full, says that it fails, or did not reply. */
+const FULL_FACTOR = 20;
+const UNHEALTHY_FACTOR = 50;
+const SILENT_FACTOR = 200;
+
+/** Factor of the cost for a server that has just started and is still slow. */
+const COLD_FACTOR = 1.2;
+
+/** Weight of the share of failed attempts: at one half, a server costs three times as much. */
+const FAILURE_WEIGHT = 4;
+
+/** How the servers of one service are asked. */
+export interface IFreshSelectionContext {
+  readonly checker: callTypes.IServerChecker;
+  readonly clock: types.IClock;
+  readonly random: types.IRandom;
+  /** Failure domain of this daemon. Its servers are asked first. */
+  readonly failureDomain: string;
+  readonly healthPath: string;
+  readonly onReply: (server: serverState.ServerState, reply: policyTypes.CheckReply) => void;
+}
+
+interface IKnown {
+  readonly reply: policyTypes.CheckReply;
+  readonly atMs: number;
+}
+
+/** What selections of one service share. */
+export class FreshReplies {
+  private readonly known = new Map<string, IKnown>();
+
+  public set(address: string, reply: policyTypes.CheckReply, atMs: number): void {
+    this.known.set(address, { reply, atMs });
+  }
+
+  /** The reply of a server if it is still fresh. */
+  public get(address: string, nowMs: number): policyTypes.CheckReply | undefined {
+    const known = this.known.get(address);
+    if (known === undefined) return undefined;
+    if (nowMs - known.atMs <= REPLY_KEPT_MS) return known.reply;
+    this.known.delete(address);
+    return undefined;
+  }
+}
+
+/** Expected cost of a dispatch: the duration relative to that on an idle server. */
+export function costOf(
+  server: serverState.ServerState,
+  reply: policyTypes.CheckReply | undefined,
+): number {
+  if (reply === undefined || reply.kind === 'silent') return SILENT_FACTOR;
+  if (reply.kind === 'replaced' || reply.kind === 'unreachable') return Number.POSITIVE_INFINITY;
+  const started = server.startedSinceReport;
+  const load = (reply.report?.inFlight ?? 0) + (reply.report?.queued ?? 0) + started + 1;
+  const busy = load / server.slots > BUSY_SHARE ? BUSY_FACTOR : 1;
+  const wait = Math.max(0, load - server.slots) / server.slots;
+  const condition = { ready: 1, full: FULL_FACTOR, unhealthy: UNHEALTHY_FACTOR }[reply.kind];
+  const failures = 1 + FAILURE_WEIGHT * server.failureShare;
+  const cold = server.warmth < 1 ? COLD_FACTOR : 1;
+  return (reply.report?.slowdown ?? 1) * (busy + wait) * condition * failures * cold;
+}
+
+/**
+ * Chooses the server for one attempt by asking a few of them right before the dispatch. Servers
+ * turn slow for fractions of a second, and the slowness at the start of a request multiplies all
+ * of its work, so that reports on earlier answers are stale by then.
+ */
+export class FreshSelection implements types.IDisposable {
+  private readonly remaining: serverState.ServerState[];
+
+  private readonly seen = new Map<serverState.ServerState, policyTypes.CheckReply | undefined>();
+
+  private rounds = 0;
+
+  private pending = 0;
+
+  private timer: types.IDisposable | undefined;
+
+  private ended = false;
+
+  /** @param onSelected Called once, unless disposed before; undefined if no server accepts work. */
+  public constructor(
+    candidates: readonly serverState.ServerState[],
+    private readonly replies: FreshReplies,
+    private readonly context: IFreshSelectionContext,
+    private readonly onSelected: (server: serverState.ServerState | undefined) => void,
+  ) {
+    this.remaining = this.order(candidates);
+  }
+
+  public begin(): void {
+    this.rounds += 1;
+    const asked = this.remaining.splice(0, SERVERS_PER_ROUND);
+    if (asked.length === 0) {
+      this.end();
+      return;
+    }
+    this.pending = asked.length;
+    this.timer = this.context.clock.setTimer(ROUND_TIMEOUT_MS, () => this.endRound());
+    asked.forEach((server) => this.seen.set(server, undefined));
+    asked.forEach((server) => this.ask(server));
+  }
+
+  public dispose(): void {
+    this.ended = true;
+    this.timer?.dispose();
+  }
+
+  private ask(server: serverState.ServerState): void {
+    const { checker, clock, healthPath, onReply } = this.context;
+    const round = this.rounds;
+    const known = this.replies.get(server.address, clock.monotonicMs());
+    if (known !== undefined) {
+      this.take(server, known, round);
+      return;
+    }
+    checker.check(server.row, healthPath, CHECK_TIMEOUT_MS, (reply) => {
+      this.replies.set(server.address, reply, clock.monotonicMs());
+      onReply(server, reply);
+      this.take(server, reply, round);
+    });
+  }
+
+  private take(
+    server: serverState.ServerState,
+    reply: policyTypes.CheckReply,
+    round: number,
+  ): void {
+    if (this.ended) return;
+    this.seen.set(server, reply);
+    if (costOf(server, reply) <= GOOD_COST) {
+      this.finish(server);
+      return;
+    }
+    if (round !== this.rounds) return;
+    this.pending -= 1;
+    if (this.pending === 0) this.endRound();
+  }
+
+  private endRound(): void {
+    if (this.ended) return;
+    this.timer?.dispose();
+    const best = this.best();
+    const isGood = best !== undefined && costOf(best, this.seen.get(best)) <= GOOD_COST;
+    if (isGood || this.rounds >= MAX_ROUNDS) this.end();
+    else this.begin();
+  }
+
+  private end(): void {
+    this.finish(this.best());
+  }
+
+  private finish(server: serverState.ServerState | undefined): void {
+    if (this.ended) return;
+    this.dispose();
+    this.onSelected(server);
+  }
+
+  private best(): serverState.ServerState | undefined {
+    let best: serverState.ServerState | undefined;
+    let lowest = Number.POSITIVE_INFINITY;
+    this.seen.forEach((reply, server) => {
+      const cost = costOf(server, reply);
+      if (cost >= lowest) return;
+      lowest = cost;
+      best = server;
+    });
+    return best;
+  }
+
+  /** Servers of the own failure domain first, and at random among these and the others. */
+  private order(candidates: readonly serverState.ServerState[]): serverState.ServerState[] {
+    const { random, failureDomain } = this.context;
+    return candidates
+      .map((server) => ({
+        server,
+        rank: random.next() + (server.failureDomain === failureDomain ? 0 : 1),
+      }))
+      .sort((left, right) => left.rank - right.rank)
+      .map(({ server }) => server);
+  }
+}
--- a/src/common/policy/RatioBudget.ts
+++ b/src/common/policy/RatioBudget.ts
@@ -13,6 +13,10 @@
 export class RatioBudget {
   private saved = 1;
 
+  private maxSaved = MAX_SAVED;
+
+  private perSecond = MINIMUM_PER_SECOND;
+
   private refilledAtMs: number;
 
   public constructor(
@@ -32,9 +36,21 @@
     this.fraction = fraction;
   }
 
+  /**
+   * Sets what may be spent beyond the fraction, as the share of an allowance of the whole fleet.
+   * @param maxSaved Most permits that can be saved up.
+   * @param perSecond Permits granted per second without any traffic.
+   */
+  public setReserve(maxSaved: number, perSecond: number): void {
+    this.refill();
+    this.maxSaved = maxSaved;
+    this.perSecond = perSecond;
+    this.saved = Math.min(maxSaved, this.saved);
+  }
+
   /** Counts a first attempt, or a share of one. */
   public deposit(share = 1): void {
-    this.saved = Math.min(MAX_SAVED, this.saved + this.fraction * share);
+    this.saved = Math.min(this.maxSaved, this.saved + this.fraction * share);
   }
 
   /** Takes a permit for an extra attempt. Returns false if there is none. */
@@ -46,7 +62,7 @@
 
   /** Takes permits afterwards for an attempt that cost more than one. The budget may run into debt. */
   public charge(permits: number): void {
-    this.saved = Math.max(-MAX_SAVED, this.saved - permits);
+    this.saved = Math.max(-this.maxSaved, this.saved - permits);
   }
 
   private refill(): void {
@@ -55,8 +71,8 @@
       return;
     }
     const nowMs = this.clock.monotonicMs();
-    const earned = ((nowMs - this.refilledAtMs) / 1_000) * MINIMUM_PER_SECOND;
-    this.saved = Math.min(MAX_SAVED, this.saved + earned);
+    const earned = ((nowMs - this.refilledAtMs) / 1_000) * this.perSecond;
+    this.saved = Math.min(this.maxSaved, this.saved + earned);
     this.refilledAtMs = nowMs;
   }
 }
--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -13,6 +13,9 @@
 /** Weight of the newest report in the moving average of the reported load. */
 const REPORT_SMOOTHING = 0.05;
 
+/** Weight of the newest attempt in the moving average of failures. */
+const FAILURE_SMOOTHING = 0.15;
+
 /** Larger loads for each slot are outliers, which must not move the average far. */
 const LARGEST_USUAL_PER_SLOT = 3;
 
@@ -36,6 +39,9 @@
 
   public warmth = 1;
 
+  /** Moving average of the share of attempts that failed or were refused. */
+  public failureShare = 0;
+
   private readonly startsMs = new Map<number, number>();
 
   private nextAttempt = 0;
@@ -83,6 +89,7 @@
     if (startMs === undefined) return;
     this.startsMs.delete(attempt);
     const elapsedMs = nowMs - startMs;
+    if (result !== 'cancelled') this.recordFailure(result === 'answered' ? 0 : 1);
     if (result === 'answered') this.recordLatency(elapsedMs, nowMs);
     if (result === 'cancelled' || result === 'timed-out') this.recordWait(elapsedMs, nowMs);
   }
@@ -104,6 +111,10 @@
     this.startedSinceReport = 0;
   }
 
+  private recordFailure(share: number): void {
+    this.failureShare += FAILURE_SMOOTHING * (share - this.failureShare);
+  }
+
   private recordLatency(latencyMs: number, nowMs: number): void {
     const fastestMs = this.fastestMs ?? latencyMs;
     this.fastestMs = Math.min(fastestMs + FASTEST_DRIFT * latencyMs, latencyMs);
--- a/src/common/policy/Types.ts
+++ b/src/common/policy/Types.ts
@@ -5,8 +5,24 @@
   /** Requests that wait for a slot. */
   readonly queued: number;
   readonly draining: boolean;
+  /** Present duration of work relative to the usual one, if the server states it. */
+  readonly slowdown?: number | undefined;
 }
 
+/** What a server replied when it was asked right before a dispatch. */
+export type CheckReply =
+  | { readonly kind: 'ready'; readonly report: ILoadReport | undefined }
+  /** It refused the question because it is full. */
+  | { readonly kind: 'full'; readonly report: ILoadReport | undefined }
+  /** It says that it is failing or leaving. */
+  | { readonly kind: 'unhealthy'; readonly report: ILoadReport | undefined }
+  /** Another server has its address. */
+  | { readonly kind: 'replaced' }
+  /** Its address accepts no connection, or closed it. */
+  | { readonly kind: 'unreachable' }
+  /** No reply came in time. */
+  | { readonly kind: 'silent' };
+
 /** How an attempt at a backend server ended, as far as the choice of a server is concerned. */
 export type AttemptResult = 'answered' | 'refused' | 'failed' | 'timed-out' | 'cancelled';
 
--- a/src/common/table/Types.ts
+++ b/src/common/table/Types.ts
@@ -1,3 +1,5 @@
+import type * as routingTypes from '../routing/Types';
+
 /** Class of work. Prompt work goes first; work at leisure is shed first. */
 export type WorkClass = 'prompt' | 'leisure';
 
@@ -21,6 +23,8 @@
   readonly retryFraction: number;
   readonly maxRequestBytes: number;
   readonly maxAnswerBytes: number;
+  /** Path that a server answers with its health, where servers are asked before a dispatch. */
+  readonly healthPath?: string | undefined;
 }
 
 /** A backend server: one row of kind `server`. */
@@ -35,6 +39,10 @@
   readonly slots: number;
   /** Connections that the whole fleet may hold to the server. */
   readonly maxConnections: number;
+  /** Names the server. It is sent along, so that another one at the address refuses the request. */
+  readonly instance?: string | undefined;
+  /** Start of the server process in Unix milliseconds; a later one knows nothing of before. */
+  readonly startedAtMs?: number | undefined;
 }
 
 /** A checked table. Immutable: a call keeps the one that it began with. */
@@ -49,6 +57,8 @@
   readonly servers: ReadonlyMap<string, readonly IServerRow[]>;
   /** The text that was checked, as published. */
   readonly text: string;
+  /** Routes by host and path, where callers do not name the service themselves. */
+  readonly routes?: routingTypes.IRouteTable | undefined;
 }
 
 /** One fault of a table, placed for a reader who has it open in a spreadsheet. */
--- a/src/index.ts
+++ b/src/index.ts
@@ -13,9 +13,10 @@
 export { TableParser } from './common/table/TableParser';
 export type * from './common/table/Types';
 export type * from './common/Types';
-export { StartError } from './node/Daemon';
+export { StartError } from './node/StartError';
 export type * from './node/server/Types';
 export { parseSettings } from './node/settings/Settings';
+export type { ISettingsProblem } from './node/settings/Problems';
 export type * from './node/settings/Settings';
 
 /** What a daemon uses instead of its defaults. Documented in `typings/lavenderspar.d.ts`. */
--- a/src/node/CallRunner.ts
+++ b/src/node/CallRunner.ts
@@ -4,6 +4,7 @@
 import type * as types from '../common/Types';
 import type * as gatewayTypes from './keys/Types';
 import type * as serviceSet from './ServiceSet';
+import * as startCall from './startCall';
 
 /**
  * Stands for the content of a request whose body was not read. No request has this fingerprint, so
@@ -83,13 +84,7 @@
   }
 
   private dispatch(call: callTypes.ICall, onOutcome: OnOutcome): callTypes.IAttempt {
-    const balancer = this.services.balancerOf(call.service.name);
-    if (balancer === undefined) {
-      const detail = 'the service is no longer in the table';
-      onOutcome({ kind: 'not-run', reason: 'no-backend-server', detail });
-      return { cancel: () => undefined };
-    }
-    const running = this.coordinator.start(call, balancer, onOutcome);
+    const running = startCall.startCall(call, this.services, this.coordinator, onOutcome);
     this.services.probe(call.service.name);
     return running;
   }
--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -18,11 +18,12 @@
 import * as requestKeys from './RequestKeys';
 import * as callerServer from './server/CallerServer';
 import * as explain from './server/Explain';
+import * as ownCallerProtocol from './server/OwnCallerProtocol';
 import * as operatorServer from './server/OperatorServer';
 import type * as serverTypes from './server/Types';
 import * as serviceSet from './ServiceSet';
-import * as addresses from './settings/Addresses';
 import type * as settings from './settings/Settings';
+import * as startError from './StartError';
 import * as makeTelemetry from './telemetry/MakeTelemetry';
 import * as names from './telemetry/Names';
 import * as observedTransport from './telemetry/ObservedTransport';
@@ -37,14 +38,6 @@
 /** Time for peers to learn where the request keys went, in milliseconds. */
 const FAREWELL_MS = 200;
 
-/** An address of the settings cannot be used. */
-export class StartError extends Error {
-  public constructor(setting: string, address: string, cause: Error) {
-    super(`cannot listen on ${setting} ${address}: ${cause.message}`, { cause });
-    this.name = 'StartError';
-  }
-}
-
 /** One process of the fleet, composed of its services. */
 export class Daemon {
   private readonly telemetry: telemetryModule.Telemetry;
@@ -144,11 +137,11 @@
   public async start(): Promise<void> {
     const { operatorAddress, peerAddress, callerAddress } = this.options;
     try {
-      await this.listen('operatorAddress', operatorAddress, this.operators);
-      await this.listen('peerAddress', peerAddress, {
+      await startError.listen('operatorAddress', operatorAddress, this.operators);
+      await startError.listen('peerAddress', peerAddress, {
         listen: () => this.peers.listen(peerAddress),
       });
-      await this.listen('callerAddress', callerAddress, this.callers);
+      await startError.listen('callerAddress', callerAddress, this.callers);
     } catch (error) {
       await this.release();
       throw error;
@@ -213,19 +206,6 @@
     });
   }
 
-  private async listen(
-    setting: string,
-    address: string,
-    server: { listen(host: string, port: number): Promise<void> },
-  ): Promise<void> {
-    const { host, port } = addresses.split(address);
-    try {
-      await server.listen(host, port);
-    } catch (error) {
-      throw new StartError(setting, address, error as Error);
-    }
-  }
-
   private applyTable(table: tableTypes.ITable): void {
     this.probes.applyTable(table);
     this.services.update(table);
@@ -254,6 +234,7 @@
           return readPhase();
         },
       },
+      protocol: new ownCallerProtocol.OwnCallerProtocol(),
       runner: this.runner,
       observer: this.telemetry,
       clock: this.clock,
--- /dev/null
+++ b/src/node/RoutedDaemon.ts
@@ -0,0 +1,253 @@
+import type * as bunyan from 'bunyan';
+
+import * as callCoordinator from '../common/call/CallCoordinator';
+import * as directoryModule from '../common/directory/Directory';
+import * as tableBuilder from '../common/directory/TableBuilder';
+import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
+import * as probeBudget from '../common/probing/ProbeBudget';
+import * as weightedSplit from '../common/routing/WeightedSplit';
+import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
+import type * as tableTypes from '../common/table/Types';
+import type * as types from '../common/Types';
+import * as directoryFollower from './directory/DirectoryFollower';
+import type * as directoryTypes from './directory/Types';
+import type * as backendProtocol from './dispatch/BackendProtocol';
+import * as httpTransport from './dispatch/HttpTransport';
+import * as pauseDetector from './PauseDetector';
+import type * as callerProtocol from './server/CallerProtocol';
+import * as callerServer from './server/CallerServer';
+import * as readinessServer from './server/ReadinessServer';
+import type * as serverTypes from './server/Types';
+import * as serviceSet from './ServiceSet';
+import type * as routedSettings from './settings/RoutedSettings';
+import * as startCall from './startCall';
+import * as startError from './StartError';
+import * as names from './telemetry/Names';
+import * as telemetryModule from './telemetry/Telemetry';
+
+/** Size above which the headers of a request are not read; the configuration sets a lower limit. */
+const MAX_HEADER_BYTES = 64 * 1024;
+
+/** Share of the time for a stop in which new connections are still served. */
+const SERVE_SHARE = 0.55;
+
+/** Time at the end of a stop that is left to close what is open, in milliseconds. */
+const STOP_RESERVE_MS = 300;
+
+/** Interval between two looks at the calls that a stop waits for, in milliseconds. */
+const FINISH_INTERVAL_MS = 20;
+
+/** Daemons that are assumed to share a server's connections. */
+const ASSUMED_DAEMONS = 24;
+
+/** Share of the fleet's allowance of retries that is spent; the rest covers daemons not counted. */
+const ALLOWANCE_SHARE = 0.75;
+
+/** What connects a daemon to its surroundings. */
+export interface IRoutedParts {
+  readonly source: directoryTypes.IDirectorySource;
+  readonly callerProtocol: callerProtocol.CallerProtocol;
+  readonly backendProtocol: backendProtocol.BackendProtocol;
+}
+
+/** A daemon whose routes and backend servers come from a directory. */
+export class RoutedDaemon {
+  private readonly telemetry: telemetryModule.Telemetry;
+
+  private readonly directory: directoryModule.Directory;
+
+  private readonly follower: directoryFollower.DirectoryFollower;
+
+  private readonly transport: httpTransport.HttpTransport;
+
+  private readonly services: serviceSet.ServiceSet;
+
+  private readonly coordinator: callCoordinator.CallCoordinator;
+
+  private readonly callers: callerServer.CallerServer;
+
+  private readonly readiness: readinessServer.ReadinessServer;
+
+  private readonly pauses: pauseDetector.PauseDetector;
+
+  private readonly splits: weightedSplit.SplitPositions;
+
+  private table: tableTypes.ITable | undefined;
+
+  private stage: 'running' | 'draining' | 'stopping' = 'running';
+
+  private stopped: Promise<void> | undefined;
+
+  public constructor(
+    private readonly options: routedSettings.RoutedSettings,
+    private readonly parts: IRoutedParts,
+    private readonly logger: bunyan,
+    private readonly clock: types.IClock,
+    random: types.IRandom,
+  ) {
+    this.telemetry = new telemetryModule.Telemetry(logger, clock, undefined, undefined);
+    this.splits = new weightedSplit.SplitPositions(random);
+    this.directory = new directoryModule.Directory(clock);
+    this.follower = new directoryFollower.DirectoryFollower(
+      parts.source,
+      this.directory,
+      logger,
+      clock,
+      random,
+    );
+    this.transport = new httpTransport.HttpTransport(clock, random, parts.backendProtocol);
+    this.services = new serviceSet.ServiceSet(
+      options.peerAddress,
+      () => new leastInFlightPolicy.LeastInFlightPolicy(random),
+      new probeBudget.ProbeBudget(clock),
+      this.transport,
+      clock,
+      { checker: this.transport, random, failureDomain: options.failureDomain },
+    );
+    const suspicion = new requestSuspicion.RequestSuspicion(clock);
+    this.coordinator = new callCoordinator.CallCoordinator(this.transport, suspicion, clock);
+    this.pauses = new pauseDetector.PauseDetector(clock, (gapMs) => this.recover(gapMs));
+    this.callers = this.makeCallerServer();
+    this.readiness = new readinessServer.ReadinessServer(
+      options.readinessPath,
+      () => this.phase === 'ready',
+      new Map(),
+    );
+    this.directory.onChanged(() => this.applyDirectory());
+    this.directory.onProblem((problem) =>
+      logger.error({ event: names.DIRECTORY_PROBLEM, ...problem }, 'directory item not used'),
+    );
+    this.shareRetries();
+  }
+
+  /** The stage in the life of the daemon. Calls are served while `ready` and `draining`. */
+  public get phase(): serverTypes.Phase {
+    if (this.stage !== 'running') return this.stage;
+    return this.table === undefined ? 'starting' : 'ready';
+  }
+
+  /**
+   * Listens on the addresses of the settings, and begins to follow the directory. Calls are refused
+   * as `not-ready` until a configuration is in force. Rejects with a `StartError`.
+   */
+  public async start(): Promise<void> {
+    const { callerAddress, readinessAddress, failureDomain } = this.options;
+    this.follower.start();
+    await startError.listen('readinessAddress', readinessAddress, this.readiness);
+    await startError.listen('callerAddress', callerAddress, this.callers);
+    this.pauses.start();
+    this.logger.info({ callerAddress, failureDomain }, 'daemon started');
+  }
+
+  /**
+   * Stops as planned: becomes unready, serves on until the platform's balancer has noticed, then
+   * stops accepting, and finishes every call in flight before the grace time ends.
+   */
+  public stop(): Promise<void> {
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private async runStop(): Promise<void> {
+    const { stopGrace } = this.options;
+    const startMs = this.clock.monotonicMs();
+    this.stage = 'draining';
+    this.logger.info({ stopGrace }, 'daemon is about to stop, and serves until callers are moved');
+    await this.wait(stopGrace * SERVE_SHARE);
+    this.stage = 'stopping';
+    this.logger.info({ callsInFlight: this.coordinator.inFlight }, 'finishing calls');
+    const closed = this.callers.close();
+    const endMs = startMs + stopGrace - STOP_RESERVE_MS;
+    while (this.callers.exchangesInFlight > 0 && this.clock.monotonicMs() < endMs) {
+      await this.wait(FINISH_INTERVAL_MS);
+    }
+    await this.release();
+    await closed;
+    this.logger.info('daemon stopped');
+  }
+
+  private async release(): Promise<void> {
+    this.pauses.dispose();
+    this.follower.dispose();
+    this.directory.dispose();
+    this.callers.closeNow();
+    await Promise.all([this.readiness.close(), this.telemetry.close()]);
+    this.transport.dispose();
+  }
+
+  private wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.clock.setTimer(durationMs, resolve);
+    });
+  }
+
+  private applyDirectory(): void {
+    const { configuration, servers, revision } = this.directory;
+    if (configuration === undefined) return;
+    const before = this.table?.routes?.configurationVersion;
+    this.table = tableBuilder.buildTable(
+      configuration,
+      servers,
+      revision,
+      {
+        maxDaemons: ASSUMED_DAEMONS,
+        retryFraction: this.options.retryFraction,
+        checksPerSecond: this.options.checksPerSecond,
+      },
+      this.splits,
+    );
+    this.services.update(this.table);
+    const { headerTimeoutMs, idleTimeoutMs } = configuration.limits;
+    this.callers.setTimeouts(headerTimeoutMs, idleTimeoutMs);
+    const fields = {
+      event: names.TABLE_VERSION,
+      configurationVersion: configuration.version,
+      revision,
+      servers: servers.length,
+    };
+    if (before === configuration.version) this.logger.debug(fields, 'servers changed');
+    else this.logger.info(fields, 'configuration in force');
+  }
+
+  private shareRetries(): void {
+    const { retryAllowance, retryWindow } = this.options;
+    const share = (ALLOWANCE_SHARE * retryAllowance) / ASSUMED_DAEMONS;
+    // Half may be saved up, and the other half comes evenly over the window.
+    this.services.setRetryReserve(share / 2, (1_000 * share) / 2 / retryWindow);
+  }
+
+  /** Drops what may have become untrue while the process did not run. */
+  private recover(gapMs: number): void {
+    this.logger.warn({ event: names.PROCESS_PAUSED, gapMs }, 'process was paused');
+    this.transport.distrustConnections();
+    this.services.dropReports();
+    this.follower.restart();
+  }
+
+  private makeCallerServer(): callerServer.CallerServer {
+    const readTable = () => this.table;
+    const readPhase = () => this.phase;
+    return new callerServer.CallerServer(
+      {
+        routes: {
+          get table() {
+            return readTable();
+          },
+          get phase() {
+            return readPhase();
+          },
+        },
+        protocol: this.parts.callerProtocol,
+        runner: {
+          start: (call, _key, onOutcome) =>
+            startCall.startCall(call, this.services, this.coordinator, onOutcome),
+          refuse: (_key, _service, refusal) => Promise.resolve(refusal),
+        },
+        observer: this.telemetry,
+        clock: this.clock,
+        beforeRequest: () => this.pauses.check(),
+      },
+      MAX_HEADER_BYTES,
+    );
+  }
+}
--- a/src/node/ServiceSet.ts
+++ b/src/node/ServiceSet.ts
@@ -18,6 +18,8 @@
 export class ServiceSet {
   private readonly services = new Map<string, IService>();
 
+  private retryReserve: { readonly maxSaved: number; readonly perSecond: number } | undefined;
+
   private readonly drainingEmitter = new emitter.Emitter<string>();
 
   private readonly ejectedEmitter = new emitter.Emitter<ejector.IEjection>();
@@ -33,13 +35,17 @@
   /** Fires with the address of each server that a table adds. */
   public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
 
-  /** @param ownAddress Peer address of this daemon, by which it chooses its subset of servers. */
+  /**
+   * @param ownAddress Peer address of this daemon, by which it chooses its subset of servers.
+   * @param freshness Asks servers right before each dispatch, where they can be asked.
+   */
   public constructor(
     private readonly ownAddress: string,
     private readonly makePolicy: () => selectionPolicy.SelectionPolicy,
     private readonly budget: probeBudget.ProbeBudget,
     private readonly transport: callTypes.IBackendTransport,
     private readonly clock: types.IClock,
+    private readonly freshness?: serviceBalancer.IFreshness,
   ) {}
 
   /** The balancers by the names of their services. */
@@ -88,6 +94,12 @@
     });
   }
 
+  /** Sets how much of the fleet's allowance of retries this daemon may spend on each service. */
+  public setRetryReserve(maxSaved: number, perSecond: number): void {
+    this.retryReserve = { maxSaved, perSecond };
+    this.services.forEach(({ balancer }) => balancer.setRetryReserve(maxSaved, perSecond));
+  }
+
   /** Forgets load reports, which describe the time before a pause. */
   public dropReports(): void {
     this.services.forEach(({ balancer }) => balancer.dropReports());
@@ -95,10 +107,12 @@
 
   private create(name: string): IService {
     const policy = this.makePolicy();
-    const balancer = new serviceBalancer.ServiceBalancer(policy, this.clock);
+    const balancer = new serviceBalancer.ServiceBalancer(policy, this.clock, true, this.freshness);
     balancer.onDraining((address) => this.drainingEmitter.fire(address));
     balancer.onEjected((ejection) => this.ejectedEmitter.fire(ejection));
     balancer.onServerAdded((address) => this.addedEmitter.fire(address));
+    const reserve = this.retryReserve;
+    if (reserve !== undefined) balancer.setRetryReserve(reserve.maxSaved, reserve.perSecond);
     const budget = this.budgetOf(name);
     return {
       balancer,
--- /dev/null
+++ b/src/node/directory/DirectoryFollower.ts
@@ -0,0 +1,155 @@
+import type * as bunyan from 'bunyan';
+
+import type * as directoryModule from '../../common/directory/Directory';
+import type * as directoryTypes from '../../common/directory/Types';
+import type * as types from '../../common/Types';
+import type * as nodeTypes from './Types';
+
+/** Time that a watch waits for a change, in milliseconds. A silent connection hides changes for it. */
+const WATCH_MS = 5_000;
+
+/** Pause after changes, in milliseconds, so that changes that come together cost one read. */
+const MERGE_MS = 150;
+
+/** Bounds of the delay after a failed read, in milliseconds. */
+const FIRST_RETRY_MS = 100;
+const LONGEST_RETRY_MS = 1_000;
+
+/** Outage from which on entries may have lapsed without their servers having gone, in milliseconds. */
+const LAPSING_OUTAGE_MS = 1_000;
+
+/** Counts of reads since the start. */
+export interface IFollowerCounts {
+  readonly lists: number;
+  readonly watches: number;
+  readonly failures: number;
+}
+
+/** Keeps the directory up to date from its source. */
+export class DirectoryFollower implements types.IDisposable {
+  private lists = 0;
+
+  private watches = 0;
+
+  private failures = 0;
+
+  private failuresInRow = 0;
+
+  private respondedMs: number;
+
+  private hasListed = false;
+
+  private mustList = true;
+
+  private disposed = false;
+
+  /** Begins anew with each interruption, so that an overtaken read changes nothing. */
+  private run = 0;
+
+  public constructor(
+    private readonly source: nodeTypes.IDirectorySource,
+    private readonly directory: directoryModule.Directory,
+    private readonly logger: bunyan,
+    private readonly clock: types.IClock,
+    private readonly random: types.IRandom,
+  ) {
+    this.respondedMs = clock.monotonicMs();
+  }
+
+  public get counts(): IFollowerCounts {
+    const { lists, watches, failures } = this;
+    return { lists, watches, failures };
+  }
+
+  /** Whether everything was listed at least once. */
+  public get isComplete(): boolean {
+    return this.hasListed;
+  }
+
+  public start(): void {
+    this.run += 1;
+    this.follow(this.run).catch((error: Error) =>
+      this.logger.error({ err: error }, 'following the directory failed'),
+    );
+  }
+
+  /** Lists everything again at once, as after a pause of the process. */
+  public restart(): void {
+    this.mustList = true;
+    this.source.reset();
+    this.start();
+  }
+
+  public dispose(): void {
+    this.disposed = true;
+    this.source.reset();
+  }
+
+  private async follow(run: number): Promise<void> {
+    while (!this.disposed && run === this.run) {
+      // Reads follow each other, since each begins where the one before it ended.
+
+      const pauseMs = await (this.mustList ? this.list(run) : this.watch(run));
+
+      if (pauseMs > 0) await this.pause(pauseMs);
+    }
+  }
+
+  private async list(run: number): Promise<number> {
+    this.lists += 1;
+    const result = await this.source.list();
+    if (run !== this.run || this.disposed) return 0;
+    if (!result.ok) return this.fail(result.error);
+    this.succeed();
+    this.mustList = false;
+    this.hasListed = true;
+    this.directory.replace(result.value);
+    return 0;
+  }
+
+  private async watch(run: number): Promise<number> {
+    this.watches += 1;
+    const result = await this.source.watch(this.directory.revision, WATCH_MS);
+    if (run !== this.run || this.disposed) return 0;
+    if (!result.ok) return this.fail(result.error);
+    this.succeed();
+    const { records, revision } = result.value;
+    this.directory.apply(records, revision);
+    return records.length > 0 ? MERGE_MS : 0;
+  }
+
+  private succeed(): void {
+    const nowMs = this.clock.monotonicMs();
+    if (this.failuresInRow > 0) {
+      const outageMs = Math.round(nowMs - this.respondedMs);
+      if (outageMs >= LAPSING_OUTAGE_MS) this.directory.onReturned();
+      this.logger.info({ event: 'directory.regained', outageMs }, 'directory responds again');
+    }
+    this.failuresInRow = 0;
+    this.respondedMs = nowMs;
+  }
+
+  /** Returns the delay before the next read. */
+  private fail(failure: directoryTypes.DirectoryFailure): number {
+    if (failure.kind === 'history-lost') {
+      this.mustList = true;
+      const { revision } = this.directory;
+      this.logger.warn({ event: 'directory.history_lost', revision }, 'directory listed anew');
+      return 0;
+    }
+    this.failures += 1;
+    this.failuresInRow += 1;
+    if (this.failuresInRow === 1) {
+      const fields = { event: 'directory.lost', detail: failure.detail };
+      this.logger.warn(fields, 'directory does not respond');
+    }
+    const longestMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failuresInRow - 1));
+    return longestMs * (0.5 + this.random.next() / 2);
+  }
+
+  private pause(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.clock.setTimer(durationMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/node/directory/Types.ts
@@ -0,0 +1,22 @@
+import type * as directoryTypes from '../../common/directory/Types';
+import type * as types from '../../common/Types';
+
+/** Changes of the directory after a revision. */
+export interface IDirectoryChanges {
+  readonly records: readonly directoryTypes.DirectoryRecord[];
+  /** Revision to continue from. */
+  readonly revision: number;
+}
+
+/** Reads the directory in which operators and backend servers publish. */
+export interface IDirectorySource {
+  /** Lists everything. */
+  list(): Promise<types.Result<directoryTypes.IDirectoryListing, directoryTypes.DirectoryFailure>>;
+  /** Waits for changes after `revision`, for at most `waitMs` milliseconds. */
+  watch(
+    revision: number,
+    waitMs: number,
+  ): Promise<types.Result<IDirectoryChanges, directoryTypes.DirectoryFailure>>;
+  /** Gives up reads in progress and closes connections. Further reads open new ones. */
+  reset(): void;
+}
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -1,23 +1,11 @@
 import type * as undici from 'undici';
 
 import type * as callTypes from '../../common/call/Types';
-import type * as policyTypes from '../../common/policy/Types';
 import * as headers from './Headers';
+import type * as dispatchTypes from './Types';
 
-const STATUS_UNAVAILABLE = 503;
 const BODYLESS_STATUSES = new Set([204, 304]);
 
-/** What one exchange reports. */
-export interface IExchangeListener {
-  /** The first byte may leave after this call. */
-  onSent(): void;
-  /** A part of the answer arrived. */
-  onProgress(): void;
-  onLoadReport(report: policyTypes.ILoadReport): void;
-  /** Called exactly once, unless the exchange was aborted. */
-  onEnd(outcome: callTypes.AttemptOutcome): void;
-}
-
 /** Collects the answer of one exchange, and accepts it only if it is complete. */
 export class AttemptHandler implements undici.Dispatcher.DispatchHandler {
   private readonly chunks: Buffer[] = [];
@@ -33,9 +21,8 @@
   private ended = false;
 
   public constructor(
-    private readonly call: Pick<callTypes.ICall, 'method' | 'requestId'>,
-    private readonly maxAnswerBytes: number,
-    private readonly listener: IExchangeListener,
+    private readonly request: dispatchTypes.IExchangeRequest,
+    private readonly listener: dispatchTypes.IExchangeListener,
   ) {}
 
   /** Ends the exchange. No event follows. */
@@ -65,7 +52,7 @@
     this.status = statusCode;
     this.answerHeaders = headers.decodeRaw((controller.rawHeaders ?? []) as Buffer[]);
     const declared = Number(headers.find(this.answerHeaders, 'content-length') ?? 0);
-    if (this.hasBody() && declared > this.maxAnswerBytes) this.refuseSize(controller);
+    if (this.hasBody() && declared > this.request.maxAnswerBytes) this.refuseSize(controller);
     else if (!this.isFramed()) this.refuseFraming(controller);
   }
 
@@ -73,7 +60,7 @@
     if (this.ended) return;
     this.listener.onProgress();
     this.size += chunk.length;
-    if (this.size <= this.maxAnswerBytes) this.chunks.push(chunk);
+    if (this.size <= this.request.maxAnswerBytes) this.chunks.push(chunk);
     else this.refuseSize(controller);
   }
 
@@ -81,13 +68,16 @@
     if (this.ended) return;
     this.reportLoad();
     const body = this.chunks.length === 1 ? (this.chunks[0] as Buffer) : Buffer.concat(this.chunks);
-    if (this.isRefusal()) {
-      const draining = headers.find(this.answerHeaders, headers.BACKEND_STATE) === 'draining';
-      this.end({ kind: 'refused', draining });
-      return;
+    const verdict = this.request.judge(this.status, this.answerHeaders);
+    if (verdict.kind === 'refused') {
+      this.end({ kind: 'refused', draining: verdict.draining });
+    } else if (verdict.kind === 'invalid') {
+      this.end({ kind: 'lost', reason: 'answer-invalid', detail: verdict.detail });
+    } else {
+      const { status, answerHeaders } = this;
+      const { isFailure } = verdict;
+      this.end({ kind: 'answered', answer: { status, headers: answerHeaders, body, isFailure } });
     }
-    const answer = { status: this.status, headers: this.answerHeaders, body };
-    this.end({ kind: 'answered', answer });
   }
 
   public onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
@@ -101,7 +91,7 @@
   }
 
   private hasBody(): boolean {
-    return this.call.method !== 'HEAD' && !BODYLESS_STATUSES.has(this.status);
+    return this.request.method !== 'HEAD' && !BODYLESS_STATUSES.has(this.status);
   }
 
   /** Whether the end of the answer is marked, so that a truncated answer can be recognised. */
@@ -112,19 +102,8 @@
     return /^\s*chunked\s*$/i.test(encoding);
   }
 
-  /**
-   * A refusal that a daemon deeper in the call tree sent, and that the server passed on, carries
-   * the request id of that daemon. It does not say that this server ran nothing.
-   */
-  private isRefusal(): boolean {
-    if (this.status !== STATUS_UNAVAILABLE) return false;
-    if (headers.find(this.answerHeaders, headers.REQUEST_OUTCOME) !== 'not-run') return false;
-    const requestId = headers.find(this.answerHeaders, headers.REQUEST_ID);
-    return requestId === undefined || requestId === this.call.requestId;
-  }
-
   private refuseSize(controller: undici.Dispatcher.DispatchController): void {
-    const detail = `the answer exceeds ${this.maxAnswerBytes} bytes`;
+    const detail = `the answer exceeds ${this.request.maxAnswerBytes} bytes`;
     this.end({ kind: 'lost', reason: 'answer-too-large', detail });
     controller.abort(new Error(detail));
   }
@@ -136,10 +115,7 @@
   }
 
   private reportLoad(): void {
-    const report = headers.readLoadReport(
-      headers.find(this.answerHeaders, headers.LOAD_METRICS),
-      headers.find(this.answerHeaders, headers.BACKEND_STATE),
-    );
+    const report = this.request.readLoad(this.answerHeaders);
     if (report !== undefined) this.listener.onLoadReport(report);
   }
 
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -4,9 +4,12 @@
 import type * as policyTypes from '../../common/policy/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
+import type * as backendProtocol from './BackendProtocol';
 import * as connectionPool from './ConnectionPool';
 import * as headers from './Headers';
+import * as ownBackendProtocol from './OwnBackendProtocol';
 import * as pooledAttempt from './PooledAttempt';
+import type * as dispatchTypes from './Types';
 
 /** Interval between two checks for connections to retire, in milliseconds. */
 const SWEEP_INTERVAL_MS = 5_000;
@@ -14,8 +17,13 @@
 /** Size limit of an answer to a probe, in bytes. */
 const MAX_PROBE_ANSWER_BYTES = 4_096;
 
+/** Connections to one server above which no further one is opened to ask it. */
+const MAX_CHECK_CONNECTIONS = 4;
+
 /** Sends attempts and probes to backend servers over HTTP/1.1. */
-export class HttpTransport implements callTypes.IBackendTransport, types.IDisposable {
+export class HttpTransport
+  implements callTypes.IBackendTransport, callTypes.IServerChecker, types.IDisposable
+{
   private readonly pools = new Map<string, connectionPool.ConnectionPool>();
 
   private readonly probeAgent = new undici.Agent({
@@ -29,6 +37,9 @@
   public constructor(
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
+    private readonly protocol: backendProtocol.BackendProtocol = new ownBackendProtocol.OwnBackendProtocol(
+      clock,
+    ),
   ) {
     this.scheduleSweep();
   }
@@ -40,15 +51,47 @@
   ): callTypes.IAttempt {
     const attempt = new pooledAttempt.PooledAttempt(
       this.poolOf(server.address),
-      call,
+      this.toRequest(call, server),
       Math.floor(server.maxConnections / call.table.maxDaemons),
-      this.requestHeaders(call),
       listener,
     );
     attempt.begin();
     return attempt;
   }
 
+  /**
+   * Asks for the health of a server on a connection of its pool, which is thereby proven for the
+   * request that may follow. A question is never given up early, since that costs a connection.
+   */
+  public check(
+    server: tableTypes.IServerRow,
+    healthPath: string,
+    timeoutMs: number,
+    onReply: (reply: policyTypes.CheckReply) => void,
+  ): void {
+    let timer: types.IDisposable | undefined;
+    const end = (reply: policyTypes.CheckReply) => {
+      timer?.dispose();
+      onReply(reply);
+    };
+    const request = this.toCheckRequest(server, healthPath);
+    const attempt = new pooledAttempt.PooledAttempt(
+      this.poolOf(server.address),
+      request,
+      MAX_CHECK_CONNECTIONS,
+      {
+        onSent: () => undefined,
+        onLoadReport: () => undefined,
+        onEnd: (outcome) => end(this.toReply(server, outcome)),
+      },
+    );
+    timer = this.clock.setTimer(timeoutMs, () => {
+      attempt.cancel();
+      onReply({ kind: 'silent' });
+    });
+    attempt.begin();
+  }
+
   public probe(
     server: tableTypes.IServerRow,
     timeoutMs: number,
@@ -103,21 +146,49 @@
     return pool;
   }
 
-  private requestHeaders(call: callTypes.ICall): string[] {
+  private toRequest(
+    call: callTypes.ICall,
+    server: tableTypes.IServerRow,
+  ): dispatchTypes.IExchangeRequest {
+    const { protocol } = this;
+    const { method, path, body, service } = call;
     const remainingMs = Math.max(1, Math.floor(call.deadlineMs - this.clock.monotonicMs()));
-    const deadline = this.clock.wallTime().getTime() + remainingMs;
-    return [
-      ...call.headers,
-      headers.REQUEST_ID,
-      call.requestId,
-      headers.REQUEST_TIMEOUT_MS,
-      `${remainingMs}`,
-      headers.REQUEST_DEADLINE,
-      `${deadline}`,
-      headers.CALL_DEPTH,
-      `${call.depth + 1}`,
-      headers.RETRIES_SPENT,
-      `${call.retriesSpent}`,
-    ];
+    return {
+      method,
+      path,
+      body,
+      headers: protocol.requestHeaders(call, server, remainingMs),
+      idempotent: service.idempotent,
+      maxAnswerBytes: service.maxAnswerBytes,
+      judge: (status, list) => protocol.judge(call, status, list),
+      readLoad: (list) => protocol.readLoad(list),
+    };
+  }
+
+  private toCheckRequest(
+    server: tableTypes.IServerRow,
+    path: string,
+  ): dispatchTypes.IExchangeRequest {
+    return {
+      method: 'GET',
+      path,
+      body: new Uint8Array(),
+      headers: ['host', server.address],
+      idempotent: true,
+      maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
+      judge: () => ({ kind: 'answer' }),
+      readLoad: () => undefined,
+    };
+  }
+
+  private toReply(
+    server: tableTypes.IServerRow,
+    outcome: callTypes.AttemptOutcome,
+  ): policyTypes.CheckReply {
+    if (outcome.kind === 'answered') {
+      return this.protocol.judgeCheck(server, outcome.answer.status, outcome.answer.headers);
+    }
+    const isLimit = outcome.kind === 'not-sent' && outcome.reason === 'connection-limit';
+    return { kind: isLimit ? 'silent' : 'unreachable' };
   }
 }
--- /dev/null
+++ b/src/node/dispatch/OwnBackendProtocol.ts
@@ -0,0 +1,69 @@
+import type * as callTypes from '../../common/call/Types';
+import type * as policyTypes from '../../common/policy/Types';
+import type * as tableTypes from '../../common/table/Types';
+import type * as types from '../../common/Types';
+import * as backendProtocol from './BackendProtocol';
+import * as headers from './Headers';
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+/** The product's own headers between daemons and backend servers. */
+export class OwnBackendProtocol extends backendProtocol.BackendProtocol {
+  public constructor(private readonly clock: types.IClock) {
+    super();
+  }
+
+  public requestHeaders(
+    call: callTypes.ICall,
+    _server: tableTypes.IServerRow,
+    remainingMs: number,
+  ): string[] {
+    const deadline = this.clock.wallTime().getTime() + remainingMs;
+    return [
+      ...call.headers,
+      headers.REQUEST_ID,
+      call.requestId,
+      headers.REQUEST_TIMEOUT_MS,
+      `${remainingMs}`,
+      headers.REQUEST_DEADLINE,
+      `${deadline}`,
+      headers.CALL_DEPTH,
+      `${call.depth + 1}`,
+      headers.RETRIES_SPENT,
+      `${call.retriesSpent}`,
+    ];
+  }
+
+  /**
+   * A refusal that a daemon deeper in the call tree sent, and that the server passed on, carries
+   * the request id of that daemon. It does not say that this server ran nothing.
+   */
+  public judge(
+    call: Pick<callTypes.ICall, 'requestId'>,
+    status: number,
+    list: readonly string[],
+  ): backendProtocol.AnswerVerdict {
+    if (status !== STATUS_UNAVAILABLE) return { kind: 'answer' };
+    if (headers.find(list, headers.REQUEST_OUTCOME) !== 'not-run') return { kind: 'answer' };
+    const requestId = headers.find(list, headers.REQUEST_ID);
+    const isOwn = requestId === undefined || requestId === call.requestId;
+    const draining = headers.find(list, headers.BACKEND_STATE) === 'draining';
+    return isOwn ? { kind: 'refused', draining } : { kind: 'answer' };
+  }
+
+  public readLoad(list: readonly string[]): policyTypes.ILoadReport | undefined {
+    return headers.readLoadReport(
+      headers.find(list, headers.LOAD_METRICS),
+      headers.find(list, headers.BACKEND_STATE),
+    );
+  }
+
+  public judgeCheck(
+    _server: tableTypes.IServerRow,
+    status: number,
+    list: readonly string[],
+  ): policyTypes.CheckReply {
+    return { kind: status === STATUS_OK ? 'ready' : 'unhealthy', report: this.readLoad(list) };
+  }
+}
--- a/src/node/dispatch/PooledAttempt.ts
+++ b/src/node/dispatch/PooledAttempt.ts
@@ -2,6 +2,7 @@
 import * as attemptHandler from './AttemptHandler';
 import type * as connections from './Connection';
 import type * as connectionPool from './ConnectionPool';
+import type * as dispatchTypes from './Types';
 
 /** One attempt at a backend server, on a connection of its pool. */
 export class PooledAttempt implements callTypes.IAttempt {
@@ -15,14 +16,13 @@
 
   public constructor(
     private readonly pool: connectionPool.ConnectionPool,
-    private readonly call: callTypes.ICall,
+    private readonly request: dispatchTypes.IExchangeRequest,
     private readonly limit: number,
-    private readonly requestHeaders: readonly string[],
     private readonly listener: callTypes.IAttemptListener,
   ) {}
 
   public begin(): void {
-    const { idempotent } = this.call.service;
+    const { idempotent } = this.request;
     this.dispatchOn(this.pool.acquire(idempotent, this.limit, () => this.giveUp()));
   }
 
@@ -35,7 +35,7 @@
 
   /** Ends an idempotent attempt whose connection is silent. Others wait for their deadline. */
   private giveUp(): void {
-    if (this.ended || !this.call.service.idempotent) return;
+    if (this.ended || !this.request.idempotent) return;
     this.cancel();
     const detail = 'the connection is silent while newer exchanges with the server complete';
     this.listener.onEnd({ kind: 'lost', reason: 'silent', detail });
@@ -43,12 +43,13 @@
 
   private dispatchOn(connection: connections.Connection | undefined): void {
     if (connection === undefined) {
-      this.deliver({ kind: 'not-sent', detail: 'the connection limit of the server is reached' });
+      const detail = 'the connection limit of the server is reached';
+      this.deliver({ kind: 'not-sent', reason: 'connection-limit', detail });
       return;
     }
     this.connection = connection;
     const reused = connection.exchanges > 0;
-    this.handler = new attemptHandler.AttemptHandler(this.call, this.call.service.maxAnswerBytes, {
+    this.handler = new attemptHandler.AttemptHandler(this.request, {
       onSent: () => {
         this.sent = true;
         this.listener.onSent();
@@ -59,10 +60,10 @@
     });
     connection.dispatch(
       {
-        path: this.call.path,
-        method: this.call.method,
-        headers: this.requestHeaders as string[],
-        body: this.call.body.length > 0 ? this.call.body : null,
+        path: this.request.path,
+        method: this.request.method,
+        headers: this.request.headers as string[],
+        body: this.request.body.length > 0 ? this.request.body : null,
         headersTimeout: 0,
         bodyTimeout: 0,
       },
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -5,6 +5,7 @@
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
 import * as bodyReader from './BodyReader';
+import type * as callerProtocol from './CallerProtocol';
 import * as requestHead from './RequestHead';
 import * as responseWriter from './ResponseWriter';
 import type * as serverTypes from './Types';
@@ -24,6 +25,7 @@
 /** What an exchange with a caller needs from its surroundings. */
 export interface IExchangeContext {
   readonly routes: serverTypes.IRoutes;
+  readonly protocol: callerProtocol.CallerProtocol;
   readonly runner: ICallRunner;
   readonly observer: serverTypes.IRequestObserver;
   readonly clock: types.IClock;
@@ -43,7 +45,7 @@
 
 /** One request of a caller, from its headers to the end of its response. */
 export class CallerExchange {
-  private readonly requestId = crypto.randomUUID();
+  private readonly requestId: string;
 
   private readonly startMs: number;
 
@@ -71,6 +73,7 @@
     private readonly onEnd: () => void,
   ) {
     this.startMs = context.clock.monotonicMs();
+    this.requestId = context.protocol.requestIdOf(request);
   }
 
   /** Whether the body of the request has not arrived in full. */
@@ -128,10 +131,11 @@
     if (table === undefined || routes.phase === 'starting') {
       return requestHead.notRun('not-ready', 'the daemon is not ready yet');
     }
-    const named = requestHead.splitTarget(this.request.url ?? '')?.service ?? '';
-    if (table.services.has(named)) this.service = named;
-    const head = requestHead.readHead(this.request, table);
+    const { protocol } = this.context;
+    this.service = protocol.serviceOf(this.request, table);
+    const head = protocol.readHead(this.request, table);
     if ('kind' in head) return head;
+    this.service = head.service.name;
     return { head, table };
   }
 
@@ -171,6 +175,8 @@
       deadlineMs: this.startMs + head.timeoutMs,
       depth: head.depth,
       retriesSpent: head.retriesSpent,
+      maxAttempts: head.maxAttempts,
+      configurationVersion: table.routes?.configurationVersion,
       // Few calls need it, and the hash costs several microseconds.
       get fingerprint() {
         fingerprint ??= fingerprintOf(method, head.path, body);
@@ -189,7 +195,8 @@
 
   private answer(call: callTypes.ICall, answer: callTypes.IAnswer, server: string): void {
     if (this.ended) return;
-    responseWriter.writeAnswer(this.response, call, answer, this.isLast());
+    const { protocol } = this.context;
+    responseWriter.writeAnswer(this.response, call, answer, protocol, this.isLast());
     this.finish();
     const latencyMs = this.context.clock.monotonicMs() - this.startMs;
     this.context.observer.onAnswered(call, answer.status, server, latencyMs);
@@ -201,7 +208,7 @@
     this.bodyTimer?.dispose();
     this.reader?.stop();
     const { routes, runner } = this.context;
-    const use = requestHead.findKey(this.request, routes.table);
+    const use = this.context.protocol.findKey(this.request, routes.table);
     if (use === undefined) {
       this.refuse(refusal);
       return;
@@ -221,7 +228,8 @@
   private refuse(refusal: serverTypes.Refusal): void {
     if (this.ended) return;
     const record = this.report(refusal);
-    responseWriter.writeRefusal(this.response, record, this.isLast());
+    const own = this.context.protocol.toResponse(record);
+    responseWriter.writeRefusal(this.response, own, this.isLast());
     this.finish();
   }
 
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -7,29 +7,46 @@
 import * as keyEndpoint from './KeyEndpoint';
 import * as responseWriter from './ResponseWriter';
 
+/** Default size limit of the headers of a request, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
 
-/** Time for which an idle connection of a caller is kept, in milliseconds. */
+/** Default time for which an idle connection of a caller is kept, in milliseconds. */
 const KEEP_ALIVE_MS = 75_000;
 
+/** Interval of the check for requests whose headers take too long, in milliseconds. */
+const TIMEOUT_CHECK_MS = 1_000;
+
+/** What a caller server needs from its surroundings. */
+export interface ICallerServerContext extends callerExchange.IExchangeContext {
+  /** Issues request keys; without it, no keys are issued. */
+  readonly issueKeys?: keyEndpoint.IKeyEndpointContext['issueKeys'];
+}
+
 /** Serves callers over HTTP/1.1. */
 export class CallerServer {
   /** Exchanges under way on each connection, in the order of their requests. */
   private readonly open = new Map<stream.Duplex, Set<callerExchange.CallerExchange>>();
 
-  private readonly server = http.createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    // Node would refuse such a request itself, without the headers that every response carries.
-    requireHostHeader: false,
-  });
+  private readonly server: http.Server;
 
-  private readonly keys: keyEndpoint.KeyEndpoint;
+  private readonly keys: keyEndpoint.KeyEndpoint | undefined;
 
+  /** @param maxHeaderBytes Size above which the headers of a request are not read any further. */
   public constructor(
-    private readonly context: callerExchange.IExchangeContext & keyEndpoint.IKeyEndpointContext,
+    private readonly context: ICallerServerContext,
+    private readonly maxHeaderBytes = MAX_HEADER_BYTES,
   ) {
-    this.keys = new keyEndpoint.KeyEndpoint(context);
+    this.server = http.createServer({
+      maxHeaderSize: maxHeaderBytes,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+      // Node would refuse such a request itself, without the headers that every response carries.
+      requireHostHeader: false,
+    });
+    const { issueKeys } = context;
+    if (issueKeys !== undefined) {
+      this.keys = new keyEndpoint.KeyEndpoint({ ...context, issueKeys });
+    }
     // Node drops headers beyond this number without notice; their size is limited anyway.
     this.server.maxHeadersCount = 0;
     const serve = (request: http.IncomingMessage, response: http.ServerResponse) =>
@@ -68,6 +85,12 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
+  /** Sets how long callers may take for the headers of a request, and may keep a connection idle. */
+  public setTimeouts(headersMs: number, idleMs: number): void {
+    this.server.headersTimeout = headersMs;
+    this.server.keepAliveTimeout = idleMs;
+  }
+
   /** Stops accepting connections, and resolves when the last request has its response. */
   public close(): Promise<void> {
     return new Promise((resolve) => {
@@ -91,7 +114,7 @@
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
-    if (request.url?.startsWith(keyEndpoint.OWN_PREFIX) === true) {
+    if (this.keys !== undefined && request.url?.startsWith(keyEndpoint.OWN_PREFIX) === true) {
       this.keys.serve(request, response);
       return;
     }
@@ -114,7 +137,7 @@
       // Bytes written now would be taken for the answer to the request that is under way.
       exchanges.at(-1)?.closeAfterwards();
     } else if (error.code === 'HPE_HEADER_OVERFLOW') {
-      const detail = `the headers exceed ${MAX_HEADER_BYTES} bytes`;
+      const detail = `the headers exceed ${this.maxHeaderBytes} bytes`;
       this.refuseRaw(socket, 'headers-too-large', detail);
     } else {
       const detail = `the request is malformed (${error.code ?? error.message})`;
@@ -133,6 +156,6 @@
       tableVersion: this.context.routes.table?.version ?? 0,
     };
     this.context.observer.onRefused(record, 0);
-    socket.end(responseWriter.rawRefusal(record));
+    socket.end(responseWriter.rawRefusal(this.context.protocol.toResponse(record)));
   }
 }
--- a/src/node/server/KeyEndpoint.ts
+++ b/src/node/server/KeyEndpoint.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 
 import type * as issueEndpoint from '../keys/IssueEndpoint';
+import type * as callerProtocol from './CallerProtocol';
 import * as requestHead from './RequestHead';
 import * as responseWriter from './ResponseWriter';
 import type * as serverTypes from './Types';
@@ -15,6 +16,7 @@
 export interface IKeyEndpointContext {
   readonly routes: serverTypes.IRoutes;
   readonly observer: serverTypes.IRequestObserver;
+  readonly protocol: callerProtocol.CallerProtocol;
   issueKeys(count: string | undefined): issueEndpoint.IssueReply;
 }
 
@@ -42,7 +44,8 @@
       tableVersion: table?.version ?? 0,
     };
     this.context.observer.onRefused(record, 0);
-    responseWriter.writeRefusal(response, record, phase === 'stopping');
+    const own = this.context.protocol.toResponse(record);
+    responseWriter.writeRefusal(response, own, phase === 'stopping');
   }
 
   private replyTo(request: http.IncomingMessage): issueEndpoint.IssueReply | serverTypes.NotRun {
--- /dev/null
+++ b/src/node/server/ReadinessServer.ts
@@ -0,0 +1,51 @@
+import * as http from 'node:http';
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+
+/** What is served on the readiness address beside the readiness itself. */
+export type TextPages = ReadonlyMap<string, () => string>;
+
+/** Tells the platform's balancer over HTTP/1.1 whether the daemon takes new connections. */
+export class ReadinessServer {
+  private readonly server = http.createServer((request, response) => this.serve(request, response));
+
+  /** @param path Path that the balancer asks for. */
+  public constructor(
+    private readonly path: string,
+    private readonly isReady: () => boolean,
+    private readonly pages: TextPages,
+  ) {}
+
+  /** Listens. Rejects if the address cannot be used. */
+  public listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.removeListener('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Closes all connections at once. */
+  public close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const page = this.pages.get(request.url ?? '');
+    if (page !== undefined) {
+      response.writeHead(STATUS_OK, { 'content-type': 'text/plain; charset=utf-8' });
+      response.end(page());
+      return;
+    }
+    if (request.url !== this.path) response.writeHead(STATUS_NOT_FOUND);
+    else response.writeHead(this.isReady() ? STATUS_OK : STATUS_UNAVAILABLE);
+    response.end();
+  }
+}
--- a/src/node/server/RequestHead.ts
+++ b/src/node/server/RequestHead.ts
@@ -32,6 +32,8 @@
   readonly depth: number;
   readonly retriesSpent: number;
   readonly requestKey: string | undefined;
+  /** Servers that the call may be sent to in all, where the operators limit them. */
+  readonly maxAttempts?: number | undefined;
   /** Headers for the backend server. */
   readonly headers: readonly string[];
 }
--- a/src/node/server/ResponseWriter.ts
+++ b/src/node/server/ResponseWriter.ts
@@ -2,8 +2,7 @@
 
 import type * as callTypes from '../../common/call/Types';
 import * as headers from '../dispatch/Headers';
-import * as refusals from './Refusals';
-import type * as serverTypes from './Types';
+import type * as callerProtocol from './CallerProtocol';
 
 const OK = 200;
 const NO_CONTENT = 204;
@@ -15,8 +14,6 @@
  */
 const MAX_STRING_BODY_BYTES = 16 * 1024;
 
-const OWN_RESPONSE_HEADERS = new Set([headers.REQUEST_ID, headers.REQUEST_OUTCOME]);
-
 function contentLength(method: string, answer: callTypes.IAnswer): string[] {
   if (answer.status === NO_CONTENT) return [];
   if (method !== 'HEAD' && answer.status !== NOT_MODIFIED) {
@@ -27,30 +24,16 @@
   return stated === undefined ? [] : ['content-length', stated];
 }
 
-function refusalHeaders(problem: refusals.IProblem, body: string): string[] {
-  return [
-    'content-type',
-    'application/problem+json',
-    'content-length',
-    `${Buffer.byteLength(body)}`,
-    headers.REQUEST_OUTCOME,
-    problem.outcome,
-    headers.REQUEST_ID,
-    problem.requestId,
-  ];
-}
-
 /** Sends the answer of a backend server to the caller. */
 export function writeAnswer(
   response: http.ServerResponse,
   call: callTypes.ICall,
   answer: callTypes.IAnswer,
+  protocol: callerProtocol.CallerProtocol,
   close: boolean,
 ): void {
-  const list = headers.withoutHopByHop(answer.headers, OWN_RESPONSE_HEADERS);
-  list.push(...contentLength(call.method, answer));
-  // A `not-run` that the server passes on from a deeper daemon is not true of this request.
-  list.push(headers.REQUEST_OUTCOME, 'answered', headers.REQUEST_ID, call.requestId);
+  const list = protocol.passedHeaders(answer);
+  list.push(...contentLength(call.method, answer), ...protocol.addedHeaders(call));
   if (close) list.push('connection', 'close');
   response.writeHead(answer.status, list);
   const { body } = answer;
@@ -63,30 +46,30 @@
     );
 }
 
+function listOf(own: callerProtocol.IOwnResponse, close: boolean): string[] {
+  const list = [...own.headers, 'content-length', `${Buffer.byteLength(own.body)}`];
+  if (close) list.push('connection', 'close');
+  return list;
+}
+
 /** Sends a refusal to the caller. */
 export function writeRefusal(
   response: http.ServerResponse,
-  record: serverTypes.IRefusalRecord,
+  own: callerProtocol.IOwnResponse,
   close: boolean,
 ): void {
-  const problem = refusals.toProblem(record);
-  const body = JSON.stringify(problem);
-  const list = refusalHeaders(problem, body);
-  if (close) list.push('connection', 'close');
-  response.writeHead(problem.status, list);
-  response.end(body);
+  response.writeHead(own.status, listOf(own, close));
+  response.end(own.body);
 }
 
 /** A refusal as bytes, for a request that was never parsed. The connection ends after it. */
-export function rawRefusal(record: serverTypes.IRefusalRecord): string {
-  const problem = refusals.toProblem(record);
-  const body = JSON.stringify(problem);
-  const list = [...refusalHeaders(problem, body), 'connection', 'close'];
-  const reason = http.STATUS_CODES[problem.status] ?? '';
+export function rawRefusal(own: callerProtocol.IOwnResponse): string {
+  const list = listOf(own, true);
+  const reason = http.STATUS_CODES[own.status] ?? '';
   const lines = list.flatMap((name, index) =>
     index % 2 === 0 ? [`${name}: ${list[index + 1]}\r\n`] : [],
   );
-  return `HTTP/1.1 ${problem.status} ${reason}\r\n${lines.join('')}\r\n${body}`;
+  return `HTTP/1.1 ${own.status} ${reason}\r\n${lines.join('')}\r\n${own.body}`;
 }
 
 /** Sends an answer of the daemon itself as JSON. */
--- a/src/node/server/testing/CallerServerRig.ts
+++ b/src/node/server/testing/CallerServerRig.ts
@@ -9,6 +9,7 @@
 import * as fakeTransport from '../../../common/testing/FakeTransport';
 import * as fixtures from '../../../common/testing/Fixtures';
 import * as callerServer from '../CallerServer';
+import * as ownCallerProtocol from '../OwnCallerProtocol';
 import type * as serverTypes from '../Types';
 
 /** A caller server on a loopback port, over a transport whose answers the test decides. */
@@ -49,6 +50,7 @@
         },
       },
       clock,
+      protocol: new ownCallerProtocol.OwnCallerProtocol(),
       beforeRequest: () => undefined,
       runner: {
         start: (call, _key, onOutcome) => coordinator.start(call, balancer, onOutcome),
--- /dev/null
+++ b/src/node/settings/RoutedSettings.ts
@@ -0,0 +1,59 @@
+import * as yaml from 'yaml';
+import * as zod from 'zod';
+
+import * as durations from '../../common/Durations';
+import type * as types from '../../common/Types';
+import * as addresses from './Addresses';
+import * as problems from './Problems';
+
+const ADDRESS = zod
+  .string()
+  .refine((text) => addresses.isAddress(text), 'expected an IP address and a port');
+
+const DURATION_MS = zod.string().transform((text, context) => {
+  const durationMs = durations.parseDuration(text);
+  if (durationMs !== undefined) return durationMs;
+  context.addIssue({ code: 'custom', message: 'expected a duration such as 1500ms or 2s' });
+  return zod.NEVER;
+});
+
+const SCHEMA = zod.strictObject({
+  callerAddress: ADDRESS,
+  readinessAddress: ADDRESS,
+  readinessPath: zod.string().startsWith('/'),
+  peerAddress: ADDRESS,
+  failureDomain: zod.string().min(1).max(63),
+  directoryUrl: zod.url({ protocol: /^http$/, error: 'expected an http URL' }),
+  seedPeers: zod.array(ADDRESS),
+  /** Time between the signal to stop and the end of the process by force. */
+  stopGrace: DURATION_MS,
+  retryFraction: zod.number().min(0).max(1),
+  /** Retries in each window that the whole fleet may send beyond the fraction, for each service. */
+  retryAllowance: zod.number().min(0),
+  retryWindow: DURATION_MS,
+  checksPerSecond: zod.number().min(0),
+  logLevel: zod.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
+});
+
+/**
+ * Settings of a daemon that reads routes and servers from a directory. Addresses are IP address and
+ * port. Durations are written with their unit, as in `1500ms` or `2s`, and held in milliseconds.
+ */
+export type RoutedSettings = Readonly<zod.infer<typeof SCHEMA>>;
+
+/** Reads settings in YAML. All problems are reported at once. */
+export function parseRoutedSettings(
+  text: string,
+): types.Result<RoutedSettings, readonly problems.ISettingsProblem[]> {
+  const document = yaml.parseDocument(text);
+  if (document.errors.length > 0) {
+    const error = document.errors.map(({ message }) => ({ path: '', message }));
+    return { ok: false, error };
+  }
+  const values: unknown = document.toJS() ?? {};
+  const result = SCHEMA.safeParse(values);
+  if (result.success) return { ok: true, value: result.data };
+  const known = Object.keys(SCHEMA.shape);
+  const error = result.error.issues.flatMap((issue) => problems.toProblems(issue, values, known));
+  return { ok: false, error };
+}
--- /dev/null
+++ b/src/node/startCall.ts
@@ -0,0 +1,19 @@
+import type * as callCoordinator from '../common/call/CallCoordinator';
+import type * as callTypes from '../common/call/Types';
+import type * as serviceSet from './ServiceSet';
+
+/** Starts a call on the servers of its service, as far as the table in force still names it. */
+export function startCall(
+  call: callTypes.ICall,
+  services: serviceSet.ServiceSet,
+  coordinator: callCoordinator.CallCoordinator,
+  onOutcome: (outcome: callTypes.CallOutcome) => void,
+): callTypes.IAttempt {
+  const balancer = services.balancerOf(call.service.name);
+  if (balancer === undefined) {
+    const detail = 'the service is no longer in the table';
+    onOutcome({ kind: 'not-run', reason: 'no-backend-server', detail });
+    return { cancel: () => undefined };
+  }
+  return coordinator.start(call, balancer, onOutcome);
+}
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -14,6 +14,7 @@
 export const TABLE_VERSION = 'table.version';
 export const DAEMON_READY = 'daemon.ready';
 export const PROCESS_PAUSED = 'process.paused';
+export const DIRECTORY_PROBLEM = 'directory.problem';
 
 /** Prefix of all metrics. */
 export const METRIC_PREFIX = 'lavenderspar.';
--- /dev/null
+++ b/src/platform/PlatformBackendProtocol.ts
@@ -0,0 +1,81 @@
+import type * as callTypes from '../common/call/Types';
+import type * as policyTypes from '../common/policy/Types';
+import type * as tableTypes from '../common/table/Types';
+import * as backendProtocol from '../node/dispatch/BackendProtocol';
+import * as headers from '../node/dispatch/Headers';
+import * as wireNames from './WireNames';
+
+const STATUS_OK = 200;
+const STATUS_REDIRECT = 300;
+const STATUS_SERVER_ERROR = 500;
+const STATUS_MISDIRECTED = 421;
+
+/** Statuses that promise a caller that its request was not run. */
+const PROMISES = new Set([408, STATUS_MISDIRECTED, 429, 503]);
+
+const PERCENT = 100;
+
+/** Reads `running,waiting,slots[,percent]`. */
+function parseLoad(text: string | undefined): policyTypes.ILoadReport | undefined {
+  if (text === undefined) return undefined;
+  const [inFlight, queued, , percent] = text.split(',').map(Number);
+  if (inFlight === undefined || queued === undefined) return undefined;
+  if (!(inFlight >= 0) || !(queued >= 0)) return undefined;
+  const isStated = percent !== undefined && percent > 0;
+  const slowdown = isStated ? percent / PERCENT : undefined;
+  return { inFlight, queued, draining: false, slowdown };
+}
+
+/** The platform's headers between daemons and backend servers. */
+export class PlatformBackendProtocol extends backendProtocol.BackendProtocol {
+  public requestHeaders(
+    call: callTypes.ICall,
+    server: tableTypes.IServerRow,
+    remainingMs: number,
+  ): string[] {
+    const list = [...call.headers, wireNames.REQUEST_DEADLINE, `${remainingMs}`];
+    if (server.instance !== undefined) list.push(wireNames.EXPECTED_INSTANCE, server.instance);
+    return list;
+  }
+
+  public judge(
+    call: Pick<callTypes.ICall, 'requestId'>,
+    status: number,
+    list: readonly string[],
+  ): backendProtocol.AnswerVerdict {
+    const requestId = headers.find(list, wireNames.REQUEST_ID);
+    if (requestId !== undefined && requestId !== call.requestId) {
+      return { kind: 'invalid', detail: `the answer belongs to the request ${requestId}` };
+    }
+    if (headers.find(list, wireNames.NOT_EXECUTED) !== undefined || status === STATUS_MISDIRECTED) {
+      return { kind: 'refused', draining: false };
+    }
+    const isSuccess = status >= STATUS_OK && status < STATUS_REDIRECT;
+    const isSigned = headers.find(list, wireNames.RESPONSE_SIGNATURE) !== undefined;
+    if (isSuccess && !isSigned) return { kind: 'invalid', detail: 'the answer is not signed' };
+    if (headers.find(list, 'content-encoding') !== undefined) {
+      return { kind: 'invalid', detail: 'the body is encoded, which the server does not do' };
+    }
+    if (PROMISES.has(status)) {
+      return { kind: 'invalid', detail: `status ${status} without the statement that it is true` };
+    }
+    return { kind: 'answer', isFailure: status >= STATUS_SERVER_ERROR };
+  }
+
+  public readLoad(list: readonly string[]): policyTypes.ILoadReport | undefined {
+    return parseLoad(headers.find(list, wireNames.SERVER_LOAD));
+  }
+
+  public judgeCheck(
+    server: tableTypes.IServerRow,
+    status: number,
+    list: readonly string[],
+  ): policyTypes.CheckReply {
+    const instance = headers.find(list, wireNames.INSTANCE_ID);
+    if (instance !== undefined && instance !== server.instance) return { kind: 'replaced' };
+    const report = this.readLoad(list);
+    if (status === STATUS_OK) return { kind: 'ready', report };
+    const isFull = headers.find(list, wireNames.NOT_EXECUTED) !== undefined;
+    return { kind: isFull ? 'full' : 'unhealthy', report };
+  }
+}
--- /dev/null
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -0,0 +1,119 @@
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+
+import type * as callTypes from '../common/call/Types';
+import type * as tableTypes from '../common/table/Types';
+import * as headers from '../node/dispatch/Headers';
+import * as callerProtocol from '../node/server/CallerProtocol';
+import * as requestHead from '../node/server/RequestHead';
+import type * as serverTypes from '../node/server/Types';
+import * as wireNames from './WireNames';
+
+/** Deadline of a request that states none, in milliseconds; the route's timeout bounds it further. */
+const DEFAULT_DEADLINE_MS = 600_000;
+
+/** Bytes that separate a header's name from its value, and end its line. */
+const HEADER_OVERHEAD_BYTES = 4;
+
+/** Time after which a refused caller may come back, in seconds; it reaches another daemon then. */
+const RETRY_AFTER_S = 0.05;
+
+const STATUS_UNAVAILABLE = 503;
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_GATEWAY_TIMEOUT = 504;
+
+/** Statuses of refusals that no retry can change. All others are 503. */
+const REFUSAL_STATUSES: Partial<Record<callTypes.NotRunKind, number>> = {
+  'unknown-service': 404,
+  'malformed-request': 400,
+  'invalid-deadline': 400,
+  'headers-too-large': 431,
+  'body-too-large': 413,
+};
+
+/** Headers that the daemon sets itself on the way to a backend server. */
+const OWN_REQUEST_HEADERS = new Set([wireNames.REQUEST_DEADLINE, wireNames.EXPECTED_INSTANCE]);
+
+function readDeadline(list: readonly string[]): number | undefined {
+  const text = headers.find(list, wireNames.REQUEST_DEADLINE);
+  if (text === undefined) return DEFAULT_DEADLINE_MS;
+  const deadlineMs = Number(text);
+  return deadlineMs > 0 ? deadlineMs : undefined;
+}
+
+function sizeOf(list: readonly string[]): number {
+  return list.reduce((sum, text) => sum + text.length, (list.length / 2) * HEADER_OVERHEAD_BYTES);
+}
+
+function statusOf(record: serverTypes.IRefusalRecord): number {
+  if (record.outcome === 'not-run') {
+    return REFUSAL_STATUSES[record.kind as callTypes.NotRunKind] ?? STATUS_UNAVAILABLE;
+  }
+  return record.kind === 'deadline-exceeded' ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+}
+
+/** The platform's requests: routes by host and path, and statuses that promise "not run". */
+export class PlatformCallerProtocol extends callerProtocol.CallerProtocol {
+  public requestIdOf(request: http.IncomingMessage): string {
+    const id = request.headers[wireNames.REQUEST_ID];
+    return typeof id === 'string' && id !== '' ? id : crypto.randomUUID();
+  }
+
+  public readHead(
+    request: http.IncomingMessage,
+    table: tableTypes.ITable,
+  ): requestHead.IRequestHead | serverTypes.NotRun {
+    const list = headers.lowerCaseNames(request.rawHeaders);
+    const { routes } = table;
+    const path = request.url ?? '/';
+    const host = headers.find(list, 'host') ?? '';
+    if (routes === undefined) return requestHead.notRun('not-ready', 'no configuration is known');
+    if (sizeOf(list) > routes.limits.maxHeaderBytes) {
+      const detail = `the headers exceed ${routes.limits.maxHeaderBytes} bytes`;
+      return requestHead.notRun('headers-too-large', detail);
+    }
+    const deadlineMs = readDeadline(list);
+    if (deadlineMs === undefined) {
+      const detail = `${wireNames.REQUEST_DEADLINE} must be a positive number of milliseconds`;
+      return requestHead.notRun('invalid-deadline', detail);
+    }
+    const match = routes.match(host, path.split('?', 1)[0] ?? path);
+    if (match === undefined) {
+      return requestHead.notRun('unknown-service', 'no route applies to the host and the path');
+    }
+    return {
+      service: match.service,
+      path,
+      timeoutMs: Math.min(deadlineMs, match.route.timeoutMs),
+      depth: 0,
+      retriesSpent: 0,
+      requestKey: undefined,
+      maxAttempts: match.route.maxAttempts,
+      headers: ['host', host, ...headers.withoutHopByHop(list, OWN_REQUEST_HEADERS)],
+    };
+  }
+
+  public serviceOf(): string {
+    return '';
+  }
+
+  public findKey(): undefined {
+    return undefined;
+  }
+
+  public passedHeaders(answer: callTypes.IAnswer): string[] {
+    return headers.withoutHopByHop(answer.headers);
+  }
+
+  public addedHeaders(): string[] {
+    return [];
+  }
+
+  public toResponse(record: serverTypes.IRefusalRecord): callerProtocol.IOwnResponse {
+    const status = statusOf(record);
+    const list = ['content-type', 'application/json', wireNames.REQUEST_ID, record.requestId];
+    if (status === STATUS_UNAVAILABLE) list.push(wireNames.RETRY_AFTER, `${RETRY_AFTER_S}`);
+    const { kind, outcome, detail } = record;
+    return { status, headers: list, body: JSON.stringify({ kind, outcome, detail }) };
+  }
+}
--- /dev/null
+++ b/src/platform/RecordDecoder.ts
@@ -0,0 +1,185 @@
+import * as zod from 'zod';
+
+import type * as directoryTypes from '../common/directory/Types';
+import * as durations from '../common/Durations';
+import type * as routingTypes from '../common/routing/Types';
+import * as wireNames from './WireNames';
+
+/** One item of the store, or the news of its removal. */
+export interface IStoreItem {
+  readonly key: string;
+  /** Content in base64; missing if the item was removed. */
+  readonly value?: string;
+  /** Revision of its last change. */
+  readonly revision: number;
+  readonly deleted?: boolean;
+}
+
+const DURATION = zod.string().transform((text, context) => {
+  const durationMs = durations.parseDuration(text);
+  if (durationMs !== undefined) return durationMs;
+  context.addIssue({ code: 'custom', message: 'expected a duration such as 1500ms' });
+  return zod.NEVER;
+});
+
+/** Versions of the configuration are written as eight hexadecimal digits. */
+const VERSION = zod
+  .string()
+  .regex(/^[0-9a-f]{8}$/i)
+  .transform((text) => Number.parseInt(text, 16));
+
+const POSITIVE = zod.number().positive();
+const COUNT = zod.int().min(1);
+
+const SPLIT = zod
+  .array(zod.object({ service: zod.string(), weight: zod.number().min(0) }))
+  .min(1)
+  .refine((parts) => parts.some(({ weight }) => weight > 0), 'no part has a weight');
+
+const RULE = zod.object({
+  name: zod.string(),
+  kind: zod.enum(['idempotent', 'non_idempotent']),
+  aim: DURATION,
+  priority: zod.int().min(0),
+  match: zod.object({
+    prefix: zod.string().regex(/^\/(.*\/)?$/s, 'expected slashes at both ends'),
+  }),
+  action: zod.object({
+    service: zod.string().optional(),
+    split: SPLIT.optional(),
+    timeout: DURATION,
+    maxAttempts: COUNT,
+  }),
+});
+
+const CONFIGURATION = zod.object({
+  configVersion: VERSION,
+  limits: zod.object({
+    maxHeaderBytes: POSITIVE,
+    maxBodyBytes: POSITIVE,
+    headerTimeout: DURATION,
+    idleTimeout: DURATION,
+  }),
+  // Hosts with their routes.
+  listeners: zod.array(zod.object({ host: zod.string(), policy: zod.array(RULE) })),
+  // Services.
+  clusters: zod.array(
+    zod.object({ name: zod.string(), healthPath: zod.string(), maxConns: COUNT }),
+  ),
+});
+
+const SERVER = zod.object({
+  service: zod.string(),
+  address: zod
+    .string()
+    .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'expected an IP address and a port'),
+  zone: zod.string(),
+  // `configVersion` of an entry is the version of the server's software, and is not used.
+  slots: COUNT,
+  state: zod.enum(['ready', 'draining']),
+  // How much longer the server stays slow after its start.
+  warmupLeft: DURATION.optional(),
+  // Unix milliseconds of the start of the server process.
+  born: zod.number().optional(),
+});
+
+type Rule = zod.infer<typeof RULE>;
+
+function describe(error: zod.ZodError): string {
+  return error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`).join('; ');
+}
+
+function toRoute(host: string, rule: Rule): routingTypes.IRoute {
+  const { service, split, timeout, maxAttempts } = rule.action;
+  return {
+    name: rule.name,
+    host: host.toLowerCase(),
+    prefix: rule.match.prefix,
+    targets: split ?? [{ service: service ?? '', weight: 1 }],
+    idempotent: rule.kind === 'idempotent',
+    timeoutMs: timeout,
+    objectiveMs: rule.aim,
+    maxAttempts,
+    priority: rule.priority,
+  };
+}
+
+function findUnknownService(configuration: routingTypes.IConfiguration): string | undefined {
+  const names = new Set(configuration.services.map(({ name }) => name));
+  return configuration.routes
+    .flatMap(({ targets }) => targets)
+    .find(({ service }) => !names.has(service))?.service;
+}
+
+function toConfiguration(content: zod.infer<typeof CONFIGURATION>): routingTypes.IConfiguration {
+  return {
+    version: content.configVersion,
+    routes: content.listeners.flatMap(({ host, policy }) =>
+      policy.map((rule) => toRoute(host, rule)),
+    ),
+    services: content.clusters.map(({ name, healthPath, maxConns }) => ({
+      name,
+      healthPath,
+      maxConnections: maxConns,
+    })),
+    limits: {
+      maxHeaderBytes: content.limits.maxHeaderBytes,
+      maxBodyBytes: content.limits.maxBodyBytes,
+      headerTimeoutMs: content.limits.headerTimeout,
+      idleTimeoutMs: content.limits.idleTimeout,
+    },
+  };
+}
+
+function parseValue(item: IStoreItem): unknown {
+  try {
+    return JSON.parse(Buffer.from(item.value ?? '', 'base64').toString('utf8'));
+  } catch {
+    // Reported as an unusable item: no schema accepts undefined.
+    return undefined;
+  }
+}
+
+function unusable(item: IStoreItem, problem: string, id?: string): directoryTypes.DirectoryRecord {
+  return { kind: 'unusable', revision: item.revision, key: item.key, id, problem };
+}
+
+function decodeConfiguration(item: IStoreItem): directoryTypes.DirectoryRecord {
+  if (item.deleted === true) return unusable(item, 'the configuration was removed');
+  const parsed = CONFIGURATION.safeParse(parseValue(item));
+  if (!parsed.success) return unusable(item, describe(parsed.error));
+  const configuration = toConfiguration(parsed.data);
+  const unknown = findUnknownService(configuration);
+  if (unknown !== undefined) return unusable(item, `a route names the unknown service ${unknown}`);
+  return { kind: 'configuration', revision: item.revision, configuration };
+}
+
+function decodeServer(item: IStoreItem): directoryTypes.DirectoryRecord {
+  const id = item.key.slice(wireNames.SERVER_PREFIX.length);
+  if (item.deleted === true) return { kind: 'server-removed', revision: item.revision, id };
+  const parsed = SERVER.safeParse(parseValue(item));
+  if (!parsed.success) return unusable(item, describe(parsed.error), id);
+  const { service, address, zone, slots, state, warmupLeft = 0, born = 0 } = parsed.data;
+  return {
+    kind: 'server',
+    revision: item.revision,
+    server: {
+      id,
+      service,
+      address,
+      failureDomain: zone,
+      slots,
+      state,
+      warmUpMs: warmupLeft,
+      startedAtMs: born,
+    },
+  };
+}
+
+/** Decodes items of the store. Keys of others are passed over. */
+export function decodeItems(items: readonly IStoreItem[]): directoryTypes.DirectoryRecord[] {
+  return items.flatMap((item) => {
+    if (item.key === wireNames.CONFIGURATION_KEY) return [decodeConfiguration(item)];
+    return item.key.startsWith(wireNames.SERVER_PREFIX) ? [decodeServer(item)] : [];
+  });
+}
--- /dev/null
+++ b/src/platform/StoreClient.ts
@@ -0,0 +1,106 @@
+import * as undici from 'undici';
+
+import type * as directoryTypes from '../common/directory/Types';
+import type * as types from '../common/Types';
+import type * as nodeTypes from '../node/directory/Types';
+import * as recordDecoder from './RecordDecoder';
+
+const READ_TIMEOUT_MS = 1_500;
+
+/** Time for the answer to a watch beyond the time that it waits, in milliseconds. */
+const WATCH_SLACK_MS = 1_000;
+
+/** Pages of one listing; more means that the store does not page as documented. */
+const MAX_PAGES = 1_000;
+
+const STATUS_OK = 200;
+const STATUS_GONE = 410;
+
+type Failure = directoryTypes.DirectoryFailure;
+
+/** A page of items, or the changes of a watch, as the store sends them. */
+interface IStoreReply {
+  readonly items?: readonly recordDecoder.IStoreItem[];
+  readonly events?: readonly recordDecoder.IStoreItem[];
+  /** Whether further pages follow. */
+  readonly truncated?: boolean;
+  readonly storeRevision: number;
+}
+
+function unavailable(detail: string): { readonly ok: false; readonly error: Failure } {
+  return { ok: false, error: { kind: 'unavailable', detail } };
+}
+
+/** Reads the platform's metadata store over HTTP. */
+export class StoreClient implements nodeTypes.IDirectorySource {
+  private agent = StoreClient.makeAgent();
+
+  /** @param baseUrl Scheme, IP address and port. */
+  public constructor(private readonly baseUrl: string) {}
+
+  public async list(): Promise<types.Result<directoryTypes.IDirectoryListing, Failure>> {
+    const items: recordDecoder.IStoreItem[] = [];
+    let revision: number | undefined;
+    let after = '';
+    for (let page = 0; page < MAX_PAGES; page += 1) {
+      const query: Record<string, string> = { prefix: '' };
+      if (after !== '') query.after = after;
+      // Each page begins after the last key of the one before it.
+
+      const reply = await this.read('kv-range', query, READ_TIMEOUT_MS);
+      if (!reply.ok) return reply;
+      items.push(...(reply.value.items ?? []));
+      // Pages are read one by one. Changes since the first one are followed afterwards.
+      revision ??= reply.value.storeRevision;
+      const last = reply.value.items?.at(-1)?.key;
+      if (reply.value.truncated !== true || last === undefined) {
+        return { ok: true, value: { records: recordDecoder.decodeItems(items), revision } };
+      }
+      after = last;
+    }
+    return unavailable(`the listing has more than ${MAX_PAGES} pages`);
+  }
+
+  public async watch(
+    revision: number,
+    waitMs: number,
+  ): Promise<types.Result<nodeTypes.IDirectoryChanges, Failure>> {
+    const query = { prefix: '', after: `${revision}`, waitMs: `${waitMs}` };
+    const reply = await this.read('kv-watch', query, waitMs + WATCH_SLACK_MS);
+    if (!reply.ok) return reply;
+    const records = recordDecoder.decodeItems(reply.value.events ?? []);
+    return { ok: true, value: { records, revision: reply.value.storeRevision } };
+  }
+
+  public reset(): void {
+    // The rejections that this causes are reported by the reads that it ends.
+    this.agent.destroy().catch(() => undefined);
+    this.agent = StoreClient.makeAgent();
+  }
+
+  private static makeAgent(): undici.Agent {
+    return new undici.Agent({ connections: 1, pipelining: 1 });
+  }
+
+  private async read(
+    call: 'kv-range' | 'kv-watch',
+    query: Readonly<Record<string, string>>,
+    timeoutMs: number,
+  ): Promise<types.Result<IStoreReply, Failure>> {
+    try {
+      const url = `${this.baseUrl}/v1/${call}?${new URLSearchParams(query).toString()}`;
+      const reply = await undici.request(url, {
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await reply.body.text();
+      if (reply.statusCode === STATUS_GONE) return { ok: false, error: { kind: 'history-lost' } };
+      if (reply.statusCode !== STATUS_OK) return unavailable(`status ${reply.statusCode}`);
+      const content = JSON.parse(text) as IStoreReply;
+      if (!Number.isSafeInteger(content.storeRevision)) return unavailable('no revision');
+      return { ok: true, value: content };
+    } catch (error) {
+      return unavailable((error as Error).message);
+    }
+  }
+}
