--- a/src/node/directory/DirectoryFollower.ts
+++ b/src/node/directory/DirectoryFollower.ts
@@ -139,6 +139,8 @@
     }
     this.failures += 1;
     this.failuresInRow += 1;
+    // A watch that was cut may have missed changes, and a new one may wait without telling so.
+    this.mustList = true;
     if (this.failuresInRow === 1) {
       const fields = { event: 'directory.lost', detail: failure.detail };
       this.logger.warn(fields, 'directory does not respond');
