--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -108,18 +108,26 @@
       this.expire();
       return;
     }
-    this.selection = this.context.balancer.select(this.tried, this.call.table, (server) => {
+    this.selection = this.context.balancer.select(this.tried, this.call, (selected) => {
       if (this.ended) return;
-      if (server !== undefined) this.send(server);
-      else if (this.active.size === 0) this.finish(this.failures.toOutcome());
+      if (selected.kind === 'server') this.send(selected.server, selected.cost);
+      else if (this.active.size === 0) this.endUnsent(selected.kind);
     });
   }
 
-  private send(server: serverState.ServerState): void {
+  /** Ends a call for which no server was found. */
+  private endUnsent(reason: 'none' | 'overloaded'): void {
+    if (reason === 'overloaded') {
+      this.failures.recordNotSent('every server that was asked is too busy to answer in time');
+    }
+    this.finish(this.failures.toOutcome());
+  }
+
+  private send(server: serverState.ServerState, cost = 1): void {
     this.tried.add(server.address);
     const { balancer, transport } = this.context;
     const attempt: IActiveAttempt = {
-      started: balancer.recordStart(server),
+      started: balancer.recordStart(server, cost),
       handle: undefined,
       sent: false,
     };
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -22,6 +22,9 @@
 /** Permits that a retry costs in addition if it was in vain, so that a dead service gets fewer. */
 const FAILED_RETRY_CHARGE = 2;
 
+/** Weight of the newest duration in the moving average of the usual work. */
+const WORK_SMOOTHING = 0.05;
+
 /** Why a server gets no new work. */
 export type AvoidanceReason = 'weight-zero' | 'leaving' | 'ejected' | 'connection-limit';
 
@@ -31,6 +34,8 @@
   readonly random: types.IRandom;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
+  /** Rank of a server at this daemon, by which servers of other failure domains are asked. */
+  readonly rankOf: (address: string) => number;
 }
 
 function isSameProcess(known: tableTypes.IServerRow, row: tableTypes.IServerRow): boolean {
@@ -44,6 +49,8 @@
   readonly server: serverState.ServerState;
   readonly number: number;
   readonly startMs: number;
+  /** Expected duration relative to that on an idle server. */
+  readonly cost: number;
 }
 
 interface IServer {
@@ -81,6 +88,9 @@
 
   private healthPath: string | undefined;
 
+  /** Moving average of the time that an idle server takes for a request. */
+  private usualWorkMs: number | undefined;
+
   private readonly replies = new freshSelection.FreshReplies();
 
   /** Fires with the address of each server that a table adds. */
@@ -136,21 +146,24 @@
    */
   public select(
     excluded: ReadonlySet<string>,
-    table: tableTypes.ITable | undefined,
-    onSelected: (server: serverState.ServerState | undefined) => void,
+    call: Pick<callTypes.ICall, 'table' | 'objectiveAtMs'>,
+    onSelected: (selected: freshSelection.Selected) => void,
   ): types.IDisposable {
     const { freshness, healthPath } = this;
     if (freshness === undefined || healthPath === undefined) {
-      onSelected(this.choose(excluded, table));
+      const server = this.choose(excluded, call.table);
+      onSelected(server === undefined ? { kind: 'none' } : { kind: 'server', server, cost: 1 });
       return NO_SELECTION;
     }
     const selection = new freshSelection.FreshSelection(
-      this.candidates(excluded, table),
+      this.candidates(excluded, call.table),
       this.replies,
       {
         ...freshness,
         clock: this.clock,
         healthPath,
+        usualWorkMs: this.usualWorkMs,
+        objectiveAtMs: call.objectiveAtMs,
         onReply: (server, reply) => this.recordCheck(server, reply),
       },
       onSelected,
@@ -225,11 +238,12 @@
     return this.hedgeBudget.available && this.retryBudget.take() && this.hedgeBudget.take();
   }
 
-  public recordStart(server: serverState.ServerState): IStartedAttempt {
+  /** @param cost Expected duration relative to that on an idle server. */
+  public recordStart(server: serverState.ServerState, cost = 1): IStartedAttempt {
     const startMs = this.clock.monotonicMs();
     const state = server;
     state.warmth = this.ejector.warmthOf(server.address);
-    return { server, number: state.recordStart(startMs), startMs };
+    return { server, number: state.recordStart(startMs), startMs, cost };
   }
 
   public recordEnd(attempt: IStartedAttempt, result: policyTypes.AttemptResult): void {
@@ -238,6 +252,7 @@
     state.recordEnd(attempt.number, result, nowMs);
     if (result === 'answered') {
       this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
+      this.recordWork((nowMs - attempt.startMs) / attempt.cost);
       this.ejector.recordSuccess(state.address);
     } else if (result === 'failed' || result === 'refused') {
       if (this.ejects) this.ejector.recordFailure(state.address);
@@ -305,7 +320,7 @@
         return;
       }
       this.servers.set(row.address, {
-        state: new serverState.ServerState(row),
+        state: new serverState.ServerState(row, this.freshness?.rankOf(row.address)),
         availability: new serverAvailability.ServerAvailability(this.clock),
       });
       // At the start of a daemon all servers are new to it, but not cold.
@@ -333,6 +348,11 @@
     else if (reply.kind === 'ready') server.dropReport();
   }
 
+  private recordWork(workMs: number): void {
+    const previousMs = this.usualWorkMs ?? workMs;
+    this.usualWorkMs = previousMs + WORK_SMOOTHING * (workMs - previousMs);
+  }
+
   private addressesIn(table: tableTypes.ITable | undefined): ReadonlySet<string> {
     return new Set(table?.servers.get(this.service)?.map(({ address }) => address));
   }
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -74,6 +74,8 @@
   readonly retriesSpent: number;
   /** Hash of method, path and body; identifies a request that is sent again. May be computed late. */
   readonly fingerprint: string;
+  /** Monotonic time in milliseconds until which an answer is of full use, if that is stated. */
+  readonly objectiveAtMs?: number | undefined;
   /** Servers that the call may be sent to in all, where the operators limit them. */
   readonly maxAttempts?: number | undefined;
   /** Version of the operators' configuration that routed the call. */
--- a/src/common/policy/FreshSelection.ts
+++ b/src/common/policy/FreshSelection.ts
@@ -9,6 +9,15 @@
 /** Rounds before the best server seen so far is taken. */
 const MAX_ROUNDS = 3;
 
+/**
+ * Share of the time to the objective for which a call may be held while every server is busy. A
+ * caller that is refused by then still has time to be served by another daemon.
+ */
+const HOLD_SHARE = 1 / 8;
+
+/** Pause before servers that were all busy are asked again, in milliseconds. */
+const BUSY_PAUSE_MS = 15;
+
 /** Time for the replies of one round, in milliseconds: a round trip between failure domains. */
 const ROUND_TIMEOUT_MS = 12;
 
@@ -46,6 +55,10 @@
   /** Failure domain of this daemon. Its servers are asked first. */
   readonly failureDomain: string;
   readonly healthPath: string;
+  /** Time that an idle server takes for a request, once that is known. */
+  readonly usualWorkMs: number | undefined;
+  /** Monotonic time until which an answer is of full use, if that is stated. */
+  readonly objectiveAtMs: number | undefined;
   readonly onReply: (server: serverState.ServerState, reply: policyTypes.CheckReply) => void;
 }
 
@@ -54,6 +67,19 @@
   readonly atMs: number;
 }
 
+/** What a selection ends with. */
+export type Selected =
+  | {
+      readonly kind: 'server';
+      readonly server: serverState.ServerState;
+      /** Expected duration relative to that on an idle server. */
+      readonly cost: number;
+    }
+  /** No server accepts work. */
+  | { readonly kind: 'none' }
+  /** On every server that was asked, the request would wait beyond its objective. */
+  | { readonly kind: 'overloaded' };
+
 /** What selections of one service share. */
 export class FreshReplies {
   private readonly known = new Map<string, IKnown>();
@@ -72,6 +98,12 @@
   }
 }
 
+/** Requests that the server would hold after the dispatch. */
+function loadOf(server: serverState.ServerState, reply: policyTypes.CheckReply): number {
+  const report = 'report' in reply ? reply.report : undefined;
+  return (report?.inFlight ?? 0) + (report?.queued ?? 0) + server.startedSinceReport + 1;
+}
+
 /** Expected cost of a dispatch: the duration relative to that on an idle server. */
 export function costOf(
   server: serverState.ServerState,
@@ -79,8 +111,7 @@
 ): number {
   if (reply === undefined || reply.kind === 'silent') return SILENT_FACTOR;
   if (reply.kind === 'replaced' || reply.kind === 'unreachable') return Number.POSITIVE_INFINITY;
-  const started = server.startedSinceReport;
-  const load = (reply.report?.inFlight ?? 0) + (reply.report?.queued ?? 0) + started + 1;
+  const load = loadOf(server, reply);
   const busy = load / server.slots > BUSY_SHARE ? BUSY_FACTOR : 1;
   const wait = Math.max(0, load - server.slots) / server.slots;
   const condition = { ready: 1, full: FULL_FACTOR, unhealthy: UNHEALTHY_FACTOR }[reply.kind];
@@ -95,7 +126,10 @@
  * of its work, so that reports on earlier answers are stale by then.
  */
 export class FreshSelection implements types.IDisposable {
-  private readonly remaining: serverState.ServerState[];
+  private remaining: serverState.ServerState[];
+
+  /** Monotonic time until which the call may be held while every server is busy. */
+  private readonly holdUntilMs: number;
 
   private readonly seen = new Map<serverState.ServerState, policyTypes.CheckReply | undefined>();
 
@@ -107,14 +141,16 @@
 
   private ended = false;
 
-  /** @param onSelected Called once, unless disposed before; undefined if no server accepts work. */
+  /** @param onSelected Called once, unless disposed before. */
   public constructor(
     candidates: readonly serverState.ServerState[],
     private readonly replies: FreshReplies,
     private readonly context: IFreshSelectionContext,
-    private readonly onSelected: (server: serverState.ServerState | undefined) => void,
+    private readonly onSelected: (selected: Selected) => void,
   ) {
     this.remaining = this.order(candidates);
+    const nowMs = context.clock.monotonicMs();
+    this.holdUntilMs = nowMs + HOLD_SHARE * ((context.objectiveAtMs ?? nowMs) - nowMs);
   }
 
   public begin(): void {
@@ -158,7 +194,7 @@
     if (this.ended) return;
     this.seen.set(server, reply);
     if (costOf(server, reply) <= GOOD_COST) {
-      this.finish(server);
+      this.finish({ kind: 'server', server, cost: costOf(server, reply) });
       return;
     }
     if (round !== this.rounds) return;
@@ -176,13 +212,47 @@
   }
 
   private end(): void {
-    this.finish(this.best());
+    const server = this.best();
+    if (server === undefined) {
+      this.finish({ kind: 'none' });
+      return;
+    }
+    const reply = this.seen.get(server);
+    const cost = costOf(server, reply);
+    if (!this.isTooBusy(server, reply, cost)) this.finish({ kind: 'server', server, cost });
+    else if (this.context.clock.monotonicMs() >= this.holdUntilMs) {
+      this.finish({ kind: 'overloaded' });
+    } else this.askAgain();
+  }
+
+  /** Asks the servers again after a pause, since a slot may become free meanwhile. */
+  private askAgain(): void {
+    this.timer = this.context.clock.setTimer(BUSY_PAUSE_MS, () => {
+      this.remaining = this.order([...this.seen.keys()]);
+      this.seen.clear();
+      this.rounds = 0;
+      this.begin();
+    });
+  }
+
+  /** Whether the request would wait in the queue of the server, and miss its objective by that. */
+  private isTooBusy(
+    server: serverState.ServerState,
+    reply: policyTypes.CheckReply | undefined,
+    cost: number,
+  ): boolean {
+    const { usualWorkMs, objectiveAtMs, clock } = this.context;
+    if (reply === undefined || usualWorkMs === undefined || objectiveAtMs === undefined) {
+      return false;
+    }
+    if (loadOf(server, reply) <= server.slots) return false;
+    return clock.monotonicMs() + cost * usualWorkMs > objectiveAtMs;
   }
 
-  private finish(server: serverState.ServerState | undefined): void {
+  private finish(selected: Selected): void {
     if (this.ended) return;
     this.dispose();
-    this.onSelected(server);
+    this.onSelected(selected);
   }
 
   private best(): serverState.ServerState | undefined {
@@ -197,15 +267,19 @@
     return best;
   }
 
-  /** Servers of the own failure domain first, and at random among these and the others. */
+  /**
+   * Servers of the own failure domain first, in random order. The others follow in an order that
+   * each daemon keeps, so that it holds connections to few of them.
+   */
   private order(candidates: readonly serverState.ServerState[]): serverState.ServerState[] {
     const { random, failureDomain } = this.context;
-    return candidates
-      .map((server) => ({
-        server,
-        rank: random.next() + (server.failureDomain === failureDomain ? 0 : 1),
-      }))
-      .sort((left, right) => left.rank - right.rank)
-      .map(({ server }) => server);
+    const near = candidates.filter((server) => server.failureDomain === failureDomain);
+    const far = candidates.filter((server) => server.failureDomain !== failureDomain);
+    const ranked = near.map((server) => ({ server, rank: random.next() }));
+    ranked.sort((left, right) => left.rank - right.rank);
+    return [
+      ...ranked.map(({ server }) => server),
+      ...[...far].sort((left, right) => left.rank - right.rank),
+    ];
   }
 }
--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -46,7 +46,11 @@
 
   private nextAttempt = 0;
 
-  public constructor(row: tableTypes.IServerRow) {
+  /** @param rank Place among the servers of other failure domains when servers are asked. */
+  public constructor(
+    row: tableTypes.IServerRow,
+    public readonly rank = 0,
+  ) {
     this.row = row;
   }
 
--- a/src/common/policy/Subset.ts
+++ b/src/common/policy/Subset.ts
@@ -9,6 +9,11 @@
   return crypto.createHash('sha256').update(`${daemon} ${address}`).digest('hex');
 }
 
+/** Returns the rank of a server at one daemon, in [0, 1), which differs between daemons. */
+export function rankAt(daemon: string, address: string): number {
+  return Number.parseInt(rankOf(daemon, address).slice(0, 12), 16) / 16 ** 12;
+}
+
 /**
  * Returns the servers that a daemon uses, at most `size` and spread evenly over the failure
  * domains. The choice depends on the arguments alone, and a change of one server replaces at most
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -4,6 +4,7 @@
 import * as directoryModule from '../common/directory/Directory';
 import * as tableBuilder from '../common/directory/TableBuilder';
 import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
+import * as subset from '../common/policy/Subset';
 import * as probeBudget from '../common/probing/ProbeBudget';
 import * as weightedSplit from '../common/routing/WeightedSplit';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
@@ -102,7 +103,12 @@
       new probeBudget.ProbeBudget(clock),
       this.transport,
       clock,
-      { checker: this.transport, random, failureDomain: options.failureDomain },
+      {
+        checker: this.transport,
+        random,
+        failureDomain: options.failureDomain,
+        rankOf: (address) => subset.rankAt(options.peerAddress, address),
+      },
     );
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
     this.coordinator = new callCoordinator.CallCoordinator(this.transport, suspicion, clock);
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -175,6 +175,7 @@
       deadlineMs: this.startMs + head.timeoutMs,
       depth: head.depth,
       retriesSpent: head.retriesSpent,
+      objectiveAtMs: head.objectiveMs === undefined ? undefined : this.startMs + head.objectiveMs,
       maxAttempts: head.maxAttempts,
       configurationVersion: table.routes?.configurationVersion,
       // Few calls need it, and the hash costs several microseconds.
--- a/src/node/server/RequestHead.ts
+++ b/src/node/server/RequestHead.ts
@@ -32,6 +32,8 @@
   readonly depth: number;
   readonly retriesSpent: number;
   readonly requestKey: string | undefined;
+  /** Time within which an answer is of full use, if that is stated. */
+  readonly objectiveMs?: number | undefined;
   /** Servers that the call may be sent to in all, where the operators limit them. */
   readonly maxAttempts?: number | undefined;
   /** Headers for the backend server. */
--- a/src/platform/PlatformCallerProtocol.ts
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -88,6 +88,7 @@
       depth: 0,
       retriesSpent: 0,
       requestKey: undefined,
+      objectiveMs: match.route.objectiveMs,
       maxAttempts: match.route.maxAttempts,
       headers: ['host', host, ...headers.withoutHopByHop(list, OWN_REQUEST_HEADERS)],
     };
