--- a/deploy/undici.js
+++ b/deploy/undici.js
@@ -1,7 +1,11 @@
 // The parts of undici that the daemon uses. The whole package would double the time of a start.
+const Dispatcher = require('../node_modules/undici/lib/dispatcher/dispatcher');
+const api = require('../node_modules/undici/lib/api');
+
+Object.assign(Dispatcher.prototype, api);
+
 module.exports = {
   Agent: require('../node_modules/undici/lib/dispatcher/agent'),
   Client: require('../node_modules/undici/lib/dispatcher/client'),
   buildConnector: require('../node_modules/undici/lib/core/connect'),
-  request: require('../node_modules/undici/lib/api').request,
 };
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -97,9 +97,11 @@
     timeoutMs: number,
     onReply: (report: policyTypes.ILoadReport | undefined) => void,
   ): void {
-    undici
-      .request(`http://${server.address}/load`, {
-        dispatcher: this.probeAgent,
+    this.probeAgent
+      .request({
+        origin: `http://${server.address}`,
+        path: '/load',
+        method: 'GET',
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
         signal: AbortSignal.timeout(timeoutMs),
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -88,9 +88,10 @@
     timeoutMs: number,
   ): Promise<types.Result<IStoreReply, Failure>> {
     try {
-      const url = `${this.baseUrl}/v1/${call}?${new URLSearchParams(query).toString()}`;
-      const reply = await undici.request(url, {
-        dispatcher: this.agent,
+      const reply = await this.agent.request({
+        origin: this.baseUrl,
+        path: `/v1/${call}?${new URLSearchParams(query).toString()}`,
+        method: 'GET',
         signal: AbortSignal.timeout(timeoutMs),
       });
       const text = await reply.body.text();
--- a/src/platform/launch.ts
+++ b/src/platform/launch.ts
@@ -21,5 +21,5 @@
   process.stderr.write(`${CACHE} was made by another version of Node.js and is not used\n`);
 }
 const run = script.runInThisContext() as (...parameters: readonly unknown[]) => void;
-run(exports, require, { exports }, BUNDLE, __dirname);
+run({}, require, { exports: {} }, BUNDLE, __dirname);
 if (isWriting) fs.writeFileSync(CACHE, script.createCachedData());
