Join the fleet through seed peers, and share retries, crash suspicion and the directory

Daemons count each other to divide the fleet's allowance of retries and the connections of a server, tell each other which requests crash servers, and take the directory over from a peer when their own read does not deliver it. A lost connection counts as a crash only if the server is gone afterwards: requests without a body differ in nothing but their path, and lost answers would block a whole route.

--- a/jest.config.js
+++ b/jest.config.js
@@ -3,6 +3,8 @@
   reporters: ['default', '<rootDir>/jest.summary.js'],
   roots: ['<rootDir>/src', '<rootDir>/spec'],
   testMatch: ['**/*.test.ts'],
+  // Dynamic imports name the compiled file.
+  moduleNameMapper: { '^(\\.{1,2}/.*)\\.js$': '$1' },
   transform: {
     '^.+\\.ts$': [
       '@swc/jest',
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -189,7 +189,7 @@
         this.reroute();
         break;
       default:
-        this.endLost(outcome, server.address);
+        this.endLost(outcome, server);
     }
   }
 
@@ -216,11 +216,13 @@
 
   private endLost(
     outcome: Extract<callTypes.AttemptOutcome, { kind: 'lost' }>,
-    server: string,
+    server: serverState.ServerState,
   ): void {
     this.failures.recordLost(outcome);
     if (outcome.reason === 'connection-lost' || outcome.reason === 'answer-truncated') {
-      this.context.suspicion.recordLoss(this.call.fingerprint, server);
+      const { balancer, suspicion } = this.context;
+      const { fingerprint } = this.call;
+      balancer.confirmLoss(server, () => suspicion.recordLoss(fingerprint, server.address));
     }
     const isTooLarge = outcome.reason === 'answer-too-large';
     if (this.call.service.idempotent && !isTooLarge) this.retry();
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -25,6 +25,9 @@
 /** Weight of the newest duration in the moving average of the usual work. */
 const WORK_SMOOTHING = 0.05;
 
+/** Time in which a server whose connection was lost has to show that it still runs, in ms. */
+const LOSS_CHECK_MS = 500;
+
 /** Why a server gets no new work. */
 export type AvoidanceReason = 'weight-zero' | 'leaving' | 'ejected' | 'connection-limit';
 
@@ -255,7 +258,9 @@
       this.recordWork((nowMs - attempt.startMs) / attempt.cost);
       this.ejector.recordSuccess(state.address);
     } else if (result === 'failed' || result === 'refused') {
-      if (this.ejects) this.ejector.recordFailure(state.address);
+      // Servers that are asked before each dispatch state themselves when they are full.
+      const isSelfStated = result === 'refused' && this.freshness !== undefined;
+      if (this.ejects && !isSelfStated) this.ejector.recordFailure(state.address);
     } else if (result === 'timed-out') {
       this.limit.recordTimeout();
     }
@@ -267,6 +272,21 @@
     this.retryBudget.setReserve(maxSaved, perSecond);
   }
 
+  /**
+   * Calls `onConfirmed` if the process of a server is gone, as far as that can be found out. A lost
+   * connection alone does not tell, since the network may have lost it.
+   */
+  public confirmLoss(server: serverState.ServerState, onConfirmed: () => void): void {
+    const { freshness, healthPath } = this;
+    if (freshness === undefined || healthPath === undefined) {
+      onConfirmed();
+      return;
+    }
+    freshness.checker.check(server.row, healthPath, LOSS_CHECK_MS, (reply) => {
+      if (reply.kind === 'unreachable' || reply.kind === 'replaced') onConfirmed();
+    });
+  }
+
   /** Takes a load report that came with an answer or as the reply to a probe. */
   public recordReport(address: string, report: policyTypes.ILoadReport): void {
     const server = this.servers.get(address);
--- a/src/common/directory/Directory.ts
+++ b/src/common/directory/Directory.ts
@@ -93,6 +93,17 @@
     if (changed || removed.some(Boolean)) this.changedEmitter.fire();
   }
 
+  /** Everything that is known, in the form of a listing, for a daemon that knows less. */
+  public get listing(): directoryTypes.IDirectoryListing {
+    const records: directoryTypes.DirectoryRecord[] = [...this.entries.values()]
+      .filter(({ lapsed }) => !lapsed)
+      .map(({ server, revision }) => ({ kind: 'server', server, revision }));
+    const { inForce: configuration, configurationRevision: revision } = this;
+    if (configuration !== undefined)
+      records.push({ kind: 'configuration', configuration, revision });
+    return { records, revision: this.knownRevision };
+  }
+
   /** Tells that the directory service responds again after an outage. */
   public onReturned(): void {
     this.graceUntilMs = this.clock.monotonicMs() + LAPSE_GRACE_MS;
--- a/src/common/suspicion/RequestSuspicion.ts
+++ b/src/common/suspicion/RequestSuspicion.ts
@@ -4,7 +4,7 @@
 import type * as types from '../Types';
 import type * as suspicionTypes from './Types';
 
-/** Distinct servers lost with the same request in flight from which on it is refused. */
+/** Default number of servers lost with the same request in flight from which on it is refused. */
 const SERVERS_TO_REFUSE = 2;
 
 /** Time after which a loss no longer counts, in milliseconds. */
@@ -24,7 +24,11 @@
   /** Fires when this daemon lost a server with a request in flight; to be shared with peers. */
   public readonly onLoss: types.Event<suspicionTypes.ISuspicion> = this.lossEmitter.event;
 
-  public constructor(private readonly clock: types.IClock) {}
+  /** @param serversToRefuse Distinct servers lost with a request from which on it is refused. */
+  public constructor(
+    private readonly clock: types.IClock,
+    private readonly serversToRefuse = SERVERS_TO_REFUSE,
+  ) {}
 
   /** Whether no request is under suspicion, so that fingerprints need not be computed. */
   public get isEmpty(): boolean {
@@ -33,7 +37,7 @@
 
   /** Whether the request has to be refused. */
   public isSuspect(fingerprint: string): boolean {
-    return this.serversLost(fingerprint).length >= SERVERS_TO_REFUSE;
+    return this.serversLost(fingerprint).length >= this.serversToRefuse;
   }
 
   /** Servers that were lost with the request in flight, within the lifetime of a suspicion. */
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -14,6 +14,8 @@
 import type * as directoryTypes from './directory/Types';
 import type * as backendProtocol from './dispatch/BackendProtocol';
 import * as httpTransport from './dispatch/HttpTransport';
+import * as factExchange from './FactExchange';
+import type * as routedFleet from './fleet/RoutedFleet';
 import * as pauseDetector from './PauseDetector';
 import type * as callerProtocol from './server/CallerProtocol';
 import * as callerServer from './server/CallerServer';
@@ -38,9 +40,24 @@
 /** Interval between two looks at the calls that a stop waits for, in milliseconds. */
 const FINISH_INTERVAL_MS = 20;
 
-/** Daemons that are assumed to share a server's connections. */
+/**
+ * Daemons that are assumed to share what a server and the fleet allow, before the peers are known.
+ * Shares that are too small for a moment cost little, shares that are too large break a limit.
+ */
 const ASSUMED_DAEMONS = 24;
 
+/** Time after the start in which the count of peers is not yet complete, in milliseconds. */
+const COUNT_SETTLES_MS = 3_000;
+
+/** Room for daemons that joined and are not counted yet. */
+const COUNT_MARGIN = 1.25;
+
+/** Distinct servers that a request must have crashed before it is refused. */
+const CRASHES_TO_REFUSE = 3;
+
+/** Interval of the adjustment to the number of daemons, in milliseconds. */
+const SHARE_INTERVAL_MS = 1_000;
+
 /** Share of the fleet's allowance of retries that is spent; the rest covers daemons not counted. */
 const ALLOWANCE_SHARE = 0.75;
 
@@ -73,6 +90,16 @@
 
   private readonly splits: weightedSplit.SplitPositions;
 
+  private readonly suspicion: requestSuspicion.RequestSuspicion;
+
+  private fleet: routedFleet.RoutedFleet | undefined;
+
+  private facts: factExchange.FactExchange | undefined;
+
+  private shareTimer: types.IDisposable | undefined;
+
+  private startedMs = 0;
+
   private table: tableTypes.ITable | undefined;
 
   private stage: 'running' | 'draining' | 'stopping' = 'running';
@@ -84,7 +111,7 @@
     private readonly parts: IRoutedParts,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
-    random: types.IRandom,
+    private readonly random: types.IRandom,
   ) {
     this.telemetry = new telemetryModule.Telemetry(logger, clock, undefined, undefined);
     this.splits = new weightedSplit.SplitPositions(random);
@@ -110,8 +137,8 @@
         rankOf: (address) => subset.rankAt(options.peerAddress, address),
       },
     );
-    const suspicion = new requestSuspicion.RequestSuspicion(clock);
-    this.coordinator = new callCoordinator.CallCoordinator(this.transport, suspicion, clock);
+    this.suspicion = new requestSuspicion.RequestSuspicion(clock, CRASHES_TO_REFUSE);
+    this.coordinator = new callCoordinator.CallCoordinator(this.transport, this.suspicion, clock);
     this.pauses = new pauseDetector.PauseDetector(clock, (gapMs) => this.recover(gapMs));
     this.callers = this.makeCallerServer();
     this.readiness = new readinessServer.ReadinessServer(
@@ -142,7 +169,28 @@
     await startError.listen('readinessAddress', readinessAddress, this.readiness);
     await startError.listen('callerAddress', callerAddress, this.callers);
     this.pauses.start();
+    this.startedMs = this.clock.monotonicMs();
     this.logger.info({ callerAddress, failureDomain }, 'daemon started');
+    await this.joinFleet();
+  }
+
+  /** The modules of the fleet are loaded after callers can be served, since that takes a while. */
+  private async joinFleet(): Promise<void> {
+    // The compiled file is loaded, and Node.js needs its extension.
+    // eslint-disable-next-line import-x/extensions
+    const { RoutedFleet } = await import('./fleet/RoutedFleet.js');
+    if (this.stage !== 'running') return;
+    const { options, directory, logger, clock, random } = this;
+    this.fleet = new RoutedFleet(options, directory, logger, clock, random);
+    this.facts = new factExchange.FactExchange(
+      this.fleet.facts,
+      this.fleet.members,
+      this.services,
+      this.suspicion,
+      clock,
+    );
+    await this.fleet.start();
+    this.facts.start();
   }
 
   /**
@@ -158,6 +206,7 @@
     const { stopGrace } = this.options;
     const startMs = this.clock.monotonicMs();
     this.stage = 'draining';
+    this.fleet?.leave();
     this.logger.info({ stopGrace }, 'daemon is about to stop, and serves until callers are moved');
     await this.wait(stopGrace * SERVE_SHARE);
     this.stage = 'stopping';
@@ -174,6 +223,9 @@
 
   private async release(): Promise<void> {
     this.pauses.dispose();
+    this.shareTimer?.dispose();
+    this.facts?.dispose();
+    this.fleet?.dispose();
     this.follower.dispose();
     this.directory.dispose();
     this.callers.closeNow();
@@ -196,7 +248,7 @@
       servers,
       revision,
       {
-        maxDaemons: ASSUMED_DAEMONS,
+        maxDaemons: this.daemonCount,
         retryFraction: this.options.retryFraction,
         checksPerSecond: this.options.checksPerSecond,
       },
@@ -217,9 +269,17 @@
 
   private shareRetries(): void {
     const { retryAllowance, retryWindow } = this.options;
-    const share = (ALLOWANCE_SHARE * retryAllowance) / ASSUMED_DAEMONS;
+    const share = (ALLOWANCE_SHARE * retryAllowance) / this.daemonCount;
     // Half may be saved up, and the other half comes evenly over the window.
     this.services.setRetryReserve(share / 2, (1_000 * share) / 2 / retryWindow);
+    this.shareTimer = this.clock.setTimer(SHARE_INTERVAL_MS, () => this.shareRetries());
+  }
+
+  /** Upper limit on the daemons that run now, as far as this one knows. */
+  private get daemonCount(): number {
+    const isSettled = this.clock.monotonicMs() - this.startedMs > COUNT_SETTLES_MS;
+    const counted = Math.ceil(COUNT_MARGIN * (this.fleet?.members.count ?? 0));
+    return isSettled && counted > 1 ? counted : Math.max(ASSUMED_DAEMONS, counted);
   }
 
   /** Drops what may have become untrue while the process did not run. */
@@ -227,6 +287,7 @@
     this.logger.warn({ event: names.PROCESS_PAUSED, gapMs }, 'process was paused');
     this.transport.distrustConnections();
     this.services.dropReports();
+    this.fleet?.onPaused();
     this.follower.restart();
   }
 
--- /dev/null
+++ b/src/node/directory/DirectoryExchange.ts
@@ -0,0 +1,74 @@
+import * as util from 'node:util';
+import * as zlib from 'node:zlib';
+
+import type * as bunyan from 'bunyan';
+
+import type * as directoryModule from '../../common/directory/Directory';
+import type * as directoryTypes from '../../common/directory/Types';
+import type * as types from '../../common/Types';
+import type * as fleetTypes from '../fleet/Types';
+import type * as peer from '../peer/generated/peer';
+
+const gzip = util.promisify(zlib.gzip);
+const gunzip = util.promisify(zlib.gunzip);
+
+const NOTHING_NEWER: peer.FetchTableReply = { version: 0, compressedText: Buffer.alloc(0) };
+
+/** Size limit of an unpacked directory, in bytes. */
+const MAX_DIRECTORY_BYTES = 16 * 1024 * 1024;
+
+/** Time that the own read has to deliver what a peer already holds, in milliseconds. */
+const OWN_READ_MS = 400;
+
+/** Takes over the directory of peers that know more, when the directory service is silent. */
+export class DirectoryExchange implements fleetTypes.IVersionExchange {
+  private fetching = false;
+
+  public constructor(
+    private readonly directory: directoryModule.Directory,
+    private readonly peers: Pick<fleetTypes.IPeerSender, 'fetchTable'>,
+    private readonly logger: bunyan,
+    private readonly clock: types.IClock,
+  ) {}
+
+  /** Fetches the directory of a peer if the own read does not deliver its revision soon. */
+  public async compare(address: string, version: number): Promise<void> {
+    if (version <= this.directory.revision || this.fetching) return;
+    this.fetching = true;
+    try {
+      await new Promise<void>((resolve) => {
+        this.clock.setTimer(OWN_READ_MS, resolve);
+      });
+      if (version > this.directory.revision) await this.fetch(address);
+    } finally {
+      this.fetching = false;
+    }
+  }
+
+  /** Replies with the directory if it is newer than the one of the peer. */
+  public async reply(request: peer.FetchTableRequest): Promise<peer.FetchTableReply> {
+    const { listing } = this.directory;
+    if (listing.revision <= request.newerThan) return NOTHING_NEWER;
+    return { version: listing.revision, compressedText: await gzip(JSON.stringify(listing)) };
+  }
+
+  private async fetch(address: string): Promise<void> {
+    const before = this.directory.revision;
+    const fetched = await this.peers.fetchTable(address, { newerThan: before });
+    if (!fetched.ok || fetched.value.compressedText.length === 0) return;
+    try {
+      const maxOutputLength = MAX_DIRECTORY_BYTES;
+      const text = await gunzip(fetched.value.compressedText, { maxOutputLength });
+      this.directory.replace(JSON.parse(text.toString('utf8')) as directoryTypes.IDirectoryListing);
+      const fields = {
+        event: 'directory.relayed',
+        address,
+        before,
+        revision: this.directory.revision,
+      };
+      this.logger.info(fields, 'directory taken over from a peer');
+    } catch (error) {
+      this.logger.warn({ err: error, address }, 'directory of a peer could not be read');
+    }
+  }
+}
--- a/src/node/fleet/ExchangeLoop.ts
+++ b/src/node/fleet/ExchangeLoop.ts
@@ -4,7 +4,6 @@
 import type * as types from '../../common/Types';
 import type * as peer from '../peer/generated/peer';
 import * as messages from './Messages';
-import type * as tableDistribution from './TableDistribution';
 import type * as fleetTypes from './Types';
 
 /** Exchanges that wait for a reply. More are not begun, so that silent peers hold no memory. */
@@ -35,7 +34,7 @@
 
   public constructor(
     private readonly agent: gossipAgent.GossipAgent,
-    private readonly distribution: tableDistribution.TableDistribution,
+    private readonly distribution: fleetTypes.IVersionExchange,
     private readonly peers: fleetTypes.IPeerSender,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
--- /dev/null
+++ b/src/node/fleet/RoutedFleet.ts
@@ -0,0 +1,105 @@
+import type * as bunyan from 'bunyan';
+
+import type * as directoryModule from '../../common/directory/Directory';
+import type * as factStore from '../../common/membership/FactStore';
+import * as gossipAgent from '../../common/membership/GossipAgent';
+import * as memberRules from '../../common/membership/MemberRules';
+import type * as memberTable from '../../common/membership/MemberTable';
+import type * as types from '../../common/Types';
+import * as directoryExchange from '../directory/DirectoryExchange';
+import * as peerClient from '../peer/PeerClient';
+import * as peerServer from '../peer/PeerServer';
+import * as startError from '../StartError';
+import * as exchangeLoop from './ExchangeLoop';
+import * as messages from './Messages';
+
+/** Where a daemon meets its peers. Addresses are IP address and port. */
+export interface IRoutedFleetOptions {
+  readonly peerAddress: string;
+  readonly failureDomain: string;
+  /** Peers that are asked first. They may be stale or down. */
+  readonly seedPeers: readonly string[];
+}
+
+/** A daemon's part in a fleet whose members find each other through seed peers. */
+export class RoutedFleet implements types.IDisposable {
+  public readonly members: memberTable.MemberTable;
+
+  public readonly facts: factStore.FactStore;
+
+  private readonly agent: gossipAgent.GossipAgent;
+
+  private readonly loop: exchangeLoop.ExchangeLoop;
+
+  private readonly client = new peerClient.PeerClient();
+
+  private readonly server: peerServer.PeerServer;
+
+  public constructor(
+    private readonly options: IRoutedFleetOptions,
+    directory: directoryModule.Directory,
+    logger: bunyan,
+    clock: types.IClock,
+    random: types.IRandom,
+  ) {
+    this.agent = new gossipAgent.GossipAgent(
+      {
+        address: options.peerAddress,
+        failureDomain: options.failureDomain,
+        incarnation: memberRules.newIncarnation(clock.wallTime(), random.next()),
+        sizeOf: messages.sizeOf,
+        tableState: () => ({ version: directory.revision, hash: '' }),
+      },
+      clock,
+      random,
+    );
+    this.members = this.agent.members;
+    this.facts = this.agent.facts;
+    const exchange = new directoryExchange.DirectoryExchange(directory, this.client, logger, clock);
+    this.loop = new exchangeLoop.ExchangeLoop(this.agent, exchange, this.client, logger, clock);
+    this.server = new peerServer.PeerServer({
+      exchange: (request) => this.loop.receive(request),
+      fetchTable: (request) => exchange.reply(request),
+    });
+    this.members.onChanged(({ kind, record }) => {
+      if (kind === 'departed') this.client.forget(record.address);
+    });
+    this.members.updateList({
+      revision: 0,
+      vms: options.seedPeers.map((address) => ({
+        address,
+        role: 'daemon',
+        failureDomain: '',
+        state: 'live',
+      })),
+    });
+  }
+
+  /** Listens for peers, and begins to exchange with them. Rejects with a `StartError`. */
+  public async start(): Promise<void> {
+    const { peerAddress } = this.options;
+    await startError.listen('peerAddress', peerAddress, {
+      listen: () => this.server.listen(peerAddress),
+    });
+    this.loop.start();
+    this.loop.exchangeNow();
+  }
+
+  /** Announces to the peers that this daemon is about to stop. */
+  public leave(): void {
+    this.agent.leave();
+    this.loop.pushNow();
+  }
+
+  /** Asks peers for news at once, as after a pause of the process. */
+  public onPaused(): void {
+    this.members.markStale();
+    this.loop.exchangeNow();
+  }
+
+  public dispose(): void {
+    this.loop.dispose();
+    this.server.dispose();
+    this.client.dispose();
+  }
+}
--- a/src/node/fleet/Types.ts
+++ b/src/node/fleet/Types.ts
@@ -15,6 +15,12 @@
 
 type Reply<T> = Promise<types.Result<T, Error>>;
 
+/** Compares what peers hold with what is in force here. */
+export interface IVersionExchange {
+  /** Resolves when newer content of the peer, if any, was taken over. */
+  compare(address: string, version: number, hash: string): Promise<void>;
+}
+
 /** Sends messages to peers. */
 export interface IPeerSender {
   exchange(address: string, request: peer.ExchangeRequest): Reply<peer.ExchangeReply>;
