--- a/src/common/call/CallCoordinator.ts
+++ b/src/common/call/CallCoordinator.ts
@@ -18,6 +18,7 @@
     private readonly transport: callTypes.IBackendTransport,
     private readonly suspicion: requestSuspicion.RequestSuspicion,
     private readonly clock: types.IClock,
+    private readonly observer?: callTypes.ICallObserver,
   ) {}
 
   /** Calls that have no outcome yet. */
@@ -45,6 +46,7 @@
       transport: this.transport,
       suspicion: this.suspicion,
       clock: this.clock,
+      observer: this.observer,
     };
     const running = new runningCall.RunningCall(call, context, (outcome) => {
       this.running -= 1;
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -25,6 +25,7 @@
   readonly transport: callTypes.IBackendTransport;
   readonly suspicion: requestSuspicion.RequestSuspicion;
   readonly clock: types.IClock;
+  readonly observer?: callTypes.ICallObserver | undefined;
 }
 
 interface IActiveAttempt {
@@ -132,6 +133,7 @@
       sent: false,
     };
     this.active.add(attempt);
+    this.reportStart(server, cost);
     const call = this.retries > 0 ? this.withRetriesSpent() : this.call;
     attempt.handle = transport.send(call, server.row, {
       onSent: () => {
@@ -143,6 +145,28 @@
     });
   }
 
+  private reportStart(server: serverState.ServerState, cost: number): void {
+    const { observer, clock } = this.context;
+    if (observer === undefined) return;
+    const nowMs = clock.monotonicMs();
+    observer.onAttemptStarted(this.call, {
+      server: server.address,
+      instance: server.row.instance,
+      attempt: this.tried.size,
+      cost: Math.round(cost * 100) / 100,
+      report: server.report,
+      reportAgeMs:
+        server.report === undefined ? undefined : Math.round(nowMs - server.reportedAtMs),
+      remainingMs: Math.round(this.call.deadlineMs - nowMs),
+    });
+  }
+
+  private reportEnd(attempt: IActiveAttempt, outcome: callTypes.AttemptOutcome | undefined): void {
+    const { observer, clock } = this.context;
+    const { server, startMs } = attempt.started;
+    observer?.onAttemptEnded(this.call, server.address, outcome, clock.monotonicMs() - startMs);
+  }
+
   private withRetriesSpent(): callTypes.ICall {
     return { ...this.call, retriesSpent: this.call.retriesSpent + this.retries };
   }
@@ -173,6 +197,7 @@
   private endAttempt(attempt: IActiveAttempt, outcome: callTypes.AttemptOutcome): void {
     if (!this.active.delete(attempt)) return;
     const { server } = attempt.started;
+    this.reportEnd(attempt, outcome);
     this.context.balancer.recordEnd(attempt.started, failures.toResult(outcome));
     switch (outcome.kind) {
       case 'answered':
@@ -243,11 +268,15 @@
   private retry(): void {
     if (this.ended || this.active.size > 0) return;
     const spent = this.call.retriesSpent + this.retries;
-    const isAllowed =
-      spent < MAX_RETRIES_SPENT &&
-      this.sent < (this.call.maxAttempts ?? Number.POSITIVE_INFINITY) &&
-      !this.context.suspicion.isSuspect(this.call.fingerprint) &&
-      this.context.balancer.takeRetry();
+    const { maxAttempts } = this.call;
+    const isSuspect = this.context.suspicion.isSuspect(this.call.fingerprint);
+    const isWithinLimits =
+      spent < MAX_RETRIES_SPENT && this.sent < (maxAttempts ?? Number.POSITIVE_INFINITY);
+    const hasPermit = isWithinLimits && !isSuspect ? this.context.balancer.takeRetry() : undefined;
+    const isAllowed = hasPermit === true;
+    const { sent } = this;
+    const decision = { isAllowed, sent, maxAttempts, isSuspect, hasPermit };
+    this.context.observer?.onRetryDecided(this.call, decision);
     if (!isAllowed) {
       this.finish(this.failures.toOutcome());
       return;
@@ -268,6 +297,7 @@
     [...this.active].forEach((attempt) => {
       this.active.delete(attempt);
       attempt.handle?.cancel();
+      this.reportEnd(attempt, undefined);
       this.context.balancer.recordEnd(attempt.started, result);
     });
   }
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -146,3 +146,40 @@
     onReply: (reply: policyTypes.CheckReply) => void,
   ): void;
 }
+
+/** Why an attempt goes to a server. */
+export interface IAttemptChoice {
+  readonly server: string;
+  readonly instance: string | undefined;
+  /** Number of the attempt within its call, from 1. */
+  readonly attempt: number;
+  /** Expected duration relative to that on an idle server. */
+  readonly cost: number;
+  /** Load report that decided, and its age in milliseconds. */
+  readonly report: policyTypes.ILoadReport | undefined;
+  readonly reportAgeMs: number | undefined;
+  readonly remainingMs: number;
+}
+
+/** Whether a failed attempt is followed by another one, and what decided that. */
+export interface IRetryDecision {
+  readonly isAllowed: boolean;
+  readonly sent: number;
+  readonly maxAttempts: number | undefined;
+  readonly isSuspect: boolean;
+  /** Whether the budget for retries had a permit; undefined if it was not asked. */
+  readonly hasPermit: boolean | undefined;
+}
+
+/** Learns of the decisions within calls. */
+export interface ICallObserver {
+  onAttemptStarted(call: ICall, choice: IAttemptChoice): void;
+  /** @param outcome Undefined if the attempt was cancelled. */
+  onAttemptEnded(
+    call: ICall,
+    server: string,
+    outcome: AttemptOutcome | undefined,
+    latencyMs: number,
+  ): void;
+  onRetryDecided(call: ICall, decision: IRetryDecision): void;
+}
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -26,11 +26,14 @@
 import * as startCall from './startCall';
 import * as startError from './StartError';
 import * as names from './telemetry/Names';
-import * as telemetryModule from './telemetry/Telemetry';
+import * as decisionLog from './telemetry/DecisionLog';
 
 /** Size above which the headers of a request are not read; the configuration sets a lower limit. */
 const MAX_HEADER_BYTES = 64 * 1024;
 
+/** Path of the metrics on the readiness address. */
+const METRICS_PATH = '/metrics';
+
 /** Share of the time for a stop in which new connections are still served. */
 const SERVE_SHARE = 0.55;
 
@@ -70,7 +73,7 @@
 
 /** A daemon whose routes and backend servers come from a directory. */
 export class RoutedDaemon {
-  private readonly telemetry: telemetryModule.Telemetry;
+  private readonly decisions: decisionLog.DecisionLog;
 
   private readonly directory: directoryModule.Directory;
 
@@ -113,7 +116,7 @@
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
   ) {
-    this.telemetry = new telemetryModule.Telemetry(logger, clock, undefined, undefined);
+    this.decisions = new decisionLog.DecisionLog(logger, clock);
     this.splits = new weightedSplit.SplitPositions(random);
     this.directory = new directoryModule.Directory(clock);
     this.follower = new directoryFollower.DirectoryFollower(
@@ -138,19 +141,25 @@
       },
     );
     this.suspicion = new requestSuspicion.RequestSuspicion(clock, CRASHES_TO_REFUSE);
-    this.coordinator = new callCoordinator.CallCoordinator(this.transport, this.suspicion, clock);
+    this.coordinator = new callCoordinator.CallCoordinator(
+      this.transport,
+      this.suspicion,
+      clock,
+      this.decisions,
+    );
     this.pauses = new pauseDetector.PauseDetector(clock, (gapMs) => this.recover(gapMs));
     this.callers = this.makeCallerServer();
     this.readiness = new readinessServer.ReadinessServer(
       options.readinessPath,
       () => this.phase === 'ready',
-      new Map(),
+      new Map([[METRICS_PATH, () => this.decisions.metrics()]]),
     );
     this.directory.onChanged(() => this.applyDirectory());
     this.directory.onProblem((problem) =>
       logger.error({ event: names.DIRECTORY_PROBLEM, ...problem }, 'directory item not used'),
     );
     this.shareRetries();
+    this.addGauges();
   }
 
   /** The stage in the life of the daemon. Calls are served while `ready` and `draining`. */
@@ -229,7 +238,7 @@
     this.follower.dispose();
     this.directory.dispose();
     this.callers.closeNow();
-    await Promise.all([this.readiness.close(), this.telemetry.close()]);
+    await this.readiness.close();
     this.transport.dispose();
   }
 
@@ -267,6 +276,25 @@
     else this.logger.info(fields, 'configuration in force');
   }
 
+  private addGauges(): void {
+    const { decisions, coordinator, directory, follower } = this;
+    decisions.addGauge('calls_in_flight', 'Calls without an outcome', () => coordinator.inFlight);
+    decisions.addGauge('ready', 'Whether new connections are taken', () =>
+      this.phase === 'ready' ? 1 : 0,
+    );
+    decisions.addGauge(
+      'configuration_version',
+      'Version of the configuration in force',
+      () => directory.configuration?.version ?? 0,
+    );
+    decisions.addGauge('directory_revision', 'Revision of the directory', () => directory.revision);
+    decisions.addGauge('directory_reads', 'Reads of the directory since the start', () => {
+      const { lists, watches } = follower.counts;
+      return lists + watches;
+    });
+    decisions.addGauge('daemons', 'Daemons known, this one included', () => this.daemonCount);
+  }
+
   private shareRetries(): void {
     const { retryAllowance, retryWindow } = this.options;
     const share = (ALLOWANCE_SHARE * retryAllowance) / this.daemonCount;
@@ -310,7 +338,7 @@
             startCall.startCall(call, this.services, this.coordinator, onOutcome),
           refuse: (_key, _service, refusal) => Promise.resolve(refusal),
         },
-        observer: this.telemetry,
+        observer: this.decisions,
         clock: this.clock,
         beforeRequest: () => this.pauses.check(),
       },
--- a/src/node/server/ReadinessServer.ts
+++ b/src/node/server/ReadinessServer.ts
@@ -2,10 +2,11 @@
 
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
+const STATUS_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
 
 /** What is served on the readiness address beside the readiness itself. */
-export type TextPages = ReadonlyMap<string, () => string>;
+export type TextPages = ReadonlyMap<string, () => Promise<string>>;
 
 /** Tells the platform's balancer over HTTP/1.1 whether the daemon takes new connections. */
 export class ReadinessServer {
@@ -39,11 +40,24 @@
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     const page = this.pages.get(request.url ?? '');
-    if (page !== undefined) {
-      response.writeHead(STATUS_OK, { 'content-type': 'text/plain; charset=utf-8' });
-      response.end(page());
-      return;
-    }
+    if (page !== undefined) this.servePage(page, response);
+    else this.serveReadiness(request, response);
+  }
+
+  private servePage(page: () => Promise<string>, response: http.ServerResponse): void {
+    page().then(
+      (text) => {
+        response.writeHead(STATUS_OK, { 'content-type': 'text/plain; charset=utf-8' });
+        response.end(text);
+      },
+      (error: Error) => {
+        response.writeHead(STATUS_ERROR, { 'content-type': 'text/plain; charset=utf-8' });
+        response.end(error.message);
+      },
+    );
+  }
+
+  private serveReadiness(request: http.IncomingMessage, response: http.ServerResponse): void {
     if (request.url !== this.path) response.writeHead(STATUS_NOT_FOUND);
     else response.writeHead(this.isReady() ? STATUS_OK : STATUS_UNAVAILABLE);
     response.end();
--- /dev/null
+++ b/src/node/telemetry/BoundedLogStream.ts
@@ -0,0 +1,71 @@
+import * as stream from 'node:stream';
+
+import type * as types from '../../common/Types';
+
+/** Bytes of log lines that may wait to be written. */
+const MAX_WAITING_BYTES = 1024 * 1024;
+
+/** Time for which lines are collected, in milliseconds, so that many cost one write. */
+const FLUSH_MS = 50;
+
+/** Writes bytes, and calls back when they were taken. */
+export type WriteBytes = (bytes: Buffer, onWritten: (error: Error | null) => void) => void;
+
+/**
+ * Passes log lines on without ever blocking. Lines beyond a limit are dropped while nobody reads,
+ * and a line tells how many they were.
+ */
+export class BoundedLogStream extends stream.Writable {
+  private waiting: string[] = [];
+
+  private waitingBytes = 0;
+
+  private dropped = 0;
+
+  private isWriting = false;
+
+  private timer: types.IDisposable | undefined;
+
+  public constructor(
+    private readonly writeBytes: WriteBytes,
+    private readonly clock: types.IClock,
+  ) {
+    super({ decodeStrings: false });
+  }
+
+  /** Lines that were dropped and not yet reported. */
+  public get droppedLines(): number {
+    return this.dropped;
+  }
+
+  // eslint-disable-next-line no-underscore-dangle
+  public override _write(line: string, _encoding: string, callback: () => void): void {
+    if (this.waitingBytes + line.length > MAX_WAITING_BYTES) this.dropped += 1;
+    else {
+      this.waiting.push(line);
+      this.waitingBytes += line.length;
+      this.timer ??= this.clock.setTimer(FLUSH_MS, () => this.flush());
+    }
+    callback();
+  }
+
+  /** Writes what waits, unless a write is in progress. */
+  public flush(): void {
+    this.timer?.dispose();
+    this.timer = undefined;
+    if (this.isWriting || this.waiting.length === 0) return;
+    const lines = this.waiting;
+    if (this.dropped > 0) {
+      lines.push(`${JSON.stringify({ event: 'log.dropped', lines: this.dropped })}\n`);
+      this.dropped = 0;
+    }
+    this.waiting = [];
+    this.waitingBytes = 0;
+    this.isWriting = true;
+    this.writeBytes(Buffer.from(lines.join('')), () => {
+      // An error means that nobody reads any more, and there is no other place to report it.
+      this.isWriting = false;
+      this.flush();
+    });
+  }
+}
--- /dev/null
+++ b/src/node/telemetry/DecisionLog.ts
@@ -0,0 +1,144 @@
+import type * as bunyan from 'bunyan';
+import * as promClient from 'prom-client';
+
+import type * as callTypes from '../../common/call/Types';
+import type * as types from '../../common/Types';
+import type * as serverTypes from '../server/Types';
+import * as lineLimit from './LineLimit';
+import * as names from './Names';
+
+/** Lines of each kind that are logged in a second; at most 1 ms of processor time for each kind. */
+const LINES_PER_SECOND = 50;
+
+/** Upper bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+/**
+ * Logs each decision that touches a request, with the inputs that decided it, and counts them. The
+ * lines of one request share its identifier.
+ */
+export class DecisionLog implements serverTypes.IRequestObserver, callTypes.ICallObserver {
+  private readonly registry = new promClient.Registry();
+
+  private readonly limit: lineLimit.LineLimit;
+
+  private readonly outcomes = new promClient.Counter({
+    name: 'lavenderspar_requests_total',
+    help: 'Requests of callers by service, outcome and reason',
+    labelNames: ['service', 'outcome', 'reason'],
+    registers: [this.registry],
+  });
+
+  private readonly latency = new promClient.Histogram({
+    name: 'lavenderspar_request_seconds',
+    help: 'Time from the arrival of a request to its response',
+    labelNames: ['service', 'outcome'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  private readonly attempts = new promClient.Counter({
+    name: 'lavenderspar_attempts_total',
+    help: 'Attempts at backend servers by service and how they ended',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
+
+  private readonly droppedLines = new promClient.Counter({
+    name: 'lavenderspar_log_lines_dropped_total',
+    help: 'Log lines that the limit for each second left out',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
+
+  public constructor(
+    private readonly logger: bunyan,
+    clock: types.IClock,
+  ) {
+    this.limit = new lineLimit.LineLimit(LINES_PER_SECOND, clock);
+  }
+
+  /** The counters and histograms in the text format of Prometheus. */
+  public metrics(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  /** Adds a gauge that is read when the metrics are served. */
+  public addGauge(name: string, help: string, read: () => number): void {
+    const gauge: promClient.Gauge = new promClient.Gauge({
+      name: `lavenderspar_${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+
+  public onStarted(): void {}
+
+  public onAnswered(
+    call: callTypes.ICall,
+    status: number,
+    server: string,
+    latencyMs: number,
+  ): void {
+    const service = call.service.name;
+    this.outcomes.inc({ service, outcome: 'answered', reason: `${status}` });
+    this.latency.observe({ service, outcome: 'answered' }, latencyMs / 1_000);
+    this.log(names.CALL_ANSWERED, {
+      requestId: call.requestId,
+      service,
+      configurationVersion: call.configurationVersion,
+      tableVersion: call.table.version,
+      status,
+      server,
+      latencyMs: Math.round(latencyMs),
+    });
+  }
+
+  public onRefused(record: serverTypes.IRefusalRecord, latencyMs: number): void {
+    const { service, outcome, kind: reason } = record;
+    this.outcomes.inc({ service, outcome, reason });
+    this.latency.observe({ service, outcome }, latencyMs / 1_000);
+    this.log(names.CALL_REFUSED, { ...record, latencyMs: Math.round(latencyMs) });
+  }
+
+  public onAttemptStarted(call: callTypes.ICall, attempt: callTypes.IAttemptChoice): void {
+    this.log(names.ATTEMPT_STARTED, {
+      requestId: call.requestId,
+      service: call.service.name,
+      ...attempt,
+    });
+  }
+
+  public onAttemptEnded(
+    call: callTypes.ICall,
+    server: string,
+    outcome: callTypes.AttemptOutcome | undefined,
+    latencyMs: number,
+  ): void {
+    const result = outcome?.kind ?? 'cancelled';
+    this.attempts.inc({ service: call.service.name, result });
+    if (outcome?.kind === 'answered') return;
+    this.log(names.ATTEMPT_ENDED, {
+      requestId: call.requestId,
+      server,
+      result,
+      reason: outcome !== undefined && 'reason' in outcome ? outcome.reason : undefined,
+      detail: outcome !== undefined && 'detail' in outcome ? outcome.detail : undefined,
+      latencyMs: Math.round(latencyMs),
+    });
+  }
+
+  public onRetryDecided(call: callTypes.ICall, decision: callTypes.IRetryDecision): void {
+    this.log(names.RETRY_DECIDED, { requestId: call.requestId, ...decision });
+  }
+
+  private log(event: string, fields: Readonly<Record<string, unknown>>): void {
+    const dropped = this.limit.admit(event);
+    if (dropped === undefined) {
+      this.droppedLines.inc({ event });
+      return;
+    }
+    this.logger.info({ event, ...fields, droppedBefore: dropped === 0 ? undefined : dropped });
+  }
+}
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,4 +1,5 @@
-import * as fs from 'node:fs/promises';
+import * as fs from 'node:fs';
+import * as fsPromises from 'node:fs/promises';
 
 import * as bunyan from 'bunyan';
 
@@ -7,6 +8,7 @@
 import * as startError from '../node/StartError';
 import * as systemClock from '../node/SystemClock';
 import * as systemRandom from '../node/SystemRandom';
+import * as boundedLogStream from '../node/telemetry/BoundedLogStream';
 import * as platformBackendProtocol from './PlatformBackendProtocol';
 import * as platformCallerProtocol from './PlatformCallerProtocol';
 import * as storeClient from './StoreClient';
@@ -27,7 +29,7 @@
 async function readSettings(path: string): Promise<routedSettings.RoutedSettings | undefined> {
   let text: string;
   try {
-    text = await fs.readFile(path, 'utf8');
+    text = await fsPromises.readFile(path, 'utf8');
   } catch (error) {
     return fail(`cannot read the settings: ${(error as Error).message}`, EXIT_BAD_SETTINGS);
   }
@@ -38,7 +40,12 @@
 }
 
 async function run(settings: routedSettings.RoutedSettings): Promise<void> {
-  const logger = bunyan.createLogger({ name: 'lavenderspar', level: settings.logLevel });
+  const clock = new systemClock.SystemClock();
+  const stream = new boundedLogStream.BoundedLogStream(
+    (bytes, onWritten) => fs.write(process.stdout.fd, bytes, onWritten),
+    clock,
+  );
+  const logger = bunyan.createLogger({ name: 'lavenderspar', level: settings.logLevel, stream });
   const daemon = new routedDaemon.RoutedDaemon(
     settings,
     {
@@ -47,7 +54,7 @@
       backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
     },
     logger,
-    new systemClock.SystemClock(),
+    clock,
     new systemRandom.SystemRandom(),
   );
   const stop = () => {
