Test the daemon of the platform against a stand-in of its store and its servers

While servers are asked again, what they said before holds until they reply: a busy server that was late to reply by a few milliseconds counted as free.

--- /dev/null
+++ b/src/common/directory/Directory.test.ts
@@ -0,0 +1,119 @@
+import * as manualClock from '../ManualClock';
+import type * as routingTypes from '../routing/Types';
+import * as directoryModule from './Directory';
+import type * as directoryTypes from './Types';
+
+let clock: manualClock.ManualClock;
+let directory: directoryModule.Directory;
+let problems: directoryTypes.IDirectoryProblem[];
+
+beforeEach(() => {
+  clock = new manualClock.ManualClock();
+  directory = new directoryModule.Directory(clock);
+  problems = [];
+  directory.onProblem((problem) => problems.push(problem));
+});
+
+function serverOf(
+  id: string,
+  revision: number,
+  changes: Partial<directoryTypes.IRegistration> = {},
+): directoryTypes.DirectoryRecord {
+  const server: directoryTypes.IRegistration = {
+    id,
+    service: 'a',
+    address: `10.0.0.${id}:80`,
+    failureDomain: 'd',
+    slots: 3,
+    state: 'ready',
+    warmUpMs: 0,
+    startedAtMs: 1,
+    ...changes,
+  };
+  return { kind: 'server', revision, server };
+}
+
+function configurationOf(version: number, revision: number): directoryTypes.DirectoryRecord {
+  const configuration = { version, routes: [], services: [] };
+  return {
+    kind: 'configuration',
+    revision,
+    configuration: configuration as unknown as routingTypes.IConfiguration,
+  };
+}
+
+function removalOf(id: string, revision: number): directoryTypes.DirectoryRecord {
+  return { kind: 'server-removed', revision, id };
+}
+
+function ids(): string[] {
+  return directory.servers.map(({ id }) => id).sort();
+}
+
+// Guards against an older configuration that replaces a newer one.
+test('the configuration never goes back', () => {
+  directory.apply([configurationOf(5, 10)], 10);
+  directory.apply([configurationOf(4, 11)], 11);
+  expect(directory.configuration?.version).toBe(5);
+  expect(problems).toMatchObject([{ kind: 'older-configuration', subject: '4' }]);
+});
+
+test('another content under the same version is reported and not used', () => {
+  directory.apply([configurationOf(5, 10)], 10);
+  const other = configurationOf(5, 11);
+  Object.assign((other as { configuration: object }).configuration, { routes: ['other'] });
+  directory.apply([other], 11);
+  expect(directory.configuration?.routes).toEqual([]);
+  expect(problems).toMatchObject([{ kind: 'conflicting-configuration' }]);
+});
+
+// Guards against a slow read that brings back a server that has left.
+test('an older record does not bring a removed server back', () => {
+  directory.apply([serverOf('1', 2)], 2);
+  directory.apply([removalOf('1', 3)], 3);
+  directory.apply([serverOf('1', 2)], 3);
+  expect(ids()).toEqual([]);
+  directory.apply([serverOf('1', 4)], 4);
+  expect(ids()).toEqual(['1']);
+});
+
+test('a listing removes what it does not name, unless that is newer', () => {
+  directory.apply([serverOf('1', 2), serverOf('2', 9)], 9);
+  directory.replace({ records: [serverOf('3', 4)], revision: 5 });
+  expect(ids()).toEqual(['2', '3']);
+});
+
+// Guards against losing every server at once because entries lapsed while the store was down.
+test('a server that lapsed during an outage is kept until the grace time ends', () => {
+  directory.apply([serverOf('1', 2), serverOf('2', 3), serverOf('3', 4, { state: 'draining' })], 4);
+  directory.onReturned();
+  directory.replace({ records: [], revision: 8 });
+  expect(ids()).toEqual(['1', '2']);
+  directory.apply([serverOf('1', 9)], 9);
+  clock.advance(directoryModule.LAPSE_GRACE_MS);
+  expect(ids()).toEqual(['1']);
+});
+
+// Guards against requests for a server whose address another one was given.
+test('of two servers at one address the one that started last holds it', () => {
+  const address = '10.0.0.9:80';
+  directory.apply(
+    [serverOf('1', 9, { address }), serverOf('2', 3, { address, startedAtMs: 2 })],
+    9,
+  );
+  expect(ids()).toEqual(['2']);
+});
+
+test('an unusable entry removes the server in whose place it stands', () => {
+  directory.apply([serverOf('1', 2)], 2);
+  directory.apply([{ kind: 'unusable', revision: 3, key: 'k', id: '1', problem: 'x' }], 3);
+  expect(ids()).toEqual([]);
+  expect(problems).toMatchObject([{ kind: 'unusable-item', subject: 'k' }]);
+});
+
+test('the listing for peers reproduces the directory', () => {
+  directory.apply([configurationOf(2, 1), serverOf('1', 2)], 6);
+  const other = new directoryModule.Directory(clock);
+  other.replace(JSON.parse(JSON.stringify(directory.listing)) as typeof directory.listing);
+  expect(other.listing).toEqual(directory.listing);
+});
--- /dev/null
+++ b/src/common/policy/FreshSelection.test.ts
@@ -0,0 +1,165 @@
+import * as manualClock from '../ManualClock';
+import * as seededRandom from '../SeededRandom';
+import * as freshSelection from './FreshSelection';
+import * as serverState from './ServerState';
+import type * as policyTypes from './Types';
+
+type Reply = (reply: policyTypes.CheckReply) => void;
+
+let clock: manualClock.ManualClock;
+let asked: Map<string, Reply>;
+let order: string[];
+let selected: freshSelection.Selected[];
+
+beforeEach(() => {
+  clock = new manualClock.ManualClock();
+  asked = new Map();
+  order = [];
+  selected = [];
+});
+
+function stateOf(name: string, failureDomain = 'own', rank = 0): serverState.ServerState {
+  const row = {
+    service: 's',
+    address: name,
+    failureDomain,
+    weight: 1,
+    slots: 3,
+    maxConnections: 9,
+  };
+  return new serverState.ServerState(row, rank);
+}
+
+function begin(
+  candidates: readonly serverState.ServerState[],
+  changes: Partial<freshSelection.IFreshSelectionContext> = {},
+  replies = new freshSelection.FreshReplies(),
+): freshSelection.FreshSelection {
+  const selection = new freshSelection.FreshSelection(
+    candidates,
+    replies,
+    {
+      checker: {
+        check: (row, _path, _timeoutMs, onReply) => {
+          order.push(row.address);
+          asked.set(row.address, onReply);
+        },
+      },
+      clock,
+      random: new seededRandom.SeededRandom(1),
+      failureDomain: 'own',
+      healthPath: '/health',
+      usualWorkMs: undefined,
+      objectiveAtMs: undefined,
+      onReply: (server, reply) => {
+        if ('report' in reply && reply.report !== undefined) server.recordReport(reply.report, 0);
+      },
+      ...changes,
+    },
+    (result) => selected.push(result),
+  );
+  selection.begin();
+  return selection;
+}
+
+function ready(inFlight: number, queued = 0, slowdown = 1): policyTypes.CheckReply {
+  return { kind: 'ready', report: { inFlight, queued, draining: false, slowdown } };
+}
+
+function chosen(): string | undefined {
+  const [first] = selected;
+  return first?.kind === 'server' ? first.server.address : first?.kind;
+}
+
+test('the first server that is idle and not slow is taken', () => {
+  begin([stateOf('a')]);
+  asked.get('a')?.(ready(0));
+  expect(chosen()).toBe('a');
+});
+
+// Guards against a dispatch to a server that has just turned slow.
+test('a slow server is passed over for a normal one', () => {
+  begin([stateOf('near'), stateOf('far', 'other')]);
+  asked.get('near')?.(ready(0, 0, 5));
+  asked.get('far')?.(ready(1));
+  expect(order).toEqual(['near', 'far']);
+  expect(chosen()).toBe('far');
+});
+
+test('servers of other failure domains are asked in the order of the daemon', () => {
+  begin([stateOf('x', 'other', 0.9), stateOf('y', 'other', 0.1), stateOf('near')]);
+  asked.get('near')?.({ kind: 'unreachable' });
+  asked.get('y')?.({ kind: 'unreachable' });
+  expect(order).toEqual(['near', 'y', 'x']);
+});
+
+// Guards against a server that went dark: it must not hold up the call.
+test('a silent server costs one round', () => {
+  begin([stateOf('near'), stateOf('far', 'other')]);
+  clock.advance(10);
+  asked.get('far')?.(ready(0));
+  expect(chosen()).toBe('far');
+});
+
+test('if no server replies, one is taken all the same', () => {
+  begin([stateOf('a')]);
+  clock.advance(100);
+  expect(chosen()).toBe('a');
+});
+
+test('if no server accepts connections, none is taken', () => {
+  begin([stateOf('a'), stateOf('b')]);
+  order.slice().forEach((name) => asked.get(name)?.({ kind: 'unreachable' }));
+  asked.get('a')?.({ kind: 'unreachable' });
+  asked.get('b')?.({ kind: 'replaced' });
+  expect(chosen()).toBe('none');
+});
+
+// Guards against queues in which every answer is late, and against refusals that are held back.
+test('a call that would miss its objective in every queue is refused within an eighth of it', () => {
+  begin([stateOf('a')], { usualWorkMs: 160, objectiveAtMs: 400 });
+  asked.get('a')?.(ready(3, 5));
+  expect(selected).toEqual([]);
+  clock.advance(15);
+  asked.get('a')?.(ready(3, 5));
+  clock.advance(40);
+  asked.get('a')?.(ready(3, 5));
+  expect(chosen()).toBe('overloaded');
+  expect(clock.monotonicMs()).toBeLessThanOrEqual(400 / 8 + 15);
+});
+
+test('a slot that becomes free while the call is held is used', () => {
+  begin([stateOf('a')], { usualWorkMs: 160, objectiveAtMs: 400 });
+  asked.get('a')?.(ready(3, 5));
+  clock.advance(15);
+  asked.get('a')?.(ready(1));
+  expect(chosen()).toBe('a');
+});
+
+// Guards against a refusal while capacity is idle, though slow.
+test('a slow server with a free slot is used if there is no better one', () => {
+  begin([stateOf('a')], { usualWorkMs: 160, objectiveAtMs: 400 });
+  asked.get('a')?.(ready(0, 0, 5));
+  expect(chosen()).toBe('a');
+});
+
+test('calls of the next few milliseconds share a reply', () => {
+  const replies = new freshSelection.FreshReplies();
+  const server = stateOf('a');
+  begin([server], {}, replies);
+  asked.get('a')?.(ready(0));
+  clock.advance(5);
+  begin([server], {}, replies);
+  expect(order).toEqual(['a']);
+  expect(selected).toHaveLength(2);
+  clock.advance(20);
+  begin([server], {}, replies);
+  expect(order).toEqual(['a', 'a']);
+});
+
+test('a disposed selection selects nothing', () => {
+  begin([stateOf('a')]).dispose();
+  asked.get('a')?.(ready(0));
+  clock.advance(1_000);
+  expect(selected).toEqual([]);
+});
--- a/src/common/policy/FreshSelection.ts
+++ b/src/common/policy/FreshSelection.ts
@@ -167,7 +167,10 @@
     }
     this.pending = asked.length;
     this.timer = this.context.clock.setTimer(ROUND_TIMEOUT_MS, () => this.endRound());
-    asked.forEach((server) => this.seen.set(server, undefined));
+    // When servers are asked again, what they said before holds until they reply.
+    asked
+      .filter((server) => !this.seen.has(server))
+      .forEach((server) => this.seen.set(server, undefined));
     asked.forEach((server) => this.ask(server));
   }
 
@@ -234,7 +237,6 @@
   private askAgain(): void {
     this.timer = this.context.clock.setTimer(BUSY_PAUSE_MS, () => {
       this.remaining = this.order([...this.seen.keys()]);
-      this.seen.clear();
       this.rounds = 0;
       this.maxRounds = MAX_REPEATED_ROUNDS;
       this.begin();
--- /dev/null
+++ b/src/node/RoutedDaemon.test.ts
@@ -0,0 +1,276 @@
+import * as http from 'node:http';
+
+import * as bunyan from 'bunyan';
+
+import * as seededRandom from '../common/SeededRandom';
+import * as platformBackendProtocol from '../platform/PlatformBackendProtocol';
+import * as platformCallerProtocol from '../platform/PlatformCallerProtocol';
+import * as storeClient from '../platform/StoreClient';
+import * as freePorts from '../standin/FreePorts';
+import * as platformStore from '../standin/platform/PlatformStore';
+import * as platformTarget from '../standin/platform/PlatformTarget';
+import * as published from '../standin/platform/Published';
+import * as routedDaemon from './RoutedDaemon';
+import * as routedSettings from './settings/RoutedSettings';
+import * as systemClock from './SystemClock';
+
+interface IReply {
+  readonly status: number;
+  readonly body: string;
+  readonly headers: http.IncomingHttpHeaders;
+}
+
+let store: platformStore.PlatformStore;
+let targets: platformTarget.PlatformTarget[];
+let daemon: routedDaemon.RoutedDaemon;
+let callerPort: number;
+let readinessPort: number;
+
+async function startDaemon(url: string): Promise<void> {
+  const [caller, readiness, peer] = await freePorts.freePorts(3);
+  callerPort = caller as number;
+  readinessPort = readiness as number;
+  const parsed = routedSettings.parseRoutedSettings(
+    JSON.stringify({
+      callerAddress: `127.0.0.1:${caller}`,
+      readinessAddress: `127.0.0.1:${readiness}`,
+      readinessPath: '/v1/readyz',
+      peerAddress: `127.0.0.1:${peer}`,
+      failureDomain: 'a',
+      directoryUrl: url,
+      seedPeers: [],
+      stopGrace: '1s',
+      retryFraction: 0.2,
+      retryAllowance: 200,
+      retryWindow: '10s',
+      checksPerSecond: 60,
+    }),
+  );
+  if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
+  daemon = new routedDaemon.RoutedDaemon(
+    parsed.value,
+    {
+      source: new storeClient.StoreClient(url),
+      callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
+      backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
+    },
+    bunyan.createLogger({ name: 'test', streams: [] }),
+    new systemClock.SystemClock(),
+    new seededRandom.SeededRandom(1),
+  );
+  await daemon.start();
+}
+
+beforeEach(async () => {
+  store = new platformStore.PlatformStore();
+  targets = ['i-1', 'i-2'].map((id) => new platformTarget.PlatformTarget(id));
+  const addresses = await Promise.all(targets.map((target) => target.listen()));
+  targets.forEach(({ id }, index) =>
+    store.put(`servers/${id}`, published.serverOf('reads', addresses[index] as string)),
+  );
+  await startDaemon(await store.listen());
+});
+
+afterEach(async () => {
+  await daemon.stop();
+  await store.close();
+  await Promise.all(targets.map((target) => target.close()));
+});
+
+function send(
+  path: string,
+  options: http.RequestOptions = {},
+  body = '',
+  port = callerPort,
+): Promise<IReply> {
+  return new Promise((resolve, reject) => {
+    const headers = { Host: published.HOST, 'Request-Id': 'id-1', 'Request-Deadline': '1000' };
+    const request = http.request(
+      { host: '127.0.0.1', port, path, ...options, headers: { ...headers, ...options.headers } },
+      (response) => {
+        let text = '';
+        response.setEncoding('utf8');
+        response.on('data', (chunk: string) => {
+          text += chunk;
+        });
+        response.on('end', () =>
+          resolve({ status: response.statusCode ?? 0, body: text, headers: response.headers }),
+        );
+        response.on('error', reject);
+      },
+    );
+    request.on('error', reject);
+    request.end(body);
+  });
+}
+
+/** Asks again until `expected` holds, since the directory is followed in the background. */
+async function eventually(check: () => Promise<boolean> | boolean): Promise<void> {
+  for (let tries = 0; tries < 400; tries += 1) {
+     
+    if (await check()) return;
+     
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+  throw new Error('the expected state was not reached');
+}
+
+async function publish(version: number, rules: Parameters<typeof published.configurationOf>[1]) {
+  store.put('op/config', published.configurationOf(version, rules));
+  await eventually(async () =>
+    (await send('/metrics', {}, '', readinessPort)).body.includes(
+      `lavenderspar_configuration_version ${version}\n`,
+    ),
+  );
+}
+
+const READS = [{ prefix: '/x/', service: 'reads' }];
+const WRITES = [{ prefix: '/x/', service: 'reads', kind: 'non_idempotent' as const }];
+
+function runs(): number {
+  return targets.reduce((sum, target) => sum + target.runs.length, 0);
+}
+
+test('without a configuration requests are refused as not run, and the daemon is unready', async () => {
+  const reply = await send('/x/1');
+  expect(reply.status).toBe(503);
+  expect(reply.headers['retry-after']).toBeDefined();
+  expect((await send('/v1/readyz', {}, '', readinessPort)).status).toBe(503);
+});
+
+test('a request is forwarded unchanged, with the time left and the expected server', async () => {
+  await publish(1, READS);
+  expect((await send('/v1/readyz', {}, '', readinessPort)).status).toBe(200);
+  const reply = await send('/x/1?q=2', { headers: { 'x-own': 'kept' } });
+  expect(reply).toMatchObject({ status: 200, headers: { 'response-signature': 'signature' } });
+  const target = targets.find(({ id }) => reply.body === `body of ${id}`);
+  expect(target?.runs[0]).toMatchObject({
+    host: published.HOST,
+    'request-id': 'id-1',
+    'x-own': 'kept',
+    'expected-instance': target?.id,
+  });
+  expect(Number(target?.runs[0]?.['request-deadline'])).toBeLessThanOrEqual(1_000);
+});
+
+test('no route, a bad deadline and large headers are refused with their own status', async () => {
+  await publish(1, READS);
+  expect((await send('/y/1')).status).toBe(404);
+  expect((await send('/x/1', { headers: { 'Request-Deadline': '-1' } })).status).toBe(400);
+  expect((await send('/x/1', { headers: { long: 'x'.repeat(3_000) } })).status).toBe(431);
+  expect((await send('/x/1', { method: 'POST' }, 'x'.repeat(20_000))).status).toBe(413);
+  expect(runs()).toBe(0);
+});
+
+// Guards against a non-idempotent request that runs twice, and against "not run" told of one that ran.
+test('a non-idempotent request whose answer is lost is not sent again', async () => {
+  await publish(1, WRITES);
+  targets.forEach((target) => Object.assign(target, { answer: 'lost' }));
+  expect((await send('/x/1', { method: 'POST' }, 'body')).status).toBe(502);
+  expect(runs()).toBe(1);
+});
+
+test('a non-idempotent request that a server refused goes to another one', async () => {
+  await publish(1, WRITES);
+  (targets[0] as platformTarget.PlatformTarget).answer = 'shed';
+  const replies = await Promise.all([1, 2, 3].map(() => send('/x/1', { method: 'POST' }, 'body')));
+  expect(replies.filter(({ status }) => status === 200).length).toBeGreaterThanOrEqual(2);
+  expect(targets[0]?.runs).toHaveLength(0);
+});
+
+test('refusals of every server make a true "not run"', async () => {
+  await publish(1, READS);
+  targets.forEach((target) => Object.assign(target, { answer: 'shed' }));
+  expect((await send('/x/1')).status).toBe(503);
+  expect(runs()).toBe(0);
+});
+
+// Guards against answers without a proof of their origin, and against those of other requests.
+test.each(['unsigned', 'foreign'] as const)(
+  'an answer that is %s reaches no caller',
+  async (answer) => {
+    await publish(1, WRITES);
+    targets.forEach((target) => Object.assign(target, { answer }));
+    expect((await send('/x/1', { method: 'POST' }, 'body')).status).toBe(502);
+  },
+);
+
+test('the timeout of the route ends a request, and the server is told to stop', async () => {
+  await publish(1, [{ prefix: '/x/', service: 'reads', timeout: '100ms' }]);
+  targets.forEach((target) => Object.assign(target, { answer: 'mute' }));
+  expect((await send('/x/1')).status).toBe(504);
+  await eventually(() => targets.some(({ abandoned }) => abandoned > 0));
+});
+
+// Guards against work that goes on for a caller that has left.
+test('a caller that leaves ends the work at the server', async () => {
+  await publish(1, READS);
+  targets.forEach((target) => Object.assign(target, { answer: 'mute' }));
+  const request = http.get({
+    host: '127.0.0.1',
+    port: callerPort,
+    path: '/x/1',
+    headers: { Host: published.HOST },
+  });
+  request.on('error', () => undefined);
+  await eventually(() => runs() === 1);
+  request.destroy();
+  await eventually(() => targets.some(({ abandoned }) => abandoned === 1));
+});
+
+// Guards against work for a leaving server.
+test('a draining server gets no new work', async () => {
+  await publish(1, READS);
+  const [first, second] = targets as [platformTarget.PlatformTarget, platformTarget.PlatformTarget];
+  store.put('servers/i-1', published.serverOf('reads', '127.0.0.1:1', { state: 'draining' }));
+  await eventually(async () =>
+    (await send('/metrics', {}, '', readinessPort)).body.includes('directory_revision 5\n'),
+  );
+  await Promise.all([1, 2, 3, 4, 5].map(() => send('/x/1')));
+  expect(first.runs).toHaveLength(0);
+  expect(second.runs).toHaveLength(5);
+});
+
+// Guards against requests that another server at a reused address runs.
+test('a server that answers under another identity gets no request', async () => {
+  await publish(1, READS);
+  (targets[0] as platformTarget.PlatformTarget).id = 'i-9';
+  const replies = await Promise.all([1, 2, 3, 4].map(() => send('/x/1')));
+  expect(replies.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+  expect(targets[0]?.runs).toHaveLength(0);
+});
+
+// Guards against an outage of the store that stops traffic.
+test.each(['busy', 'reset', 'silent'] as const)(
+  'while the store is %s, requests are served',
+  async (fault) => {
+    await publish(1, READS);
+    store.fault = fault;
+    store.compact();
+    expect((await send('/x/1')).status).toBe(200);
+  },
+);
+
+test('changes during lost history are taken over afterwards', async () => {
+  await publish(1, READS);
+  store.fault = 'deaf';
+  store.put('op/config', published.configurationOf(2, [{ prefix: '/z/', service: 'reads' }]));
+  store.fault = 'none';
+  store.compact();
+  await eventually(async () => (await send('/z/1')).status === 200);
+  expect((await send('/x/1')).status).toBe(404);
+});
+
+// Guards against requests that a planned stop cuts off.
+test('a planned stop finishes the requests in flight', async () => {
+  await publish(1, READS);
+  targets.forEach((target) => Object.assign(target, { workMs: 200 }));
+  const reply = send('/x/1');
+  await eventually(() => runs() === 1);
+  const stopped = daemon.stop();
+  expect((await send('/v1/readyz', {}, '', readinessPort)).status).toBe(503);
+  expect(await reply).toMatchObject({ status: 200, headers: { connection: 'close' } });
+  await stopped;
+});
--- /dev/null
+++ b/src/node/directory/DirectoryFollower.test.ts
@@ -0,0 +1,135 @@
+import * as bunyan from 'bunyan';
+
+import * as directoryModule from '../../common/directory/Directory';
+import type * as directoryTypes from '../../common/directory/Types';
+import * as manualClock from '../../common/ManualClock';
+import * as seededRandom from '../../common/SeededRandom';
+import type * as types from '../../common/Types';
+import * as directoryFollower from './DirectoryFollower';
+import type * as nodeTypes from './Types';
+
+type Failure = directoryTypes.DirectoryFailure;
+type Settle = (
+  result: types.Result<directoryTypes.IDirectoryListing & nodeTypes.IDirectoryChanges, Failure>,
+) => void;
+
+const LOST: Failure = { kind: 'unavailable', detail: 'test' };
+
+/** A source whose reads the test ends by hand. */
+class FakeSource implements nodeTypes.IDirectorySource {
+  public readonly reads: string[] = [];
+
+  private settle: Settle = () => undefined;
+
+  public list(): ReturnType<nodeTypes.IDirectorySource['list']> {
+    return this.read('list');
+  }
+
+  public watch(revision: number): ReturnType<nodeTypes.IDirectorySource['watch']> {
+    return this.read(`watch ${revision}`);
+  }
+
+  public reset(): void {
+    this.settle({ ok: false, error: LOST });
+  }
+
+  public async end(...[result]: Parameters<Settle>): Promise<void> {
+    this.settle(result);
+    await new Promise(setImmediate);
+  }
+
+  private read(name: string): Promise<Parameters<Settle>[0]> {
+    this.reads.push(name);
+    return new Promise((resolve) => {
+      this.settle = resolve;
+    });
+  }
+}
+
+let clock: manualClock.ManualClock;
+let directory: directoryModule.Directory;
+let source: FakeSource;
+let follower: directoryFollower.DirectoryFollower;
+
+beforeEach(() => {
+  clock = new manualClock.ManualClock();
+  directory = new directoryModule.Directory(clock);
+  source = new FakeSource();
+  follower = new directoryFollower.DirectoryFollower(
+    source,
+    directory,
+    bunyan.createLogger({ name: 'test', streams: [] }),
+    clock,
+    new seededRandom.SeededRandom(1),
+  );
+  follower.start();
+});
+
+afterEach(() => follower.dispose());
+
+async function advance(durationMs: number): Promise<void> {
+  clock.advance(durationMs);
+  await new Promise(setImmediate);
+}
+
+function contentAt(revision: number, records: readonly directoryTypes.DirectoryRecord[] = []) {
+  return { ok: true as const, value: { records, revision } };
+}
+
+test('a listing is followed by watches from its revision', async () => {
+  await source.end(contentAt(4));
+  await source.end(contentAt(4));
+  await source.end(contentAt(6));
+  expect(source.reads).toEqual(['list', 'watch 4', 'watch 4', 'watch 6']);
+});
+
+// Guards against changes lost when the store forgets its history.
+test('after lost history everything is listed at once', async () => {
+  await source.end(contentAt(4));
+  await source.end({ ok: false, error: { kind: 'history-lost' } });
+  expect(source.reads).toEqual(['list', 'watch 4', 'list']);
+});
+
+// Guards against a watch that was cut before it told of a change (scale-2 of ogsl-gate).
+test('after a failed watch everything is listed', async () => {
+  await source.end(contentAt(4));
+  await source.end({ ok: false, error: LOST });
+  await advance(100);
+  expect(source.reads).toEqual(['list', 'watch 4', 'list']);
+});
+
+// Guards against a storm of reads while the store is down.
+test('failed reads are repeated with growing delays', async () => {
+  for (let second = 0; second < 10; second += 1) {
+    for (let step = 0; step < 10; step += 1) {
+       
+      await source.end({ ok: false, error: LOST });
+       
+      await advance(100);
+    }
+  }
+  expect(source.reads.length).toBeGreaterThanOrEqual(10);
+  expect(source.reads.length).toBeLessThanOrEqual(24);
+});
+
+// Guards against servers dropped at the return of the store, though they live.
+test('the grace time for lapsed servers begins with the return of the store', async () => {
+  const server = { id: '1', address: 'a', state: 'ready' } as directoryTypes.IRegistration;
+  await source.end(contentAt(4, [{ kind: 'server', revision: 4, server }]));
+  await source.end({ ok: false, error: LOST });
+  await advance(1_500);
+  await source.end(contentAt(9));
+  expect(directory.servers).toHaveLength(1);
+  await advance(directoryModule.LAPSE_GRACE_MS);
+  expect(directory.servers).toHaveLength(0);
+});
+
+// Guards against a read from before a pause whose result arrives after it.
+test('a read that a restart has overtaken changes nothing', async () => {
+  await source.end(contentAt(4));
+  follower.restart();
+  await advance(0);
+  await source.end(contentAt(8));
+  expect(directory.revision).toBe(8);
+  expect(source.reads).toEqual(['list', 'watch 4', 'list', 'watch 8']);
+});
--- /dev/null
+++ b/src/platform/PlatformBackendProtocol.test.ts
@@ -0,0 +1,49 @@
+import type * as tableTypes from '../common/table/Types';
+import * as platformBackendProtocol from './PlatformBackendProtocol';
+
+const protocol = new platformBackendProtocol.PlatformBackendProtocol();
+const CALL = { requestId: 'id-1' };
+const SIGNED = ['request-id', 'id-1', 'response-signature', 's'];
+const SERVER = { address: '10.0.0.1:80', instance: 'i-1' } as tableTypes.IServerRow;
+
+function judge(status: number, headers: readonly string[] = SIGNED) {
+  return protocol.judge(CALL, status, headers).kind;
+}
+
+// Guards against answers of other requests, and against bytes that no server vouches for.
+test('only a signed answer of this request is passed on', () => {
+  expect(judge(200)).toBe('answer');
+  expect(judge(200, ['request-id', 'id-2', 'response-signature', 's'])).toBe('invalid');
+  expect(judge(200, ['request-id', 'id-1'])).toBe('invalid');
+  expect(judge(200, [...SIGNED, 'content-encoding', 'gzip'])).toBe('invalid');
+});
+
+// Guards against "not run" told of a request that has run.
+test('a promise is passed on only with the statement that makes it true', () => {
+  [408, 429, 503].forEach((status) => expect(judge(status)).toBe('invalid'));
+  [400, 429, 503].forEach((status) => expect(judge(status, ['not-executed', '1'])).toBe('refused'));
+  expect(judge(421, [])).toBe('refused');
+});
+
+test('a failure of the server is an answer that may be repeated', () => {
+  expect(protocol.judge(CALL, 500, SIGNED)).toEqual({ kind: 'answer', isFailure: true });
+  expect(protocol.judge(CALL, 404, SIGNED)).toEqual({ kind: 'answer', isFailure: false });
+});
+
+test('the load header has three or four figures', () => {
+  const read = (text: string) => protocol.readLoad(['server-load', text]);
+  expect(read('2,1,3')).toEqual({ inFlight: 2, queued: 1, draining: false, slowdown: undefined });
+  expect(read('2,1,3,500')).toMatchObject({ slowdown: 5 });
+  expect(read('two,1,3')).toBeUndefined();
+  expect(protocol.readLoad([])).toBeUndefined();
+});
+
+// Guards against work for a server that was given the address of another one.
+test('a check tells a replaced server from one that is full or failing', () => {
+  const check = (status: number, headers: readonly string[]) =>
+    protocol.judgeCheck(SERVER, status, headers).kind;
+  expect(check(200, ['instance-id', 'i-1'])).toBe('ready');
+  expect(check(200, ['instance-id', 'i-2'])).toBe('replaced');
+  expect(check(503, ['instance-id', 'i-1'])).toBe('unhealthy');
+  expect(check(503, ['not-executed', '1'])).toBe('full');
+});
--- /dev/null
+++ b/src/platform/RecordDecoder.test.ts
@@ -0,0 +1,72 @@
+import * as published from '../standin/platform/Published';
+import * as recordDecoder from './RecordDecoder';
+
+function itemOf(key: string, value: unknown) {
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  return { key, value: Buffer.from(text).toString('base64'), revision: 7 };
+}
+
+function decode(key: string, value: unknown) {
+  return recordDecoder.decodeItems([itemOf(key, value)])[0];
+}
+
+// Guards against a version or a duration that is read in the wrong unit.
+test('a configuration is decoded with its units', () => {
+  const split = [
+    { service: 'a', weight: 90 },
+    { service: 'b', weight: 10 },
+  ];
+  const record = decode(
+    'op/config',
+    published.configurationOf(0x1c, [{ prefix: '/x/', split, timeout: '1.5s' }]),
+  );
+  expect(record).toMatchObject({
+    kind: 'configuration',
+    revision: 7,
+    configuration: {
+      version: 28,
+      routes: [{ prefix: '/x/', targets: split, timeoutMs: 1_500, objectiveMs: 400 }],
+      limits: { headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    },
+  });
+});
+
+test('a server is decoded with its state and its start', () => {
+  const record = decode(
+    'servers/i-1',
+    published.serverOf('a', '10.0.0.1:80', { state: 'draining' }),
+  );
+  expect(record).toMatchObject({
+    kind: 'server',
+    server: { id: 'i-1', state: 'draining', startedAtMs: 1_700_000_000_000, failureDomain: 'a' },
+  });
+});
+
+// Guards against an entry of another writer that takes the daemon down or names a server.
+test.each([
+  ['no JSON', '{"service"'],
+  ['another type', published.serverOf('a', '10.0.0.1:80', { slots: 'three' })],
+  ['a missing field', { service: 'a' }],
+  ['an unknown state', published.serverOf('a', '10.0.0.1:80', { state: 'resting' })],
+  ['no address', published.serverOf('a', 'somewhere')],
+])('an entry with %s is unusable and names its server', (_name, value) => {
+  expect(decode('servers/i-1', value)).toMatchObject({ kind: 'unusable', id: 'i-1', revision: 7 });
+});
+
+test.each([
+  ['a prefix without a slash', published.configurationOf(1, [{ prefix: '/x', service: 'a' }])],
+  ['an odd version', { ...(published.configurationOf(1, []) as object), configVersion: '1' }],
+  ['a split without weight', published.configurationOf(1, [{ prefix: '/', split: [] }])],
+])('a configuration with %s is unusable', (_name, value) => {
+  expect(decode('op/config', value)).toMatchObject({ kind: 'unusable', id: undefined });
+});
+
+test('removals and keys of others', () => {
+  const items = [
+    { key: 'servers/i-2', revision: 9, deleted: true },
+    itemOf('somebody/else', 'text'),
+  ];
+  expect(recordDecoder.decodeItems(items)).toEqual([
+    { kind: 'server-removed', revision: 9, id: 'i-2' },
+  ]);
+});
--- /dev/null
+++ b/src/standin/platform/PlatformStore.ts
@@ -0,0 +1,144 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+const STATUS_OK = 200;
+const STATUS_GONE = 410;
+const STATUS_UNAVAILABLE = 503;
+const PAGE_ITEMS = 3;
+
+interface IItem {
+  readonly key: string;
+  readonly value?: string;
+  readonly revision: number;
+  readonly deleted?: boolean;
+}
+
+/** How the store treats its readers. */
+export type StoreFault =
+  | 'none'
+  /** Answers 503. */
+  | 'busy'
+  /** Resets each connection. */
+  | 'reset'
+  /** Takes requests and never answers. */
+  | 'silent'
+  /** Holds back the answers to watches, whatever changes. */
+  | 'deaf';
+
+/** Stand-in for the platform's metadata store: reads, pages, watches and lost history. */
+export class PlatformStore {
+  public fault: StoreFault = 'none';
+
+  /** Calls received, by path. */
+  public readonly calls: string[] = [];
+
+  private readonly items = new Map<string, IItem>();
+
+  private history: IItem[] = [];
+
+  private historyStart = 1;
+
+  private revision = 1;
+
+  private readonly waiting = new Set<() => void>();
+
+  private readonly server = http.createServer((request, response) => this.serve(request, response));
+
+  public async listen(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => resolve());
+    });
+    return `http://127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
+  }
+
+  public close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  /** Publishes an item; objects are written as JSON, text as it is. */
+  public put(key: string, value: unknown): void {
+    const text = typeof value === 'string' ? value : JSON.stringify(value);
+    this.change({ key, value: Buffer.from(text).toString('base64'), revision: this.revision + 1 });
+  }
+
+  public remove(key: string): void {
+    this.change({ key, revision: this.revision + 1, deleted: true });
+  }
+
+  /** Forgets what has changed so far, and cuts the watches. */
+  public compact(): void {
+    this.history = [];
+    this.historyStart = this.revision + 1;
+    this.server.closeAllConnections();
+  }
+
+  private change(item: IItem): void {
+    this.revision = item.revision;
+    if (item.deleted === true) this.items.delete(item.key);
+    else this.items.set(item.key, item);
+    this.history.push(item);
+    [...this.waiting].forEach((wake) => wake());
+  }
+
+  private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const url = new URL(request.url ?? '', 'http://store');
+    this.calls.push(url.pathname);
+    if (this.fault === 'silent') return;
+    if (this.fault === 'reset') {
+      request.socket.destroy();
+    } else if (this.fault === 'busy') {
+      response.writeHead(STATUS_UNAVAILABLE).end();
+    } else if (url.pathname === '/v1/kv-range') {
+      this.serveRange(url.searchParams, response);
+    } else this.serveWatch(url.searchParams, response);
+  }
+
+  private serveRange(query: URLSearchParams, response: http.ServerResponse): void {
+    const after = query.get('after') ?? '';
+    const sorted = [...this.items.values()]
+      .filter(({ key }) => key.startsWith(query.get('prefix') ?? '') && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    PlatformStore.reply(response, {
+      items: sorted.slice(0, PAGE_ITEMS),
+      truncated: sorted.length > PAGE_ITEMS,
+      storeRevision: this.revision,
+    });
+  }
+
+  private serveWatch(query: URLSearchParams, response: http.ServerResponse): void {
+    const after = Number(query.get('after'));
+    if (after + 1 < this.historyStart) {
+      response.writeHead(STATUS_GONE).end();
+      return;
+    }
+    let timer: NodeJS.Timeout | undefined;
+    const reply = () => {
+      const events = this.history.filter(({ revision }) => revision > after);
+      PlatformStore.reply(response, { events, storeRevision: this.revision });
+    };
+    const wake = () => {
+      if (this.fault === 'deaf') return;
+      clearTimeout(timer);
+      this.waiting.delete(wake);
+      reply();
+    };
+    if (this.revision > after) {
+      reply();
+      return;
+    }
+    this.waiting.add(wake);
+    timer = setTimeout(wake, Number(query.get('waitMs')));
+    response.once('close', () => {
+      clearTimeout(timer);
+      this.waiting.delete(wake);
+    });
+  }
+
+  private static reply(response: http.ServerResponse, content: unknown): void {
+    response.writeHead(STATUS_OK, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(content));
+  }
+}
--- /dev/null
+++ b/src/standin/platform/PlatformTarget.ts
@@ -0,0 +1,99 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+/** How the server treats a request. */
+export type TargetAnswer =
+  | 'signed'
+  | 'unsigned'
+  /** States that it did not run the request. */
+  | 'shed'
+  /** Fails after it has run the request. */
+  | 'failed'
+  /** Runs the request and loses the answer. */
+  | 'lost'
+  /** Answers with the identifier of another request. */
+  | 'foreign'
+  /** Runs the request and never answers. */
+  | 'mute';
+
+const HEALTH_PATH = '/health';
+
+/** Stand-in for a backend server of the platform, with a record of what it ran. */
+export class PlatformTarget {
+  public answer: TargetAnswer = 'signed';
+
+  /** Value of the load header; undefined if the server tells no load. */
+  public load: string | undefined = '0,0,3,100';
+
+  public isHealthy = true;
+
+  /** Time that a request takes, in milliseconds. */
+  public workMs = 0;
+
+  /** Headers of the requests that were run. */
+  public readonly runs: http.IncomingHttpHeaders[] = [];
+
+  public checks = 0;
+
+  /** Requests whose connection was closed before their answer. */
+  public abandoned = 0;
+
+  private readonly server = http.createServer((request, response) => {
+    request.resume();
+    request.once('end', () => this.serve(request, response));
+  });
+
+  /** @param id Identifier under which the server registers. */
+  public constructor(public id: string) {}
+
+  public async listen(port = 0): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(port, '127.0.0.1', () => resolve());
+    });
+    return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
+  }
+
+  public close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const load = this.load === undefined ? {} : { 'Server-Load': this.load };
+    if (request.url === HEALTH_PATH) {
+      this.checks += 1;
+      response.writeHead(this.isHealthy ? 200 : 503, { 'Instance-Id': this.id, ...load }).end();
+      return;
+    }
+    const expected = request.headers['expected-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, { 'Instance-Id': this.id }).end();
+    } else if (this.answer === 'shed') {
+      response.writeHead(503, { 'Not-Executed': '1', ...load }).end();
+    } else this.run(request, response, load);
+  }
+
+  private run(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    load: http.OutgoingHttpHeaders,
+  ): void {
+    this.runs.push(request.headers);
+    response.once('close', () => {
+      if (!response.writableFinished) this.abandoned += 1;
+    });
+    if (this.answer === 'mute') return;
+    if (this.answer === 'lost') {
+      request.socket.destroy();
+      return;
+    }
+    const id = this.answer === 'foreign' ? 'another' : request.headers['request-id'];
+    const signature = this.answer === 'unsigned' ? {} : { 'Response-Signature': 'signature' };
+    const headers = { 'Request-Id': id, ...signature, ...load };
+    setTimeout(() => {
+      response.writeHead(this.answer === 'failed' ? 500 : 200, headers).end(`body of ${this.id}`);
+    }, this.workMs);
+  }
+}
--- /dev/null
+++ b/src/standin/platform/Published.ts
@@ -0,0 +1,74 @@
+/** What the stand-ins publish, in the form of the platform. */
+
+interface IRule {
+  readonly prefix: string;
+  readonly service?: string;
+  readonly split?: readonly { readonly service: string; readonly weight: number }[];
+  readonly kind?: 'idempotent' | 'non_idempotent';
+  readonly timeout?: string;
+  readonly maxAttempts?: number;
+}
+
+/** The name of the only host. */
+export const HOST = 'reads.example';
+
+/** Writes a configuration with routes of one host. */
+export function configurationOf(version: number, rules: readonly IRule[]): unknown {
+  const services = rules.flatMap(({ service, split }) =>
+    split === undefined ? [service ?? ''] : split.map((part) => part.service),
+  );
+  return {
+    configVersion: version.toString(16).padStart(8, '0'),
+    limits: {
+      maxHeaderBytes: 2_048,
+      maxBodyBytes: 10_000,
+      headerTimeout: '3000ms',
+      idleTimeout: '15s',
+    },
+    listeners: [
+      {
+        host: HOST,
+        policy: rules.map((rule) => ({
+          name: `route ${rule.prefix}`,
+          kind: rule.kind ?? 'idempotent',
+          aim: '400ms',
+          priority: 1,
+          match: { prefix: rule.prefix },
+          action: {
+            service: rule.service,
+            split: rule.split,
+            timeout: rule.timeout ?? '1200ms',
+            maxAttempts: rule.maxAttempts ?? 2,
+          },
+        })),
+      },
+    ],
+    clusters: [...new Set(services)].map((name) => ({
+      name,
+      healthPath: '/health',
+      maxConns: 220,
+      protocol: 'h1',
+      tls: false,
+    })),
+  };
+}
+
+/** Writes the entry of a server. */
+export function serverOf(
+  service: string,
+  address: string,
+  changes: Readonly<Record<string, unknown>> = {},
+): unknown {
+  return {
+    service,
+    address,
+    zone: 'a',
+    configVersion: 'v1',
+    slots: 3,
+    state: 'ready',
+    warmupLeft: '0ms',
+    seq: 1,
+    born: 1_700_000_000_000,
+    ...changes,
+  };
+}
