Let a few daemons read the directory, and pass it on to the others

Readers tell their followers each change and twice a second how current their directory is; a follower that has no confirmation for 1.5 s reads itself. What was ruled out: a longer watch, since a silent connection would hide changes for all of it.

--- a/src/common/membership/GossipAgent.ts
+++ b/src/common/membership/GossipAgent.ts
@@ -22,6 +22,8 @@
 export interface ITableState {
   readonly version: number;
   readonly hash: string;
+  /** Time since the daemon knew all changes, in milliseconds, if it follows a directory. */
+  readonly ageMs?: number | undefined;
 }
 
 /** A message between two daemons, in either direction. */
@@ -144,6 +146,13 @@
     return { targets, message };
   }
 
+  /** Composes a message that only tells the state of this daemon, for `targets` peers. */
+  public takeNotice(targets: number): IExchangeMessage {
+    const notice = { ...this.emptyMessage, urgent: true };
+    this.budget.spend(this.options.sizeOf(notice) * targets);
+    return notice;
+  }
+
   /** Takes in the message of a peer and returns the reply. */
   public receive(message: IExchangeMessage): IExchangeMessage {
     const reply = message.urgent ? this.emptyMessage : this.compose(message.wantsMembers);
--- a/src/node/RoutedDaemon.test.ts
+++ b/src/node/RoutedDaemon.test.ts
@@ -107,9 +107,8 @@
 /** Asks again until `expected` holds, since the directory is followed in the background. */
 async function eventually(check: () => Promise<boolean> | boolean): Promise<void> {
   for (let tries = 0; tries < 400; tries += 1) {
-     
     if (await check()) return;
-     
+
     await new Promise((resolve) => {
       setTimeout(resolve, 10);
     });
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -1,6 +1,7 @@
 import type * as bunyan from 'bunyan';
 
 import * as callCoordinator from '../common/call/CallCoordinator';
+import * as confirmationModule from '../common/directory/Confirmation';
 import * as directoryModule from '../common/directory/Directory';
 import * as tableBuilder from '../common/directory/TableBuilder';
 import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
@@ -77,6 +78,8 @@
 
   private readonly directory: directoryModule.Directory;
 
+  private readonly confirmation: confirmationModule.Confirmation;
+
   private readonly follower: directoryFollower.DirectoryFollower;
 
   private readonly transport: httpTransport.HttpTransport;
@@ -119,12 +122,15 @@
     this.decisions = new decisionLog.DecisionLog(logger, clock);
     this.splits = new weightedSplit.SplitPositions(random);
     this.directory = new directoryModule.Directory(clock);
+    this.confirmation = new confirmationModule.Confirmation(clock);
     this.follower = new directoryFollower.DirectoryFollower(
       parts.source,
       this.directory,
+      this.confirmation,
       logger,
       clock,
       random,
+      () => this.fleet?.mustRead ?? true,
     );
     this.transport = new httpTransport.HttpTransport(clock, random, parts.backendProtocol);
     this.services = new serviceSet.ServiceSet(
@@ -190,7 +196,7 @@
     const { RoutedFleet } = await import('./fleet/RoutedFleet.js');
     if (this.stage !== 'running') return;
     const { options, directory, logger, clock, random } = this;
-    this.fleet = new RoutedFleet(options, directory, logger, clock, random);
+    this.fleet = new RoutedFleet(options, directory, this.confirmation, logger, clock, random);
     this.facts = new factExchange.FactExchange(
       this.fleet.facts,
       this.fleet.members,
@@ -315,6 +321,7 @@
     this.logger.warn({ event: names.PROCESS_PAUSED, gapMs }, 'process was paused');
     this.transport.distrustConnections();
     this.services.dropReports();
+    this.confirmation.reset();
     this.fleet?.onPaused();
     this.follower.restart();
   }
--- a/src/node/directory/DirectoryExchange.ts
+++ b/src/node/directory/DirectoryExchange.ts
@@ -3,8 +3,10 @@
 
 import type * as bunyan from 'bunyan';
 
+import type * as confirmationModule from '../../common/directory/Confirmation';
 import type * as directoryModule from '../../common/directory/Directory';
 import type * as directoryTypes from '../../common/directory/Types';
+import type * as gossipAgent from '../../common/membership/GossipAgent';
 import type * as types from '../../common/Types';
 import type * as fleetTypes from '../fleet/Types';
 import type * as peer from '../peer/generated/peer';
@@ -20,36 +22,50 @@
 /** Time that the own read has to deliver what a peer already holds, in milliseconds. */
 const OWN_READ_MS = 400;
 
-/** Takes over the directory of peers that know more, when the directory service is silent. */
+/** Takes over the directory of peers that know more, and their word that it is complete. */
 export class DirectoryExchange implements fleetTypes.IVersionExchange {
   private fetching = false;
 
+  /** @param isReader Whether this daemon reads the directory service itself now. */
   public constructor(
     private readonly directory: directoryModule.Directory,
+    private readonly confirmation: confirmationModule.Confirmation,
+    private readonly isReader: () => boolean,
     private readonly peers: Pick<fleetTypes.IPeerSender, 'fetchTable'>,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
   ) {}
 
-  /** Fetches the directory of a peer if the own read does not deliver its revision soon. */
-  public async compare(address: string, version: number): Promise<void> {
-    if (version <= this.directory.revision || this.fetching) return;
+  /** Fetches the directory of a peer that knows more, unless the own read delivers it soon. */
+  public async compare(address: string, table: gossipAgent.ITableState): Promise<void> {
+    const receivedMs = this.clock.monotonicMs();
+    if (table.version > this.directory.revision) await this.catchUp(address, table.version);
+    if (table.ageMs === undefined || table.version > this.directory.revision) return;
+    this.confirmation.confirm(table.ageMs + this.clock.monotonicMs() - receivedMs);
+  }
+
+  /** Replies with the directory if it is newer than the one of the peer. */
+  public async reply(request: peer.FetchTableRequest): Promise<peer.FetchTableReply> {
+    const { listing } = this.directory;
+    if (listing.revision <= request.newerThan) return NOTHING_NEWER;
+    return { version: listing.revision, compressedText: await gzip(JSON.stringify(listing)) };
+  }
+
+  private async catchUp(address: string, version: number): Promise<void> {
+    if (this.fetching) return;
     this.fetching = true;
     try {
-      await new Promise<void>((resolve) => {
-        this.clock.setTimer(OWN_READ_MS, resolve);
-      });
+      if (this.isReader()) await this.waitForOwnRead();
       if (version > this.directory.revision) await this.fetch(address);
     } finally {
       this.fetching = false;
     }
   }
 
-  /** Replies with the directory if it is newer than the one of the peer. */
-  public async reply(request: peer.FetchTableRequest): Promise<peer.FetchTableReply> {
-    const { listing } = this.directory;
-    if (listing.revision <= request.newerThan) return NOTHING_NEWER;
-    return { version: listing.revision, compressedText: await gzip(JSON.stringify(listing)) };
+  private waitForOwnRead(): Promise<void> {
+    return new Promise((resolve) => {
+      this.clock.setTimer(OWN_READ_MS, resolve);
+    });
   }
 
   private async fetch(address: string): Promise<void> {
--- a/src/node/directory/DirectoryFollower.test.ts
+++ b/src/node/directory/DirectoryFollower.test.ts
@@ -1,5 +1,6 @@
 import * as bunyan from 'bunyan';
 
+import * as confirmationModule from '../../common/directory/Confirmation';
 import * as directoryModule from '../../common/directory/Directory';
 import type * as directoryTypes from '../../common/directory/Types';
 import * as manualClock from '../../common/ManualClock';
@@ -48,16 +49,19 @@
 
 let clock: manualClock.ManualClock;
 let directory: directoryModule.Directory;
+let confirmation: confirmationModule.Confirmation;
 let source: FakeSource;
 let follower: directoryFollower.DirectoryFollower;
 
 beforeEach(() => {
   clock = new manualClock.ManualClock();
   directory = new directoryModule.Directory(clock);
+  confirmation = new confirmationModule.Confirmation(clock);
   source = new FakeSource();
   follower = new directoryFollower.DirectoryFollower(
     source,
     directory,
+    confirmation,
     bunyan.createLogger({ name: 'test', streams: [] }),
     clock,
     new seededRandom.SeededRandom(1),
@@ -102,9 +106,8 @@
 test('failed reads are repeated with growing delays', async () => {
   for (let second = 0; second < 10; second += 1) {
     for (let step = 0; step < 10; step += 1) {
-       
       await source.end({ ok: false, error: LOST });
-       
+
       await advance(100);
     }
   }
--- a/src/node/directory/DirectoryFollower.ts
+++ b/src/node/directory/DirectoryFollower.ts
@@ -1,12 +1,19 @@
 import type * as bunyan from 'bunyan';
 
+import type * as confirmationModule from '../../common/directory/Confirmation';
 import type * as directoryModule from '../../common/directory/Directory';
 import type * as directoryTypes from '../../common/directory/Types';
 import type * as types from '../../common/Types';
 import type * as nodeTypes from './Types';
 
-/** Time that a watch waits for a change, in milliseconds. A silent connection hides changes for it. */
-const WATCH_MS = 5_000;
+/**
+ * Time that a watch waits for a change, in milliseconds. A silent connection hides changes for it,
+ * and each end of a watch confirms the directory to the followers of a reader.
+ */
+const WATCH_MS = 750;
+
+/** Time between two looks at whether this daemon has to read, in milliseconds. */
+const REST_MS = 100;
 
 /** Pause after changes, in milliseconds, so that changes that come together cost one read. */
 const MERGE_MS = 150;
@@ -46,12 +53,15 @@
   /** Begins anew with each interruption, so that an overtaken read changes nothing. */
   private run = 0;
 
+  /** @param mustRead Whether this daemon has to read, or learns of changes from its peers. */
   public constructor(
     private readonly source: nodeTypes.IDirectorySource,
     private readonly directory: directoryModule.Directory,
+    private readonly confirmation: confirmationModule.Confirmation,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
+    private readonly mustRead: () => boolean = () => true,
   ) {
     this.respondedMs = clock.monotonicMs();
   }
@@ -89,42 +99,57 @@
     while (!this.disposed && run === this.run) {
       // Reads follow each other, since each begins where the one before it ended.
 
-      const pauseMs = await (this.mustList ? this.list(run) : this.watch(run));
+      const pauseMs = await this.step(run);
 
       if (pauseMs > 0) await this.pause(pauseMs);
     }
   }
 
+  private step(run: number): Promise<number> {
+    if (this.hasListed && !this.mustRead()) return Promise.resolve(REST_MS);
+    return this.mustList ? this.list(run) : this.watch(run);
+  }
+
   private async list(run: number): Promise<number> {
     this.lists += 1;
+    const startMs = this.clock.monotonicMs();
     const result = await this.source.list();
     if (run !== this.run || this.disposed) return 0;
     if (!result.ok) return this.fail(result.error);
-    this.succeed();
     this.mustList = false;
     this.hasListed = true;
+    this.noteReturn();
     this.directory.replace(result.value);
+    this.succeed(startMs);
     return 0;
   }
 
   private async watch(run: number): Promise<number> {
     this.watches += 1;
+    const startMs = this.clock.monotonicMs();
     const result = await this.source.watch(this.directory.revision, WATCH_MS);
     if (run !== this.run || this.disposed) return 0;
     if (!result.ok) return this.fail(result.error);
-    this.succeed();
     const { records, revision } = result.value;
+    this.noteReturn();
     this.directory.apply(records, revision);
+    // A watch without changes confirms its end: the store would have told of any.
+    this.succeed(records.length > 0 ? startMs : this.clock.monotonicMs());
     return records.length > 0 ? MERGE_MS : 0;
   }
 
-  private succeed(): void {
+  /** To be called before the first content after an outage is applied. */
+  private noteReturn(): void {
+    if (this.failuresInRow === 0) return;
+    const outageMs = Math.round(this.clock.monotonicMs() - this.respondedMs);
+    if (outageMs >= LAPSING_OUTAGE_MS) this.directory.onReturned();
+    this.logger.info({ event: 'directory.regained', outageMs }, 'directory responds again');
+  }
+
+  /** @param completeAtMs Time up to which all changes are known now. */
+  private succeed(completeAtMs: number): void {
     const nowMs = this.clock.monotonicMs();
-    if (this.failuresInRow > 0) {
-      const outageMs = Math.round(nowMs - this.respondedMs);
-      if (outageMs >= LAPSING_OUTAGE_MS) this.directory.onReturned();
-      this.logger.info({ event: 'directory.regained', outageMs }, 'directory responds again');
-    }
+    this.confirmation.confirm(nowMs - completeAtMs);
     this.failuresInRow = 0;
     this.respondedMs = nowMs;
   }
--- a/src/node/fleet/ExchangeLoop.ts
+++ b/src/node/fleet/ExchangeLoop.ts
@@ -68,6 +68,15 @@
     this.send(this.agent.takeUrgent());
   }
 
+  /** Tells `targets` the state of this daemon. */
+  public notify(targets: readonly string[]): void {
+    if (targets.length === 0) return;
+    const message = this.agent.takeNotice(targets.length);
+    targets.forEach((target) => {
+      this.exchange(target, message).catch((error: Error) => this.logFailure(error));
+    });
+  }
+
   /** Exchanges with one peer, and resolves when its table, if newer, was fetched. */
   public async ask(address: string): Promise<void> {
     await this.exchange(address, this.agent.takeMessage());
@@ -127,7 +136,7 @@
 
   private compare(message: gossipAgent.IExchangeMessage): Promise<void> {
     const { sender, table } = message;
-    return this.distribution.compare(sender.address, table.version, table.hash);
+    return this.distribution.compare(sender.address, table);
   }
 
   private logFailure(error: Error): void {
--- a/src/node/fleet/Messages.ts
+++ b/src/node/fleet/Messages.ts
@@ -29,6 +29,7 @@
     heartbeats: message.heartbeats.map(({ heartbeat }) => heartbeat),
     urgent: message.urgent,
     wantsMembers: message.wantsMembers,
+    tableAgeMs: message.table.ageMs,
   };
 }
 
@@ -47,7 +48,11 @@
   if (received.sender === undefined || received.sender.address === '') return undefined;
   return {
     sender: received.sender,
-    table: { version: received.tableVersion, hash: received.tableHash },
+    table: {
+      version: received.tableVersion,
+      hash: received.tableHash,
+      ageMs: received.tableAgeMs,
+    },
     members: received.members,
     heartbeats: received.heartbeatIds.map((id, index) => ({
       id,
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -1,6 +1,8 @@
 import type * as bunyan from 'bunyan';
 
+import type * as confirmationModule from '../../common/directory/Confirmation';
 import type * as directoryModule from '../../common/directory/Directory';
+import * as readRoles from '../../common/directory/ReadRoles';
 import type * as factStore from '../../common/membership/FactStore';
 import * as gossipAgent from '../../common/membership/GossipAgent';
 import * as memberRules from '../../common/membership/MemberRules';
@@ -13,6 +15,9 @@
 import * as exchangeLoop from './ExchangeLoop';
 import * as messages from './Messages';
 
+/** Interval at which readers confirm the directory of their followers, in milliseconds. */
+const NOTIFY_INTERVAL_MS = 500;
+
 /** Where a daemon meets its peers. Addresses are IP address and port. */
 export interface IRoutedFleetOptions {
   readonly peerAddress: string;
@@ -31,6 +36,8 @@
 
   private readonly loop: exchangeLoop.ExchangeLoop;
 
+  private notifyTimer: types.IDisposable | undefined;
+
   private readonly client = new peerClient.PeerClient();
 
   private readonly server: peerServer.PeerServer;
@@ -38,8 +45,9 @@
   public constructor(
     private readonly options: IRoutedFleetOptions,
     directory: directoryModule.Directory,
+    private readonly confirmation: confirmationModule.Confirmation,
     logger: bunyan,
-    clock: types.IClock,
+    private readonly clock: types.IClock,
     random: types.IRandom,
   ) {
     this.agent = new gossipAgent.GossipAgent(
@@ -48,14 +56,25 @@
         failureDomain: options.failureDomain,
         incarnation: memberRules.newIncarnation(clock.wallTime(), random.next()),
         sizeOf: messages.sizeOf,
-        tableState: () => ({ version: directory.revision, hash: '' }),
+        tableState: () => ({
+          version: directory.revision,
+          hash: '',
+          ageMs: Number.isFinite(confirmation.ageMs) ? Math.ceil(confirmation.ageMs) : undefined,
+        }),
       },
       clock,
       random,
     );
     this.members = this.agent.members;
     this.facts = this.agent.facts;
-    const exchange = new directoryExchange.DirectoryExchange(directory, this.client, logger, clock);
+    const exchange = new directoryExchange.DirectoryExchange(
+      directory,
+      confirmation,
+      () => this.mustRead,
+      this.client,
+      logger,
+      clock,
+    );
     this.loop = new exchangeLoop.ExchangeLoop(this.agent, exchange, this.client, logger, clock);
     this.server = new peerServer.PeerServer({
       exchange: (request) => this.loop.receive(request),
@@ -64,6 +83,7 @@
     this.members.onChanged(({ kind, record }) => {
       if (kind === 'departed') this.client.forget(record.address);
     });
+    directory.onChanged(() => this.notifyFollowers());
     this.members.updateList({
       revision: 0,
       vms: options.seedPeers.map((address) => ({
@@ -83,6 +103,15 @@
     });
     this.loop.start();
     this.loop.exchangeNow();
+    this.keepNotifying();
+  }
+
+  /**
+   * Whether this daemon has to read the directory service: as one of the fleet's readers, or since
+   * no reader has confirmed its directory for a while.
+   */
+  public get mustRead(): boolean {
+    return this.confirmation.remainingMs === 0 || this.role.isReader;
   }
 
   /** Announces to the peers that this daemon is about to stop. */
@@ -98,8 +127,24 @@
   }
 
   public dispose(): void {
+    this.notifyTimer?.dispose();
     this.loop.dispose();
     this.server.dispose();
     this.client.dispose();
   }
+
+  private get role(): readRoles.IReadRole {
+    return readRoles.roleOf(this.options.peerAddress, this.members.livePeers);
+  }
+
+  private notifyFollowers(): void {
+    this.loop.notify(this.role.followers);
+  }
+
+  private keepNotifying(): void {
+    this.notifyTimer = this.clock.setTimer(NOTIFY_INTERVAL_MS, () => {
+      this.notifyFollowers();
+      this.keepNotifying();
+    });
+  }
 }
--- a/src/node/fleet/TableDistribution.ts
+++ b/src/node/fleet/TableDistribution.ts
@@ -4,6 +4,7 @@
 
 import type * as bunyan from 'bunyan';
 
+import type * as gossipAgent from '../../common/membership/GossipAgent';
 import * as tableHolder from '../../common/table/TableHolder';
 import * as tableParser from '../../common/table/TableParser';
 import type * as tableTypes from '../../common/table/Types';
@@ -90,7 +91,8 @@
   }
 
   /** Compares the table of a peer with the one in force, and fetches it if it is newer. */
-  public async compare(address: string, version: number, hash: string): Promise<void> {
+  public async compare(address: string, table: gossipAgent.ITableState): Promise<void> {
+    const { version, hash } = table;
     const { current } = this.table;
     if (current !== undefined && version === current.version && hash !== current.hash) {
       this.noteConflict(version, hash, address);
--- a/src/node/fleet/Types.ts
+++ b/src/node/fleet/Types.ts
@@ -1,3 +1,4 @@
+import type * as gossipAgent from '../../common/membership/GossipAgent';
 import type * as membershipTypes from '../../common/membership/Types';
 import type * as types from '../../common/Types';
 import type * as peer from '../peer/generated/peer';
@@ -18,7 +19,7 @@
 /** Compares what peers hold with what is in force here. */
 export interface IVersionExchange {
   /** Resolves when newer content of the peer, if any, was taken over. */
-  compare(address: string, version: number, hash: string): Promise<void>;
+  compare(address: string, table: gossipAgent.ITableState): Promise<void>;
 }
 
 /** Sends messages to peers. */
