Rather ask servers to which a connection is idle

A server that runs a request of this daemon has no idle connection, and a question to it opens another one.

--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -138,6 +138,8 @@
 
 /** Asks servers for their health and load right before a dispatch. */
 export interface IServerChecker {
+  /** Whether a connection to the server is open and idle. */
+  hasIdleConnection(address: string): boolean;
   /** @param onReply Called once, at the latest after `timeoutMs` milliseconds. */
   check(
     server: tableTypes.IServerRow,
--- a/src/common/policy/FreshSelection.test.ts
+++ b/src/common/policy/FreshSelection.test.ts
@@ -40,6 +40,7 @@
     replies,
     {
       checker: {
+        hasIdleConnection: () => false,
         check: (row, _path, _timeoutMs, onReply) => {
           order.push(row.address);
           asked.set(row.address, onReply);
--- a/src/common/policy/FreshSelection.ts
+++ b/src/common/policy/FreshSelection.ts
@@ -36,6 +36,9 @@
 /** Expected duration of work on a server that is nearly full, relative to an idle one. */
 const BUSY_FACTOR = 1.5;
 
+/** Addition to the random rank of a server that needs a new connection; below 1, so that each is used. */
+const NEW_CONNECTION_PENALTY = 0.5;
+
 /** Cost up to which a server is taken without waiting for the other replies of the round. */
 const GOOD_COST = 1.25;
 
@@ -276,14 +279,18 @@
   }
 
   /**
-   * Servers of the own failure domain first, in random order. The others follow in an order that
-   * each daemon keeps, so that it holds connections to few of them.
+   * Servers of the own failure domain first, in random order but rather those with an idle
+   * connection. The others follow in an order that each daemon keeps, so that it holds connections
+   * to few of them.
    */
   private order(candidates: readonly serverState.ServerState[]): serverState.ServerState[] {
-    const { random, failureDomain } = this.context;
+    const { random, failureDomain, checker } = this.context;
     const near = candidates.filter((server) => server.failureDomain === failureDomain);
     const far = candidates.filter((server) => server.failureDomain !== failureDomain);
-    const ranked = near.map((server) => ({ server, rank: random.next() }));
+    const ranked = near.map((server) => {
+      const penalty = checker.hasIdleConnection(server.address) ? 0 : NEW_CONNECTION_PENALTY;
+      return { server, rank: random.next() + penalty };
+    });
     ranked.sort((left, right) => left.rank - right.rank);
     return [
       ...ranked.map(({ server }) => server),
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -113,6 +113,10 @@
       );
   }
 
+  public hasIdleConnection(address: string): boolean {
+    return (this.pools.get(address)?.idleSize ?? 0) > 0;
+  }
+
   /** Connections held to a server. */
   public connectionsOf(address: string): { readonly open: number; readonly idle: number } {
     const pool = this.pools.get(address);
