--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -118,10 +118,9 @@
 
   /** Ends a call for which no server was found. */
   private endUnsent(reason: 'none' | 'overloaded'): void {
-    if (reason === 'overloaded') {
-      this.failures.recordNotSent('every server that was asked is too busy to answer in time');
-    }
-    this.finish(this.failures.toOutcome());
+    if (reason === 'overloaded' && this.sent === 0) {
+      this.shed('every server that was asked is too busy to answer in time');
+    } else this.finish(this.failures.toOutcome());
   }
 
   private send(server: serverState.ServerState, cost = 1): void {
--- /dev/null
+++ b/src/node/directory/DirectoryExchange.test.ts
@@ -0,0 +1,96 @@
+import * as bunyan from 'bunyan';
+
+import * as confirmationModule from '../../common/directory/Confirmation';
+import * as directoryModule from '../../common/directory/Directory';
+import type * as directoryTypes from '../../common/directory/Types';
+import * as manualClock from '../../common/ManualClock';
+import type * as peer from '../peer/generated/peer';
+import * as directoryExchange from './DirectoryExchange';
+
+const ADDRESS = '10.0.0.2:1';
+
+let clock: manualClock.ManualClock;
+let source: directoryModule.Directory;
+let isReachable: boolean;
+let isReader: boolean;
+
+beforeEach(() => {
+  clock = new manualClock.ManualClock();
+  source = new directoryModule.Directory(clock);
+  isReachable = true;
+  isReader = false;
+  const server = { id: '1', address: 'a', state: 'ready' } as directoryTypes.IRegistration;
+  source.apply([{ kind: 'server', revision: 5, server }], 5);
+});
+
+function make() {
+  const directory = new directoryModule.Directory(clock);
+  const confirmation = new confirmationModule.Confirmation(clock);
+  const logger = bunyan.createLogger({ name: 'test', streams: [] });
+  const unused = { fetchTable: () => Promise.reject(new Error('not used')) };
+  const sender = new directoryExchange.DirectoryExchange(
+    source,
+    confirmation,
+    () => true,
+    unused,
+    logger,
+    clock,
+  );
+  const peers = {
+    fetchTable: async (_address: string, request: peer.FetchTableRequest) =>
+      isReachable
+        ? { ok: true as const, value: await sender.reply(request) }
+        : { ok: false as const, error: new Error('unreachable') },
+  };
+  const exchange = new directoryExchange.DirectoryExchange(
+    directory,
+    confirmation,
+    () => isReader,
+    peers,
+    logger,
+    clock,
+  );
+  return { directory, confirmation, exchange };
+}
+
+test('a daemon that knows less takes the directory over', async () => {
+  const { directory, confirmation, exchange } = make();
+  await exchange.compare(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  expect(directory.listing).toEqual(source.listing);
+  expect(confirmation.ageMs).toBe(20);
+});
+
+// Guards against a confirmation that covers changes which this daemon does not know.
+test('a peer that knows more confirms nothing until its directory was taken over', async () => {
+  const { confirmation, exchange } = make();
+  isReachable = false;
+  await exchange.compare(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  expect(confirmation.remainingMs).toBe(0);
+});
+
+test('a peer that has not known all changes confirms nothing', async () => {
+  const { confirmation, exchange } = make();
+  await exchange.compare(ADDRESS, { version: 5, hash: '' });
+  expect(confirmation.remainingMs).toBe(0);
+});
+
+// Guards against an older directory that replaces a newer one.
+test('a peer that knows less changes nothing', async () => {
+  const { directory, exchange } = make();
+  directory.apply([{ kind: 'server-removed', revision: 8, id: '1' }], 8);
+  await exchange.compare(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  expect(directory.revision).toBe(8);
+  expect(directory.servers).toEqual([]);
+});
+
+// Guards against fetches from peers that only repeat what the own read is about to deliver.
+test('a reader waits for its own read first', async () => {
+  const { directory, exchange } = make();
+  isReader = true;
+  const compared = exchange.compare(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  directory.replace(source.listing);
+  isReachable = false;
+  clock.advance(400);
+  await compared;
+  expect(directory.revision).toBe(5);
+});
--- a/src/platform/PlatformCallerProtocol.ts
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -15,8 +15,11 @@
 /** Bytes that separate a header's name from its value, and end its line. */
 const HEADER_OVERHEAD_BYTES = 4;
 
-/** Time after which a refused caller may come back, in seconds; it reaches another daemon then. */
-const RETRY_AFTER_S = 0.05;
+/** Time after which a refused caller may come back, in seconds. It reaches another daemon then. */
+const RETRY_AFTER_S = 0.01;
+
+/** The same when every server was too busy; a slot becomes free within some tens of milliseconds. */
+const RETRY_AFTER_OVERLOAD_S = 0.05;
 
 const STATUS_UNAVAILABLE = 503;
 const STATUS_BAD_GATEWAY = 502;
@@ -113,8 +116,11 @@
   public toResponse(record: serverTypes.IRefusalRecord): callerProtocol.IOwnResponse {
     const status = statusOf(record);
     const list = ['content-type', 'application/json', wireNames.REQUEST_ID, record.requestId];
-    if (status === STATUS_UNAVAILABLE) list.push(wireNames.RETRY_AFTER, `${RETRY_AFTER_S}`);
     const { kind, outcome, detail } = record;
+    if (status === STATUS_UNAVAILABLE) {
+      const afterS = kind === 'overloaded' ? RETRY_AFTER_OVERLOAD_S : RETRY_AFTER_S;
+      list.push(wireNames.RETRY_AFTER, `${afterS}`);
+    }
     return { status, headers: list, body: JSON.stringify({ kind, outcome, detail }) };
   }
 }
