--- /dev/null
+++ b/src/cli/commands/traceRequest.test.ts
@@ -0,0 +1,34 @@
+import * as traceRequest from './traceRequest';
+
+function lineOf(fields: Readonly<Record<string, unknown>>): string {
+  return JSON.stringify({ name: 'lavenderspar', hostname: 'a', time: '1', v: 0, ...fields });
+}
+
+test('a line of the request is read behind the prefix of a collector', () => {
+  const line = `  12.5 edge-1 ${lineOf({ event: 'attempt.started', requestId: 'r', cost: 2 })}`;
+  expect(traceRequest.parseLine(line, 'r')).toEqual({
+    daemon: 'a',
+    time: '1',
+    event: 'attempt.started',
+    fields: { cost: 2 },
+  });
+});
+
+// Guards against a story that contains lines of other requests, or ends at a damaged line.
+test('other requests, damaged lines and other text are passed over', () => {
+  expect(traceRequest.parseLine(lineOf({ requestId: 's', detail: 'r' }), 'r')).toBeUndefined();
+  expect(traceRequest.parseLine('{"requestId":"r", "cut', 'r')).toBeUndefined();
+  expect(traceRequest.parseLine('started r', 'r')).toBeUndefined();
+});
+
+// Guards against effects that are shown before their causes because the clocks of VMs differ.
+test('lines of one daemon stay together, in the order of time', () => {
+  const line = (daemon: string, time: string) => ({ daemon, time, event: time, fields: {} });
+  const ordered = traceRequest.orderLines([
+    line('b', '5'),
+    line('a', '9'),
+    line('a', '1'),
+    line('b', '4'),
+  ]);
+  expect(ordered.map(({ daemon, time }) => daemon + time)).toEqual(['a1', 'a9', 'b4', 'b5']);
+});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import * as bench from './commands/bench';
 import * as serve from './commands/serve';
 import * as table from './commands/table';
+import * as traceRequest from './commands/traceRequest';
 
 const program = new commander.Command('lavenderspar')
   .description('Load balancer for servers whose load shifts in milliseconds')
@@ -14,6 +15,7 @@
 table.register(program);
 inspect.register(program);
 bench.register(program);
+traceRequest.register(program);
 
 program.parseAsync().catch((error: Error) => {
   process.stderr.write(`${error.message}\n`);
