--- a/src/common/call/ConcurrencyLimit.test.ts
+++ b/src/common/call/ConcurrencyLimit.test.ts
@@ -35,3 +35,13 @@
   report(limit, FREE, 1_000, 0);
   expect(limit.value).toBe(8);
 });
+
+// Guards against refusals right after a restart, when many calls come at once (gcga-gateway trouble-1).
+test('an open limit admits what the connections allow, whatever servers report', () => {
+  const limit = new concurrencyLimit.ConcurrencyLimit();
+  limit.setBounds(56, 140, 24);
+  limit.open();
+  limit.recordTimeout();
+  limit.recordReport({ inFlight: 4, queued: 30, draining: false }, 4, 100);
+  expect(limit.value).toBe(140);
+});
--- a/src/common/call/ConcurrencyLimit.ts
+++ b/src/common/call/ConcurrencyLimit.ts
@@ -37,6 +37,15 @@
     this.limit = Math.min(this.highest, Math.max(this.lowest, this.limit, start));
   }
 
+  /**
+   * Lets every call start that the connections allow, where servers are asked before each dispatch
+   * and a call waits for one of them that is free.
+   */
+  public open(): void {
+    this.lowest = this.highest;
+    this.limit = this.highest;
+  }
+
   /** Takes the load that a server reported with an answer. */
   public recordReport(report: policyTypes.ILoadReport, slots: number, inFlight: number): void {
     if (report.queued > CONGESTED_QUEUE_PER_SLOT * slots) {
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -205,6 +205,7 @@
     const totalSlots = rows.reduce((sum, row) => sum + row.slots, 0);
     const connections = this.states.reduce((sum, state) => sum + this.connectionShare(state), 0);
     this.limit.setBounds(totalSlots, connections, table.maxDaemons);
+    if (this.freshness !== undefined && service.healthPath !== undefined) this.limit.open();
   }
 
   /** Counts the first attempt of a call, which earns a fraction of an extra attempt. */
--- a/src/common/policy/RetryReserve.test.ts
+++ b/src/common/policy/RetryReserve.test.ts
@@ -26,7 +26,7 @@
       const share = ALLOWANCE / daemons;
       const budgets = Array.from({ length: daemons }, () => {
         const budget = new ratioBudget.RatioBudget(FRACTION, clock);
-        budget.setReserve(share / 2, (1_000 * share) / 2 / WINDOW_MS);
+        budget.setReserve(0.8 * share, (1_000 * 0.2 * share) / WINDOW_MS);
         return budget;
       });
       const log: { atMs: number; requests: number; retries: number }[] = [];
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -63,7 +63,10 @@
 const SHARE_INTERVAL_MS = 1_000;
 
 /** Share of the fleet's allowance of retries that is spent; the rest covers daemons not counted. */
-const ALLOWANCE_SHARE = 0.75;
+const ALLOWANCE_SHARE = 0.9;
+
+/** Part of a daemon's share that it may save up. The other part comes evenly over the window. */
+const SAVED_SHARE = 0.8;
 
 /** What connects a daemon to its surroundings. */
 export interface IRoutedParts {
@@ -304,8 +307,8 @@
   private shareRetries(): void {
     const { retryAllowance, retryWindow } = this.options;
     const share = (ALLOWANCE_SHARE * retryAllowance) / this.daemonCount;
-    // Half may be saved up, and the other half comes evenly over the window.
-    this.services.setRetryReserve(share / 2, (1_000 * share) / 2 / retryWindow);
+    const perSecond = (1_000 * (1 - SAVED_SHARE) * share) / retryWindow;
+    this.services.setRetryReserve(SAVED_SHARE * share, perSecond);
     this.shareTimer = this.clock.setTimer(SHARE_INTERVAL_MS, () => this.shareRetries());
   }
 
