--- a/src/node/PauseDetector.test.ts
+++ b/src/node/PauseDetector.test.ts
@@ -40,3 +40,24 @@
   clock.advance(1_000);
   expect(gaps).toEqual([]);
 });
+
+// Guards against old knowledge after a VM was suspended, which the monotonic clock does not count.
+test('a wall clock that is ahead of the monotonic one counts as a pause', () => {
+  const clock = new manualClock.ManualClock();
+  let aheadMs = 0;
+  const gaps: number[] = [];
+  const skewed = {
+    monotonicMs: () => clock.monotonicMs(),
+    wallTime: () => new Date(clock.wallTime().getTime() + aheadMs),
+    setTimer: clock.setTimer.bind(clock),
+  };
+  const detector = new pauseDetector.PauseDetector(skewed, (gapMs) => gaps.push(gapMs));
+  detector.start();
+  clock.advance(2_000);
+  aheadMs = 3_000;
+  clock.advance(250);
+  expect(gaps).toEqual([3_250]);
+  aheadMs = -3_000;
+  clock.advance(1_000);
+  expect(gaps).toEqual([3_250]);
+});
--- a/src/node/PauseDetector.ts
+++ b/src/node/PauseDetector.ts
@@ -9,6 +9,8 @@
 export class PauseDetector implements types.IDisposable {
   private checkedMs: number;
 
+  private checkedWallMs: number;
+
   private timer: types.IDisposable | undefined;
 
   /** @param onPaused Called after a pause with its length, before any other decision. */
@@ -17,6 +19,7 @@
     private readonly onPaused: (gapMs: number) => void,
   ) {
     this.checkedMs = clock.monotonicMs();
+    this.checkedWallMs = clock.wallTime().getTime();
   }
 
   public start(): void {
@@ -30,8 +33,12 @@
    */
   public check(): void {
     const nowMs = this.clock.monotonicMs();
-    const gapMs = nowMs - this.checkedMs;
+    const wallMs = this.clock.wallTime().getTime();
+    // The monotonic clock stands still while a VM is suspended, and the wall clock does not. A wall
+    // clock that was set forward looks the same, and what is dropped then is soon known again.
+    const gapMs = Math.max(nowMs - this.checkedMs, wallMs - this.checkedWallMs);
     this.checkedMs = nowMs;
+    this.checkedWallMs = wallMs;
     if (gapMs > PAUSE_MS) this.onPaused(gapMs);
   }
 
--- /dev/null
+++ b/src/node/fleet/RoutedFleet.test.ts
@@ -0,0 +1,90 @@
+import * as bunyan from 'bunyan';
+
+import * as confirmationModule from '../../common/directory/Confirmation';
+import * as directoryModule from '../../common/directory/Directory';
+import type * as directoryTypes from '../../common/directory/Types';
+import * as seededRandom from '../../common/SeededRandom';
+import * as freePorts from '../../standin/FreePorts';
+import * as systemClock from '../SystemClock';
+import * as routedFleet from './RoutedFleet';
+
+interface IMember {
+  readonly address: string;
+  readonly directory: directoryModule.Directory;
+  readonly confirmation: confirmationModule.Confirmation;
+  readonly fleet: routedFleet.RoutedFleet;
+}
+
+const MEMBERS = 5;
+
+let members: IMember[];
+
+function make(address: string, seedPeers: readonly string[], seed: number): IMember {
+  const clock = new systemClock.SystemClock();
+  const directory = new directoryModule.Directory(clock);
+  const confirmation = new confirmationModule.Confirmation(clock);
+  const fleet = new routedFleet.RoutedFleet(
+    { peerAddress: address, failureDomain: 'a', seedPeers },
+    directory,
+    confirmation,
+    bunyan.createLogger({ name: 'test', streams: [] }),
+    clock,
+    new seededRandom.SeededRandom(seed),
+  );
+  return { address, directory, confirmation, fleet };
+}
+
+async function eventually(check: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 1_500; tries += 1) {
+    if (check()) return;
+    // eslint-disable-next-line no-await-in-loop
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+  throw new Error('the expected state was not reached');
+}
+
+beforeEach(async () => {
+  const addresses = (await freePorts.freePorts(MEMBERS)).map((port) => `127.0.0.1:${port}`);
+  const seeds = addresses.slice(0, 1);
+  members = addresses.map((address, index) => make(address, seeds, index + 1));
+  await Promise.all(members.map(({ fleet }) => fleet.start()));
+});
+
+afterEach(() => {
+  members.forEach(({ fleet, directory }) => {
+    fleet.dispose();
+    directory.dispose();
+  });
+});
+
+function publish(member: IMember, revision: number): void {
+  const server = { id: `${revision}`, address: `${revision}`, state: 'ready' };
+  member.directory.apply(
+    [{ kind: 'server', revision, server: server as directoryTypes.IRegistration }],
+    revision,
+  );
+  member.confirmation.confirm();
+}
+
+test('members find each other through one seed peer', async () => {
+  await eventually(() => members.every(({ fleet }) => fleet.members.count === MEMBERS));
+});
+
+// Guards against a daemon that is cut off from the directory service and keeps an old directory.
+test('what one member reads reaches all others, and its confirmation lets them rest', async () => {
+  await eventually(() => members.every(({ fleet }) => fleet.members.count === MEMBERS));
+  const reader = members.find(({ confirmation, fleet }) => {
+    confirmation.confirm();
+    return fleet.mustRead;
+  }) as IMember;
+  members.forEach(({ confirmation }) => confirmation.reset());
+  publish(reader, 7);
+  await eventually(() => members.every(({ directory }) => directory.revision === 7));
+  const others = members.filter((member) => member !== reader);
+  await eventually(() => {
+    reader.confirmation.confirm();
+    return others.filter(({ fleet }) => !fleet.mustRead).length >= MEMBERS - 2;
+  });
+});
