--- a/src/common/policy/FreshSelection.test.ts
+++ b/src/common/policy/FreshSelection.test.ts
@@ -140,7 +140,7 @@
 // Guards against a refusal while capacity is idle, though slow.
 test('a slow server with a free slot is used if none becomes better in time', () => {
   begin([stateOf('a')], { usualWorkMs: 160, objectiveAtMs: 400 });
-  for (let step = 0; step < 4; step += 1) {
+  for (let step = 0; step < 5; step += 1) {
     asked.get('a')?.(ready(0, 0, 5));
     clock.advance(15);
   }
