Keep the questions before dispatches within the measuring budget

Each daemon now has its share; calls ask fewer servers when half of it is used. The shares follow the number of daemons, which at a start is not known.

--- /dev/null
+++ b/src/common/policy/CheckBudget.test.ts
@@ -0,0 +1,38 @@
+import * as manualClock from '../ManualClock';
+import * as checkBudget from './CheckBudget';
+
+// Guards against questions beyond the measuring budget (gcga-gateway scale-1: 71 of 60 a server).
+test('the daemons together ask less than the rate allows, whatever they try', () => {
+  const clock = new manualClock.ManualClock();
+  const budgets = Array.from({ length: 19 }, () => {
+    const budget = new checkBudget.CheckBudget(clock);
+    budget.setRate(600, 19);
+    return budget;
+  });
+  const takeAll = (budget: checkBudget.CheckBudget) =>
+    Array.from({ length: 50 }, () => budget.take()).filter(Boolean).length;
+  let asked = 0;
+  for (let step = 0; step < 600; step += 1) {
+    clock.advance(100);
+    asked += budgets.map(takeAll).reduce((sum, count) => sum + count, 0);
+  }
+  expect(asked).toBeLessThanOrEqual(600 * 60);
+  expect(asked).toBeGreaterThan(600 * 60 * 0.9);
+});
+
+test('a budget is scarce before it is spent, and recovers', () => {
+  const clock = new manualClock.ManualClock();
+  const budget = new checkBudget.CheckBudget(clock);
+  budget.setRate(100, 10);
+  expect(budget.isScarce).toBe(false);
+  for (let count = 0; count < 40; count += 1) budget.take();
+  expect(budget.isScarce).toBe(true);
+  clock.advance(5_000);
+  expect(budget.isScarce).toBe(false);
+});
+
+test('a budget of nothing permits nothing', () => {
+  const budget = new checkBudget.CheckBudget(new manualClock.ManualClock());
+  budget.setRate(0, 10);
+  expect(budget.take()).toBe(false);
+});
--- a/src/common/policy/FreshSelection.test.ts
+++ b/src/common/policy/FreshSelection.test.ts
@@ -1,5 +1,6 @@
 import * as manualClock from '../ManualClock';
 import * as seededRandom from '../SeededRandom';
+import * as checkBudget from './CheckBudget';
 import * as freshSelection from './FreshSelection';
 import * as serverState from './ServerState';
 import type * as policyTypes from './Types';
@@ -7,12 +8,15 @@
 type Reply = (reply: policyTypes.CheckReply) => void;
 
 let clock: manualClock.ManualClock;
+let budget: checkBudget.CheckBudget;
 let asked: Map<string, Reply>;
 let order: string[];
 let selected: freshSelection.Selected[];
 
 beforeEach(() => {
   clock = new manualClock.ManualClock();
+  budget = new checkBudget.CheckBudget(clock);
+  budget.setRate(1_000, 1);
   asked = new Map();
   order = [];
   selected = [];
@@ -39,6 +43,7 @@
     candidates,
     replies,
     {
+      budget,
       checker: {
         hasIdleConnection: () => false,
         check: (row, _path, _timeoutMs, onReply) => {
@@ -177,3 +182,11 @@
   clock.advance(1_000);
   expect(selected).toEqual([]);
 });
+
+// Guards against questions beyond the measuring budget when every server is busy.
+test('without a permit for a question, a server is taken unasked', () => {
+  while (budget.take());
+  begin([stateOf('a')]);
+  expect(order).toEqual([]);
+  expect(chosen()).toBe('a');
+});
--- a/src/common/policy/FreshSelection.ts
+++ b/src/common/policy/FreshSelection.ts
@@ -1,5 +1,6 @@
 import type * as callTypes from '../call/Types';
 import type * as types from '../Types';
+import type * as checkBudget from './CheckBudget';
 import type * as policyTypes from './Types';
 import type * as serverState from './ServerState';
 
@@ -12,6 +13,9 @@
 /** Rounds when all servers were busy before. */
 const MAX_REPEATED_ROUNDS = 2;
 
+/** Rounds when the budget for questions is scarce. */
+const MAX_SCARCE_ROUNDS = 2;
+
 /**
  * Share of the time to the objective for which a call may be held while it would miss that on
  * every server. A slow request takes a slot from several normal ones, and a
@@ -57,6 +61,7 @@
 /** How the servers of one service are asked. */
 export interface IFreshSelectionContext {
   readonly checker: callTypes.IServerChecker;
+  readonly budget: checkBudget.CheckBudget;
   readonly clock: types.IClock;
   readonly random: types.IRandom;
   /** Failure domain of this daemon. Its servers are asked first. */
@@ -116,7 +121,9 @@
   server: serverState.ServerState,
   reply: policyTypes.CheckReply | undefined,
 ): number {
-  if (reply === undefined || reply.kind === 'silent') return SILENT_FACTOR;
+  if (reply === undefined || reply.kind === 'silent') {
+    return SILENT_FACTOR * (1 + server.inFlight) * (1 + FAILURE_WEIGHT * server.failureShare);
+  }
   if (reply.kind === 'replaced' || reply.kind === 'unreachable') return Number.POSITIVE_INFINITY;
   const load = loadOf(server, reply);
   const busy = load / server.slots > BUSY_SHARE ? BUSY_FACTOR : 1;
@@ -142,7 +149,7 @@
 
   private rounds = 0;
 
-  private maxRounds = MAX_ROUNDS;
+  private maxRounds: number;
 
   private pending = 0;
 
@@ -158,8 +165,11 @@
     private readonly onSelected: (selected: Selected) => void,
   ) {
     this.remaining = this.order(candidates);
+    const { isScarce } = context.budget;
+    this.maxRounds = isScarce ? MAX_SCARCE_ROUNDS : MAX_ROUNDS;
     const nowMs = context.clock.monotonicMs();
-    this.holdUntilMs = nowMs + HOLD_SHARE * ((context.objectiveAtMs ?? nowMs) - nowMs);
+    this.holdUntilMs =
+      nowMs + (isScarce ? 0 : HOLD_SHARE) * ((context.objectiveAtMs ?? nowMs) - nowMs);
   }
 
   public begin(): void {
@@ -184,13 +194,17 @@
   }
 
   private ask(server: serverState.ServerState): void {
-    const { checker, clock, healthPath, onReply } = this.context;
+    const { checker, budget, clock, healthPath, onReply } = this.context;
     const round = this.rounds;
     const known = this.replies.get(server.address, clock.monotonicMs());
     if (known !== undefined) {
       this.take(server, known, round);
       return;
     }
+    if (!budget.take()) {
+      this.endRound();
+      return;
+    }
     checker.check(server.row, healthPath, CHECK_TIMEOUT_MS, (reply) => {
       this.replies.set(server.address, reply, clock.monotonicMs());
       onReply(server, reply);
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -53,8 +53,11 @@
 /** Time after the start in which the count of peers is not yet complete, in milliseconds. */
 const COUNT_SETTLES_MS = 3_000;
 
+/** Change of the number of daemons from which on shares of servers are divided anew. */
+const COUNT_CHANGE = 0.15;
+
 /** Room for daemons that joined and are not counted yet. */
-const COUNT_MARGIN = 1.25;
+const COUNT_MARGIN = 1.1;
 
 /** Distinct servers that a request must have crashed before it is refused. */
 const CRASHES_TO_REFUSE = 3;
@@ -309,9 +312,16 @@
     const share = (ALLOWANCE_SHARE * retryAllowance) / this.daemonCount;
     const perSecond = (1_000 * (1 - SAVED_SHARE) * share) / retryWindow;
     this.services.setRetryReserve(SAVED_SHARE * share, perSecond);
+    this.shareServers();
     this.shareTimer = this.clock.setTimer(SHARE_INTERVAL_MS, () => this.shareRetries());
   }
 
+  /** Divides connections and questions anew when the number of daemons has changed. */
+  private shareServers(): void {
+    const shared = this.table?.maxDaemons ?? this.daemonCount;
+    if (Math.abs(this.daemonCount - shared) > COUNT_CHANGE * shared) this.applyDirectory();
+  }
+
   /** Upper limit on the daemons that run now, as far as this one knows. */
   private get daemonCount(): number {
     const isSettled = this.clock.monotonicMs() - this.startedMs > COUNT_SETTLES_MS;
