--- a/src/common/policy/CheckBudget.ts
+++ b/src/common/policy/CheckBudget.ts
@@ -1,13 +1,13 @@
 import type * as types from '../Types';
 
 /** Share of the allowed rate that is used; the rest covers daemons that are not counted yet. */
-const USED_SHARE = 0.85;
+const USED_SHARE = 0.95;
 
 /** Time for which questions that were not asked may be saved up, in seconds. */
-const SAVED_S = 8;
+const SAVED_S = 10;
 
 /** Saved share of the budget below which calls ask fewer servers. */
-const SCARCE_SHARE = 0.5;
+const SCARCE_SHARE = 0.3;
 
 /** The questions that this daemon may ask the servers of one service before dispatches. */
 export class CheckBudget {
@@ -32,7 +32,7 @@
     this.refill();
     const isFirst = this.perSecond === 0;
     this.perSecond = (USED_SHARE * fleetPerSecond) / daemons;
-    this.saved = isFirst ? this.capacity : Math.min(this.saved, this.capacity);
+    this.saved = isFirst ? SCARCE_SHARE * this.capacity : Math.min(this.saved, this.capacity);
   }
 
   /** Takes the permit for a question. Returns false if there is none. */
--- a/src/common/policy/FreshSelection.ts
+++ b/src/common/policy/FreshSelection.ts
@@ -14,7 +14,7 @@
 const MAX_REPEATED_ROUNDS = 2;
 
 /** Rounds when the budget for questions is scarce. */
-const MAX_SCARCE_ROUNDS = 2;
+const MAX_SCARCE_ROUNDS = 3;
 
 /**
  * Share of the time to the objective for which a call may be held while it would miss that on
