--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,6 +1,6 @@
 import * as emitter from '../Emitter';
 import * as ejector from '../policy/Ejector';
-import * as checkBudget from '../policy/CheckBudget';
+import type * as checkBudget from '../policy/CheckBudget';
 import * as freshSelection from '../policy/FreshSelection';
 import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
@@ -35,6 +35,8 @@
 /** Asks servers right before each dispatch, in place of the selection policy. */
 export interface IFreshness {
   readonly checker: callTypes.IServerChecker;
+  /** Questions that this daemon may ask, for all services together. */
+  readonly budget: checkBudget.CheckBudget;
   readonly random: types.IRandom;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
@@ -95,8 +97,6 @@
   /** Moving average of the time that an idle server takes for a request. */
   private usualWorkMs: number | undefined;
 
-  private readonly checks: checkBudget.CheckBudget;
-
   private readonly replies = new freshSelection.FreshReplies();
 
   /** Fires with the address of each server that a table adds. */
@@ -122,7 +122,6 @@
     this.onEjected = this.ejector.onEjected;
     this.retryBudget = new ratioBudget.RatioBudget(0, clock);
     this.hedgeBudget = new ratioBudget.RatioBudget(0, clock);
-    this.checks = new checkBudget.CheckBudget(clock);
     this.admission = new admissionQueue.AdmissionQueue(this.limit, clock);
   }
 
@@ -167,7 +166,6 @@
       this.replies,
       {
         ...freshness,
-        budget: this.checks,
         clock: this.clock,
         healthPath,
         usualWorkMs: this.usualWorkMs,
@@ -207,7 +205,6 @@
     this.retryBudget.setFraction(service.retryFraction);
     this.hedgeBudget.setFraction(service.hedgeFraction);
     this.replaceServers(rows, isFirst);
-    this.checks.setRate(service.probesPerSecond * rows.length, table.maxDaemons);
     const totalSlots = rows.reduce((sum, row) => sum + row.slots, 0);
     const connections = this.states.reduce((sum, state) => sum + this.connectionShare(state), 0);
     this.limit.setBounds(totalSlots, connections, table.maxDaemons);
--- a/src/common/policy/CheckBudget.ts
+++ b/src/common/policy/CheckBudget.ts
@@ -9,7 +9,7 @@
 /** Saved share of the budget below which calls ask fewer servers. */
 const SCARCE_SHARE = 0.3;
 
-/** The questions that this daemon may ask the servers of one service before dispatches. */
+/** The questions that this daemon may ask servers before dispatches, for all services together. */
 export class CheckBudget {
   private perSecond = 0;
 
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -4,6 +4,7 @@
 import * as confirmationModule from '../common/directory/Confirmation';
 import * as directoryModule from '../common/directory/Directory';
 import * as tableBuilder from '../common/directory/TableBuilder';
+import * as checkBudget from '../common/policy/CheckBudget';
 import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
 import * as subset from '../common/policy/Subset';
 import * as probeBudget from '../common/probing/ProbeBudget';
@@ -90,6 +91,8 @@
 
   private readonly transport: httpTransport.HttpTransport;
 
+  private readonly checks: checkBudget.CheckBudget;
+
   private readonly services: serviceSet.ServiceSet;
 
   private readonly coordinator: callCoordinator.CallCoordinator;
@@ -139,6 +142,7 @@
       () => this.fleet?.mustRead ?? true,
     );
     this.transport = new httpTransport.HttpTransport(clock, random, parts.backendProtocol);
+    this.checks = new checkBudget.CheckBudget(clock);
     this.services = new serviceSet.ServiceSet(
       options.peerAddress,
       () => new leastInFlightPolicy.LeastInFlightPolicy(random),
@@ -147,6 +151,7 @@
       clock,
       {
         checker: this.transport,
+        budget: this.checks,
         random,
         failureDomain: options.failureDomain,
         rankOf: (address) => subset.rankAt(options.peerAddress, address),
@@ -275,6 +280,7 @@
       },
       this.splits,
     );
+    this.checks.setRate(this.options.checksPerSecond * servers.length, this.table.maxDaemons);
     this.services.update(this.table);
     const { headerTimeoutMs, idleTimeoutMs } = configuration.limits;
     this.callers.setTimeouts(headerTimeoutMs, idleTimeoutMs);
