--- a/src/common/directory/Directory.test.ts
+++ b/src/common/directory/Directory.test.ts
@@ -26,7 +26,6 @@
     failureDomain: 'd',
     slots: 3,
     state: 'ready',
-    warmUpMs: 0,
     startedAtMs: 1,
     ...changes,
   };
--- a/src/common/directory/Types.ts
+++ b/src/common/directory/Types.ts
@@ -12,8 +12,6 @@
   readonly slots: number;
   /** A server that is draining gets no new work. */
   readonly state: 'ready' | 'draining';
-  /** Time for which it still is slow after its start, in milliseconds. */
-  readonly warmUpMs: number;
   /** Start of the server process, in Unix milliseconds; 0 if it is not stated. */
   readonly startedAtMs: number;
 }
--- a/src/common/routing/RouteTable.test.ts
+++ b/src/common/routing/RouteTable.test.ts
@@ -18,7 +18,6 @@
     timeoutMs: 700,
     objectiveMs: 300,
     maxAttempts: 2,
-    priority: 0,
   };
 }
 
--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -40,7 +40,6 @@
   name: zod.string(),
   kind: zod.enum(['idempotent', 'non_idempotent']),
   aim: DURATION,
-  priority: zod.int().min(0),
   match: zod.object({
     prefix: zod.string().regex(/^\/(.*\/)?$/s, 'expected slashes at both ends'),
   }),
@@ -77,8 +76,6 @@
   // `configVersion` of an entry is the version of the server's software, and is not used.
   slots: COUNT,
   state: zod.enum(['ready', 'draining']),
-  // How much longer the server stays slow after its start.
-  warmupLeft: DURATION.optional(),
   // Unix milliseconds of the start of the server process.
   born: zod.number().optional(),
 });
@@ -100,7 +97,6 @@
     timeoutMs: timeout,
     objectiveMs: rule.aim,
     maxAttempts,
-    priority: rule.priority,
   };
 }
 
@@ -159,7 +155,7 @@
   if (item.deleted === true) return { kind: 'server-removed', revision: item.revision, id };
   const parsed = SERVER.safeParse(parseValue(item));
   if (!parsed.success) return unusable(item, describe(parsed.error), id);
-  const { service, address, zone, slots, state, warmupLeft = 0, born = 0 } = parsed.data;
+  const { service, address, zone, slots, state, born = 0 } = parsed.data;
   return {
     kind: 'server',
     revision: item.revision,
@@ -170,7 +166,6 @@
       failureDomain: zone,
       slots,
       state,
-      warmUpMs: warmupLeft,
       startedAtMs: born,
     },
   };
--- a/typings/lavenderspar.d.ts
+++ b/typings/lavenderspar.d.ts
@@ -147,8 +147,6 @@
   readonly objectiveMs: number;
   /** Servers that one request may be sent to in all. */
   readonly maxAttempts: number;
-  /** Rank of the requests; 0 is the most urgent. */
-  readonly priority: number;
 }
 
 /** Bounds on what a caller may send. Sizes are in bytes. */
