--- a/src/common/policy/FreshSelection.ts
+++ b/src/common/policy/FreshSelection.ts
@@ -10,21 +10,21 @@
 /** Rounds before the best server seen so far is taken. If a third is slow, 1 in 700 finds no other. */
 const MAX_ROUNDS = 6;
 
-/** Rounds when all servers were busy before. */
+/** Rounds when the servers are asked again after a pause. */
 const MAX_REPEATED_ROUNDS = 2;
 
 /** Rounds when the budget for questions is scarce. */
 const MAX_SCARCE_ROUNDS = 3;
 
 /**
- * Share of the time to the objective for which a call may be held while it would miss that on
- * every server. A slow request takes a slot from several normal ones, and a
- * caller that is refused by then still has time to be served by another daemon.
+ * Share of the time to the objective for which a call may be held while every server that was asked
+ * would miss it. A slow request takes a slot from several normal ones, and a caller that is refused
+ * by then still has time to be served by another daemon.
  */
 const HOLD_SHARE = 1 / 8;
 
-/** Pause before servers that were all busy are asked again, in milliseconds. */
-const BUSY_PAUSE_MS = 15;
+/** Pause before the servers are asked again, in milliseconds; a tenth of a slow block. */
+const REPEAT_PAUSE_MS = 15;
 
 /** Time for the replies of one round, in milliseconds: a round trip between failure domains. */
 const ROUND_TIMEOUT_MS = 6;
@@ -255,7 +255,7 @@
 
   /** Asks the servers again after a pause: a slot may become free, or a slow server fast again. */
   private askAgain(): void {
-    this.timer = this.context.clock.setTimer(BUSY_PAUSE_MS, () => {
+    this.timer = this.context.clock.setTimer(REPEAT_PAUSE_MS, () => {
       this.remaining = this.order([...this.seen.keys()]);
       this.rounds = 0;
       this.maxRounds = MAX_REPEATED_ROUNDS;
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -5,6 +5,7 @@
 import type * as callTypes from '../../common/call/Types';
 import * as callerExchange from './CallerExchange';
 import * as keyEndpoint from './KeyEndpoint';
+import * as listening from './listen';
 import * as responseWriter from './ResponseWriter';
 
 /** Default size limit of the headers of a request, in bytes. */
@@ -70,13 +71,7 @@
 
   /** Listens. Rejects if the address cannot be used. */
   public listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.removeListener('error', reject);
-        resolve();
-      });
-    });
+    return listening.listen(this.server, host, port);
   }
 
   /** The port in use, for a server that listens on port 0. */
--- a/src/node/server/OperatorServer.ts
+++ b/src/node/server/OperatorServer.ts
@@ -3,6 +3,7 @@
 import * as findMyWay from 'find-my-way';
 
 import type * as explain from './Explain';
+import * as listening from './listen';
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -63,21 +64,12 @@
 
   /** Listens. Rejects if the address cannot be used. */
   public listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.removeListener('error', reject);
-        resolve();
-      });
-    });
+    return listening.listen(this.server, host, port);
   }
 
   /** Closes all connections at once. */
   public close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeAllConnections();
-    });
+    return listening.closeNow(this.server);
   }
 
   private on(path: string, content: () => unknown, status: () => number = () => OK): void {
--- a/src/node/server/ReadinessServer.ts
+++ b/src/node/server/ReadinessServer.ts
@@ -1,5 +1,7 @@
 import * as http from 'node:http';
 
+import * as listening from './listen';
+
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_ERROR = 500;
@@ -21,21 +23,12 @@
 
   /** Listens. Rejects if the address cannot be used. */
   public listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.removeListener('error', reject);
-        resolve();
-      });
-    });
+    return listening.listen(this.server, host, port);
   }
 
   /** Closes all connections at once. */
   public close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeAllConnections();
-    });
+    return listening.closeNow(this.server);
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
--- /dev/null
+++ b/src/node/server/listen.ts
@@ -0,0 +1,20 @@
+import type * as http from 'node:http';
+
+/** Makes a server listen. Rejects if the address cannot be used. */
+export function listen(server: http.Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.removeListener('error', reject);
+      resolve();
+    });
+  });
+}
+
+/** Stops a server, and closes all its connections at once. */
+export function closeNow(server: http.Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- a/src/node/settings/Problems.ts
+++ b/src/node/settings/Problems.ts
@@ -1,5 +1,8 @@
+import * as yaml from 'yaml';
 import type * as zod from 'zod';
 
+import type * as types from '../../common/Types';
+
 /** Longest part of a value that is repeated in a message. */
 const MAX_FOUND_LENGTH = 60;
 
@@ -20,11 +23,8 @@
   return JSON.stringify(found).slice(0, MAX_FOUND_LENGTH);
 }
 
-/**
- * Describes one issue of a schema.
- * @param known Names of all settings.
- */
-export function toProblems(
+/** @param known Names of all settings. */
+function toProblems(
   issue: zod.core.$ZodIssue,
   values: unknown,
   known: readonly string[],
@@ -39,3 +39,21 @@
   const message = `${expected}, found ${describeFound(values, issue.path)}`;
   return [{ path: issue.path.join('.'), message }];
 }
+
+/** Reads settings in YAML by their schema. All problems are reported at once. */
+export function parseYaml<TShape extends zod.core.$ZodShape>(
+  text: string,
+  schema: zod.ZodObject<TShape>,
+): types.Result<zod.infer<zod.ZodObject<TShape>>, readonly ISettingsProblem[]> {
+  const document = yaml.parseDocument(text);
+  if (document.errors.length > 0) {
+    const error = document.errors.map(({ message }) => ({ path: '', message }));
+    return { ok: false, error };
+  }
+  const values: unknown = document.toJS() ?? {};
+  const result = schema.safeParse(values);
+  if (result.success) return { ok: true, value: result.data };
+  const known = Object.keys(schema.shape);
+  const error = result.error.issues.flatMap((issue) => toProblems(issue, values, known));
+  return { ok: false, error };
+}
--- a/src/node/settings/Settings.ts
+++ b/src/node/settings/Settings.ts
@@ -1,4 +1,3 @@
-import * as yaml from 'yaml';
 import * as zod from 'zod';
 
 import * as policyFactory from '../../common/policy/PolicyFactory';
@@ -33,15 +32,5 @@
 export function parseSettings(
   text: string,
 ): types.Result<Settings, readonly problems.ISettingsProblem[]> {
-  const document = yaml.parseDocument(text);
-  if (document.errors.length > 0) {
-    const error = document.errors.map(({ message }) => ({ path: '', message }));
-    return { ok: false, error };
-  }
-  const values: unknown = document.toJS() ?? {};
-  const result = SCHEMA.safeParse(values);
-  if (result.success) return { ok: true, value: result.data };
-  const known = Object.keys(SCHEMA.shape);
-  const error = result.error.issues.flatMap((issue) => problems.toProblems(issue, values, known));
-  return { ok: false, error };
+  return problems.parseYaml(text, SCHEMA);
 }
