--- a/src/node/platform/PlatformClient.ts
+++ b/src/node/configuration/ConfigurationClient.ts
@@ -16,7 +16,7 @@
 const MAX_VALUE_BYTES = 1024 * 1024;
 
 /** Reads values from the platform's configuration service. */
-export class PlatformClient {
+export class ConfigurationClient {
   private readonly agent = new undici.Agent({ connections: 2, pipelining: 1 });
 
   public constructor(private readonly baseUrl: string) {}
--- a/src/node/fleet/Fleet.test.ts
+++ b/src/node/fleet/Fleet.test.ts
@@ -8,7 +8,7 @@
 import * as tableGenerator from '../../common/table/TableGenerator';
 import * as fleetModule from './Fleet';
 import * as peer from '../peer/generated/peer';
-import type * as platformClient from '../platform/PlatformClient';
+import type * as configurationClient from '../configuration/ConfigurationClient';
 import type * as fleetTypes from './Types';
 
 const SIZES = { services: 1, servers: 1, maxDaemons: 20 };
@@ -83,7 +83,7 @@
       return { ok: true, value: { version: table.version, compressedText } };
     },
   };
-  const read = async (name: 'table' | 'vms'): Promise<platformClient.ReadResult> => {
+  const read = async (name: 'table' | 'vms'): Promise<configurationClient.ReadResult> => {
     platform.reads.push(name);
     if (platform.pending) return new Promise(() => {});
     const text = platform.values[name];
--- a/src/node/fleet/Fleet.ts
+++ b/src/node/fleet/Fleet.ts
@@ -7,7 +7,7 @@
 import type * as tableHolder from '../../common/table/TableHolder';
 import type * as types from '../../common/Types';
 import type * as peer from '../peer/generated/peer';
-import * as platformClient from '../platform/PlatformClient';
+import * as configurationClient from '../configuration/ConfigurationClient';
 import * as exchangeLoop from './ExchangeLoop';
 import * as messages from './Messages';
 import * as platformReader from './PlatformReader';
@@ -33,7 +33,7 @@
 
   private readonly loop: exchangeLoop.ExchangeLoop;
 
-  private readonly platform: platformClient.PlatformClient;
+  private readonly platform: configurationClient.ConfigurationClient;
 
   private readonly reader: platformReader.PlatformReader;
 
@@ -70,7 +70,7 @@
       if (kind === 'departed') peers.forget(record.address);
     });
     this.loop = new exchangeLoop.ExchangeLoop(this.agent, this.distribution, peers, logger, clock);
-    this.platform = new platformClient.PlatformClient(options.platformUrl);
+    this.platform = new configurationClient.ConfigurationClient(options.platformUrl);
     this.reader = new platformReader.PlatformReader(
       valueSource ?? this.platform,
       {
--- a/src/node/fleet/PlatformReader.ts
+++ b/src/node/fleet/PlatformReader.ts
@@ -3,13 +3,13 @@
 import * as emitter from '../../common/Emitter';
 import * as readSchedule from '../../common/table/ReadSchedule';
 import type * as types from '../../common/Types';
-import type * as platformClient from '../platform/PlatformClient';
+import type * as configurationClient from '../configuration/ConfigurationClient';
 
 type ValueName = 'table' | 'vms';
 
 /** Reads one value of the configuration service. */
 export interface IValueSource {
-  read(name: ValueName, after: number): Promise<platformClient.ReadResult>;
+  read(name: ValueName, after: number): Promise<configurationClient.ReadResult>;
 }
 
 /** What is done with a new value. */
