--- a/src/platform/RecordDecoder.test.ts
+++ b/src/platform/RecordDecoder.test.ts
@@ -1,4 +1,4 @@
-import * as published from '../standin/platform/Published';
+import * as published from './testing/Published';
 import * as recordDecoder from './RecordDecoder';
 
 function itemOf(key: string, value: unknown) {
--- a/src/node/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -4,16 +4,16 @@
 
 import * as seededRandom from '../common/SeededRandom';
 import type * as types from '../common/Types';
-import * as platformBackendProtocol from '../platform/PlatformBackendProtocol';
-import * as platformCallerProtocol from '../platform/PlatformCallerProtocol';
-import * as storeClient from '../platform/StoreClient';
+import * as platformBackendProtocol from './PlatformBackendProtocol';
+import * as platformCallerProtocol from './PlatformCallerProtocol';
+import * as storeClient from './StoreClient';
 import * as freePorts from '../standin/FreePorts';
-import * as platformStore from '../standin/platform/PlatformStore';
-import * as platformTarget from '../standin/platform/PlatformTarget';
-import * as published from '../standin/platform/Published';
-import * as routedDaemon from './RoutedDaemon';
-import * as routedSettings from './settings/RoutedSettings';
-import * as systemClock from './SystemClock';
+import * as platformStore from './testing/PlatformStore';
+import * as platformTarget from './testing/PlatformTarget';
+import * as published from './testing/Published';
+import * as routedDaemon from '../node/RoutedDaemon';
+import * as routedSettings from '../node/settings/RoutedSettings';
+import * as systemClock from '../node/SystemClock';
 
 interface IReply {
   readonly status: number;
