--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,6 +1,7 @@
 import * as emitter from '../Emitter';
 import * as ejector from '../policy/Ejector';
 import type * as checkBudget from '../policy/CheckBudget';
+import * as freshReplies from '../policy/FreshReplies';
 import * as freshSelection from '../policy/FreshSelection';
 import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
@@ -97,7 +98,7 @@
   /** Moving average of the time that an idle server takes for a request. */
   private usualWorkMs: number | undefined;
 
-  private readonly replies = new freshSelection.FreshReplies();
+  private readonly replies = new freshReplies.FreshReplies();
 
   /** Fires with the address of each server that a table adds. */
   public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
--- /dev/null
+++ b/src/common/policy/DispatchCost.ts
@@ -0,0 +1,43 @@
+import type * as serverState from './ServerState';
+import type * as policyTypes from './Types';
+
+/** Occupancy of the slots from which on a server may work more slowly. */
+const BUSY_SHARE = 0.8;
+
+/** Expected duration of work on a server that is nearly full, relative to an idle one. */
+const BUSY_FACTOR = 1.5;
+
+/** Factors of the cost of a server that is full, says that it fails, or did not reply. */
+const FULL_FACTOR = 20;
+const UNHEALTHY_FACTOR = 50;
+const SILENT_FACTOR = 200;
+
+/** Factor of the cost for a server that has just started and is still slow. */
+const COLD_FACTOR = 1.2;
+
+/** Weight of the share of failed attempts: at one half, a server costs three times as much. */
+const FAILURE_WEIGHT = 4;
+
+/** Requests that the server would hold after the dispatch. */
+export function loadOf(server: serverState.ServerState, reply: policyTypes.CheckReply): number {
+  const report = 'report' in reply ? reply.report : undefined;
+  return (report?.inFlight ?? 0) + (report?.queued ?? 0) + server.startedSinceReport + 1;
+}
+
+/** Expected cost of a dispatch: the duration relative to that on an idle server. */
+export function costOf(
+  server: serverState.ServerState,
+  reply: policyTypes.CheckReply | undefined,
+): number {
+  if (reply === undefined || reply.kind === 'silent') {
+    return SILENT_FACTOR * (1 + server.inFlight) * (1 + FAILURE_WEIGHT * server.failureShare);
+  }
+  if (reply.kind === 'replaced' || reply.kind === 'unreachable') return Number.POSITIVE_INFINITY;
+  const load = loadOf(server, reply);
+  const busy = load / server.slots > BUSY_SHARE ? BUSY_FACTOR : 1;
+  const wait = Math.max(0, load - server.slots) / server.slots;
+  const condition = { ready: 1, full: FULL_FACTOR, unhealthy: UNHEALTHY_FACTOR }[reply.kind];
+  const failures = 1 + FAILURE_WEIGHT * server.failureShare;
+  const cold = server.warmth < 1 ? COLD_FACTOR : 1;
+  return (reply.report?.slowdown ?? 1) * (busy + wait) * condition * failures * cold;
+}
--- /dev/null
+++ b/src/common/policy/FreshReplies.ts
@@ -0,0 +1,27 @@
+import type * as policyTypes from './Types';
+
+/** Age up to which a reply serves further calls, in milliseconds; short beside a slow block. */
+const REPLY_KEPT_MS = 10;
+
+interface IKnown {
+  readonly reply: policyTypes.CheckReply;
+  readonly atMs: number;
+}
+
+/** What selections of one service share. */
+export class FreshReplies {
+  private readonly known = new Map<string, IKnown>();
+
+  public set(address: string, reply: policyTypes.CheckReply, atMs: number): void {
+    this.known.set(address, { reply, atMs });
+  }
+
+  /** The reply of a server if it is still fresh. */
+  public get(address: string, nowMs: number): policyTypes.CheckReply | undefined {
+    const known = this.known.get(address);
+    if (known === undefined) return undefined;
+    if (nowMs - known.atMs <= REPLY_KEPT_MS) return known.reply;
+    this.known.delete(address);
+    return undefined;
+  }
+}
--- a/src/common/policy/FreshSelection.test.ts
+++ b/src/common/policy/FreshSelection.test.ts
@@ -1,6 +1,7 @@
 import * as manualClock from '../ManualClock';
 import * as seededRandom from '../SeededRandom';
 import * as checkBudget from './CheckBudget';
+import * as freshReplies from './FreshReplies';
 import * as freshSelection from './FreshSelection';
 import * as serverState from './ServerState';
 import type * as policyTypes from './Types';
@@ -37,7 +38,7 @@
 function begin(
   candidates: readonly serverState.ServerState[],
   changes: Partial<freshSelection.IFreshSelectionContext> = {},
-  replies = new freshSelection.FreshReplies(),
+  replies = new freshReplies.FreshReplies(),
 ): freshSelection.FreshSelection {
   const selection = new freshSelection.FreshSelection(
     candidates,
@@ -163,7 +164,7 @@
 });
 
 test('calls of the next few milliseconds share a reply', () => {
-  const replies = new freshSelection.FreshReplies();
+  const replies = new freshReplies.FreshReplies();
   const server = stateOf('a');
   begin([server], {}, replies);
   asked.get('a')?.(ready(0));
