--- /dev/null
+++ b/src/node/FleetShares.test.ts
@@ -0,0 +1,33 @@
+import * as manualClock from '../common/ManualClock';
+import * as fleetShares from './FleetShares';
+
+function make(members: () => number) {
+  const clock = new manualClock.ManualClock();
+  const limits = {
+    sharedAmong: 24,
+    reserve: 0,
+    setRetryReserve: jest.fn(),
+    shareServers: jest.fn(),
+  };
+  const options = { retryAllowance: 206, retryWindow: 10_000 };
+  const shares = new fleetShares.FleetShares(options, members, limits, clock);
+  shares.start();
+  return { clock, limits, shares };
+}
+
+// Guards against a daemon that has just started, thinks it is alone and takes the whole allowance.
+test('before the peers are known, a daemon takes the share of a larger fleet', () => {
+  expect(make(() => 1).shares.daemonCount).toBe(24);
+});
+
+// Guards against shares that stay those of a small fleet in a large one.
+test('the shares follow the number of daemons', () => {
+  let count = 1;
+  const { clock, limits, shares } = make(() => count);
+  count = 133;
+  clock.advance(4_000);
+  expect(shares.daemonCount).toBe(147);
+  expect(limits.shareServers).toHaveBeenCalled();
+  const [saved, perSecond] = limits.setRetryReserve.mock.lastCall as [number, number];
+  expect(147 * (saved + 10 * perSecond)).toBeLessThanOrEqual(206);
+});
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -17,6 +17,7 @@
 import type * as backendProtocol from './dispatch/BackendProtocol';
 import * as httpTransport from './dispatch/HttpTransport';
 import * as factExchange from './FactExchange';
+import * as fleetShares from './FleetShares';
 import type * as routedFleet from './fleet/RoutedFleet';
 import * as pauseDetector from './PauseDetector';
 import type * as callerProtocol from './server/CallerProtocol';
@@ -45,33 +46,9 @@
 /** Interval between two looks at the calls that a stop waits for, in milliseconds. */
 const FINISH_INTERVAL_MS = 20;
 
-/**
- * Daemons that are assumed to share what a server and the fleet allow, before the peers are known.
- * Shares that are too small for a moment cost little, shares that are too large break a limit.
- */
-const ASSUMED_DAEMONS = 24;
-
-/** Time after the start in which the count of peers is not yet complete, in milliseconds. */
-const COUNT_SETTLES_MS = 3_000;
-
-/** Change of the number of daemons from which on shares of servers are divided anew. */
-const COUNT_CHANGE = 0.15;
-
-/** Room for daemons that joined and are not counted yet. */
-const COUNT_MARGIN = 1.1;
-
 /** Distinct servers that a request must have crashed before it is refused. */
 const CRASHES_TO_REFUSE = 3;
 
-/** Interval of the adjustment to the number of daemons, in milliseconds. */
-const SHARE_INTERVAL_MS = 1_000;
-
-/** Share of the fleet's allowance of retries that is spent; the rest covers daemons not counted. */
-const ALLOWANCE_SHARE = 0.9;
-
-/** Part of a daemon's share that it may save up. The other part comes evenly over the window. */
-const SAVED_SHARE = 0.8;
-
 /** What connects a daemon to its surroundings. */
 export interface IRoutedParts {
   readonly source: directoryTypes.IDirectorySource;
@@ -105,16 +82,14 @@
 
   private readonly splits: weightedSplit.SplitPositions;
 
+  private readonly shares: fleetShares.FleetShares;
+
   private readonly suspicion: requestSuspicion.RequestSuspicion;
 
   private fleet: routedFleet.RoutedFleet | undefined;
 
   private facts: factExchange.FactExchange | undefined;
 
-  private shareTimer: types.IDisposable | undefined;
-
-  private startedMs = 0;
-
   private table: tableTypes.ITable | undefined;
 
   private stage: 'running' | 'draining' | 'stopping' = 'running';
@@ -175,7 +150,8 @@
     this.directory.onProblem((problem) =>
       logger.error({ event: names.DIRECTORY_PROBLEM, ...problem }, 'directory item not used'),
     );
-    this.shareRetries();
+    this.shares = this.makeShares();
+    this.shares.start();
     this.addGauges();
   }
 
@@ -195,7 +171,6 @@
     await startError.listen('readinessAddress', readinessAddress, this.readiness);
     await startError.listen('callerAddress', callerAddress, this.callers);
     this.pauses.start();
-    this.startedMs = this.clock.monotonicMs();
     this.logger.info({ callerAddress, failureDomain }, 'daemon started');
     await this.joinFleet();
   }
@@ -249,7 +224,7 @@
 
   private async release(): Promise<void> {
     this.pauses.dispose();
-    this.shareTimer?.dispose();
+    this.shares.dispose();
     this.facts?.dispose();
     this.fleet?.dispose();
     this.follower.dispose();
@@ -274,7 +249,7 @@
       servers,
       revision,
       {
-        maxDaemons: this.daemonCount,
+        maxDaemons: this.shares.daemonCount,
         retryFraction: this.options.retryFraction,
         checksPerSecond: this.options.checksPerSecond,
       },
@@ -310,29 +285,24 @@
       const { lists, watches } = follower.counts;
       return lists + watches;
     });
-    decisions.addGauge('daemons', 'Daemons known, this one included', () => this.daemonCount);
-  }
-
-  private shareRetries(): void {
-    const { retryAllowance, retryWindow } = this.options;
-    const share = (ALLOWANCE_SHARE * retryAllowance) / this.daemonCount;
-    const perSecond = (1_000 * (1 - SAVED_SHARE) * share) / retryWindow;
-    this.services.setRetryReserve(SAVED_SHARE * share, perSecond);
-    this.shareServers();
-    this.shareTimer = this.clock.setTimer(SHARE_INTERVAL_MS, () => this.shareRetries());
-  }
-
-  /** Divides connections and questions anew when the number of daemons has changed. */
-  private shareServers(): void {
-    const shared = this.table?.maxDaemons ?? this.daemonCount;
-    if (Math.abs(this.daemonCount - shared) > COUNT_CHANGE * shared) this.applyDirectory();
+    decisions.addGauge(
+      'daemons',
+      'Daemons known, this one included',
+      () => this.shares.daemonCount,
+    );
   }
 
-  /** Upper limit on the daemons that run now, as far as this one knows. */
-  private get daemonCount(): number {
-    const isSettled = this.clock.monotonicMs() - this.startedMs > COUNT_SETTLES_MS;
-    const counted = Math.ceil(COUNT_MARGIN * (this.fleet?.members.count ?? 0));
-    return isSettled && counted > 1 ? counted : Math.max(ASSUMED_DAEMONS, counted);
+  private makeShares(): fleetShares.FleetShares {
+    const readTable = () => this.table;
+    const limits: fleetShares.ISharedLimits = {
+      get sharedAmong() {
+        return readTable()?.maxDaemons;
+      },
+      setRetryReserve: (maxSaved, perSecond) => this.services.setRetryReserve(maxSaved, perSecond),
+      shareServers: () => this.applyDirectory(),
+    };
+    const countMembers = () => this.fleet?.members.count ?? 0;
+    return new fleetShares.FleetShares(this.options, countMembers, limits, this.clock);
   }
 
   /** Drops what may have become untrue while the process did not run. */
