Pass on answers without a length that end with their connection

Cause: the platform's servers may answer without a length and end the answer with the connection. Such answers were refused as truncated, so that a non-idempotent request got 502 though its answer was there.

Change: the backend protocol says whether such answers are allowed. They count as complete only if the connection was closed in order. Node.js reports a reset that arrives together with data as an end, and undici reports a reset behind such an answer as its end; the address of the peer, which a reset connection no longer has, tells the two apart. The product's own protocol refuses them as before.

Ruled out: socket.errored and readableEnded, which look alike for both in the new test.

--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -1,6 +1,7 @@
 import type * as undici from 'undici';
 
 import type * as callTypes from '../../common/call/Types';
+import type * as connections from './Connection';
 import * as headers from './Headers';
 import type * as dispatchTypes from './Types';
 
@@ -22,6 +23,7 @@
 
   public constructor(
     private readonly request: dispatchTypes.IExchangeRequest,
+    private readonly connection: Pick<connections.Connection, 'hasEnded'>,
     private readonly listener: dispatchTypes.IExchangeListener,
   ) {}
 
@@ -53,7 +55,7 @@
     this.answerHeaders = headers.decodeRaw((controller.rawHeaders ?? []) as Buffer[]);
     const declared = Number(headers.find(this.answerHeaders, 'content-length') ?? 0);
     if (this.hasBody() && declared > this.request.maxAnswerBytes) this.refuseSize(controller);
-    else if (!this.isFramed()) this.refuseFraming(controller);
+    else if (!this.isFramed() && !this.request.allowsUnframed) this.refuseFraming(controller);
   }
 
   public onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
@@ -66,6 +68,12 @@
 
   public onResponseEnd(): void {
     if (this.ended) return;
+    // undici reports a reset behind such an answer as its end.
+    if (!this.isFramed() && !this.connection.hasEnded) {
+      const detail = 'the connection of an answer without a length was not closed in order';
+      this.end({ kind: 'lost', reason: 'answer-truncated', detail });
+      return;
+    }
     this.reportLoad();
     const body = this.chunks.length === 1 ? (this.chunks[0] as Buffer) : Buffer.concat(this.chunks);
     const verdict = this.request.judge(this.status, this.answerHeaders);
--- a/src/node/dispatch/BackendProtocol.ts
+++ b/src/node/dispatch/BackendProtocol.ts
@@ -15,6 +15,12 @@
  * names in lower case and values, in turn.
  */
 export abstract class BackendProtocol {
+  /**
+   * Whether an answer may have neither a length nor chunks, and end with its connection. Such an
+   * answer is complete if the server closed the connection in order.
+   */
+  public abstract readonly allowsUnframed: boolean;
+
   /** Headers of a request to `server`. */
   public abstract requestHeaders(
     call: callTypes.ICall,
--- a/src/node/dispatch/Connection.ts
+++ b/src/node/dispatch/Connection.ts
@@ -19,6 +19,8 @@
 
   private opened = false;
 
+  private endedInOrder = false;
+
   public constructor(
     address: string,
     /** Number of this connection at `ConnectionTrust`. */
@@ -46,6 +48,11 @@
     return (this.socket?.writableLength ?? 0) > 0;
   }
 
+  /** Whether the server closed the connection in order, behind all that it sent. */
+  public get hasEnded(): boolean {
+    return this.endedInOrder;
+  }
+
   public dispatch(
     options: undici.Dispatcher.DispatchOptions,
     handler: undici.Dispatcher.DispatchHandler,
@@ -73,8 +80,17 @@
     this.opened = true;
     connector(options, (...result) => {
       const [error, socket] = result;
-      if (error === null) this.socket = socket;
+      if (error === null) this.watch(socket);
       callback(...result);
     });
   }
+
+  private watch(socket: net.Socket): void {
+    this.socket = socket;
+    // Node.js reports a reset that arrives together with data as an end. Only the address of the
+    // peer, which a connection that was reset no longer has, tells the two apart.
+    socket.prependListener('end', () => {
+      this.endedInOrder = socket.remoteAddress !== undefined;
+    });
+  }
 }
--- a/src/node/dispatch/HttpTransport.test.ts
+++ b/src/node/dispatch/HttpTransport.test.ts
@@ -6,6 +6,7 @@
 import * as seededRandom from '../../common/SeededRandom';
 import type * as tableTypes from '../../common/table/Types';
 import * as httpTransport from './HttpTransport';
+import * as ownBackendProtocol from './OwnBackendProtocol';
 
 type Respond = (socket: net.Socket, request: string, count: number) => void;
 
@@ -133,6 +134,31 @@
   expect(sockets).toHaveLength(2);
 });
 
+/** Resets a connection. `resetAndDestroy` closes it in order first if something was written. */
+function reset(socket: net.Socket): void {
+  const handle = Reflect.get(socket, '_handle') as { reset(onClosed: () => void): number };
+  handle.reset(() => socket.destroy());
+}
+
+class UnframedProtocol extends ownBackendProtocol.OwnBackendProtocol {
+  public override readonly allowsUnframed = true;
+}
+
+// Guards against answers without a length that are refused where the protocol has them, and against
+// one whose rest a reset cut off.
+test('an answer without a length is complete if its connection was closed in order', async () => {
+  transport.dispose();
+  const protocol = new UnframedProtocol(clock);
+  transport = new httpTransport.HttpTransport(clock, new seededRandom.SeededRandom(1), protocol);
+  respond = answering(`${START}\r\nwhole`, true);
+  const outcome = (await send()) as { answer: callTypes.IAnswer };
+  expect(Buffer.from(outcome.answer.body).toString()).toBe('whole');
+  expect(await send()).toMatchObject({ kind: 'answered' });
+  expect(sockets).toHaveLength(2);
+  respond = (socket) => socket.write(`${START}\r\npart`, () => reset(socket));
+  expect(await send()).toMatchObject({ kind: 'lost', reason: 'answer-truncated' });
+});
+
 test('a complete answer keeps repeated headers, and its connection is used again', async () => {
   respond = answering(
     'HTTP/1.1 200 OK\r\nSet-Cookie: a\r\nset-cookie: b\xe9\r\ncontent-length: 2\r\n\r\nok',
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -166,6 +166,7 @@
       headers: protocol.requestHeaders(call, server, remainingMs),
       idempotent: service.idempotent,
       maxAnswerBytes: service.maxAnswerBytes,
+      allowsUnframed: protocol.allowsUnframed,
       judge: (status, list) => protocol.judge(call, status, list),
       readLoad: (list) => protocol.readLoad(list),
     };
@@ -182,6 +183,7 @@
       headers: ['host', server.address],
       idempotent: true,
       maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
+      allowsUnframed: this.protocol.allowsUnframed,
       judge: () => ({ kind: 'answer' }),
       readLoad: () => undefined,
     };
--- a/src/node/dispatch/OwnBackendProtocol.ts
+++ b/src/node/dispatch/OwnBackendProtocol.ts
@@ -10,6 +10,9 @@
 
 /** The product's own headers between daemons and backend servers. */
 export class OwnBackendProtocol extends backendProtocol.BackendProtocol {
+  /** A server that dies closes its connections in order too, which would look like an end. */
+  public readonly allowsUnframed: boolean = false;
+
   public constructor(private readonly clock: types.IClock) {
     super();
   }
--- a/src/node/dispatch/PooledAttempt.ts
+++ b/src/node/dispatch/PooledAttempt.ts
@@ -49,7 +49,7 @@
     }
     this.connection = connection;
     const reused = connection.exchanges > 0;
-    this.handler = new attemptHandler.AttemptHandler(this.request, {
+    this.handler = new attemptHandler.AttemptHandler(this.request, connection, {
       onSent: () => {
         this.sent = true;
         this.listener.onSent();
@@ -78,7 +78,7 @@
   ): void {
     if (outcome.kind === 'answered' || outcome.kind === 'refused') {
       // An answer that came before the request was read leaves the rest of it on the connection.
-      this.pool.release(connection, !connection.isSending);
+      this.pool.release(connection, !connection.isSending && !connection.hasEnded);
     } else {
       this.pool.abandon(connection, true);
     }
--- a/src/node/dispatch/Types.ts
+++ b/src/node/dispatch/Types.ts
@@ -12,6 +12,8 @@
   readonly body: Uint8Array;
   readonly idempotent: boolean;
   readonly maxAnswerBytes: number;
+  /** Whether an answer may have neither a length nor chunks, and end with its connection. */
+  readonly allowsUnframed: boolean;
   judge(status: number, headers: readonly string[]): backendProtocol.AnswerVerdict;
   readLoad(headers: readonly string[]): policyTypes.ILoadReport | undefined;
 }
--- a/src/platform/PlatformBackendProtocol.ts
+++ b/src/platform/PlatformBackendProtocol.ts
@@ -28,6 +28,8 @@
 
 /** The platform's headers between daemons and backend servers. */
 export class PlatformBackendProtocol extends backendProtocol.BackendProtocol {
+  public readonly allowsUnframed: boolean = true;
+
   public requestHeaders(
     call: callTypes.ICall,
     server: tableTypes.IServerRow,
