Start from a stale listing, and merge changes of the store for 300 ms

Cause: every daemon lists the whole store at its start, page by page, and reads are priced in full.

Change: a daemon that knows nothing asks for a listing that may be seconds old, which costs a tenth, and continues with a watch from the newest revision that the first page shows, since the revision of the store may be newer than a stale page. Only the watch confirms the directory. Readers wait 300 ms in place of 150 ms after a change, so that changes that come together cost one read.

Along with it a gap was found: a listing or a watch that is older than what a peer delivered meanwhile could bring back a server whose removal this daemon had never seen. Reads older than what is known have no effect now.

--- a/src/common/directory/Directory.ts
+++ b/src/common/directory/Directory.ts
@@ -74,16 +74,21 @@
     return [...byAddress.values()].map(({ server }) => server);
   }
 
-  /** Applies changes in the order of their revisions. */
+  /** Applies changes in the order of their revisions. Those that are known already have no effect. */
   public apply(records: readonly directoryTypes.DirectoryRecord[], revision: number): void {
-    const changed = records.map((record) => this.take(record)).some(Boolean);
+    const news = records.filter((record) => record.revision > this.knownRevision);
+    const changed = news.map((record) => this.take(record)).some(Boolean);
     this.knownRevision = Math.max(this.knownRevision, revision);
     if (changed) this.changedEmitter.fire();
   }
 
-  /** Takes over a listing. Servers that it does not name were removed. */
+  /**
+   * Takes over a listing. Servers that it does not name were removed. A listing that is older than
+   * what is known has nothing new, and may name servers whose removal is no longer on record.
+   */
   public replace(listing: directoryTypes.IDirectoryListing): void {
     const { records, revision } = listing;
+    if (revision < this.knownRevision) return;
     const listed = new Set(records.map((record) => Directory.idOf(record)));
     const removed = [...this.entries]
       .filter(([id, entry]) => !listed.has(id) && entry.revision <= revision && !entry.lapsed)
--- a/src/node/directory/DirectoryExchange.ts
+++ b/src/node/directory/DirectoryExchange.ts
@@ -10,6 +10,7 @@
 import type * as types from '../../common/Types';
 import type * as fleetTypes from '../fleet/Types';
 import type * as peer from '../peer/generated/peer';
+import * as names from '../telemetry/Names';
 
 const gzip = util.promisify(zlib.gzip);
 const gunzip = util.promisify(zlib.gunzip);
@@ -77,7 +78,7 @@
       const text = await gunzip(fetched.value.compressedText, { maxOutputLength });
       this.directory.replace(JSON.parse(text.toString('utf8')) as directoryTypes.IDirectoryListing);
       const fields = {
-        event: 'directory.relayed',
+        event: names.DIRECTORY_RELAYED,
         address,
         before,
         revision: this.directory.revision,
--- a/src/node/directory/DirectoryFollower.ts
+++ b/src/node/directory/DirectoryFollower.ts
@@ -5,6 +5,7 @@
 import type * as directoryTypes from '../../common/directory/Types';
 import type * as types from '../../common/Types';
 import type * as nodeTypes from './Types';
+import * as names from '../telemetry/Names';
 
 /**
  * Time that a watch waits for a change, in milliseconds. A silent connection hides changes for it,
@@ -16,7 +17,7 @@
 const REST_MS = 100;
 
 /** Pause after changes, in milliseconds, so that changes that come together cost one read. */
-const MERGE_MS = 150;
+const MERGE_MS = 300;
 
 /** Bounds of the delay after a failed read, in milliseconds. */
 const FIRST_RETRY_MS = 100;
@@ -113,14 +114,16 @@
   private async list(run: number): Promise<number> {
     this.lists += 1;
     const startMs = this.clock.monotonicMs();
-    const result = await this.source.list();
+    // A daemon that knows nothing yet makes up for an old listing with the watch that follows.
+    const mayBeStale = this.directory.revision === 0;
+    const result = await this.source.list(mayBeStale);
     if (run !== this.run || this.disposed) return 0;
     if (!result.ok) return this.fail(result.error);
     this.mustList = false;
     this.hasListed = true;
     this.noteReturn();
     this.directory.replace(result.value);
-    this.succeed(startMs);
+    if (!mayBeStale) this.succeed(startMs);
     return 0;
   }
 
@@ -143,7 +146,7 @@
     if (this.failuresInRow === 0) return;
     const outageMs = Math.round(this.clock.monotonicMs() - this.respondedMs);
     if (outageMs >= LAPSING_OUTAGE_MS) this.directory.onReturned();
-    this.logger.info({ event: 'directory.regained', outageMs }, 'directory responds again');
+    this.logger.info({ event: names.DIRECTORY_REGAINED, outageMs }, 'directory responds again');
   }
 
   /** @param completeAtMs Time up to which all changes are known now. */
@@ -159,7 +162,7 @@
     if (failure.kind === 'history-lost') {
       this.mustList = true;
       const { revision } = this.directory;
-      this.logger.warn({ event: 'directory.history_lost', revision }, 'directory listed anew');
+      this.logger.warn({ event: names.DIRECTORY_HISTORY_LOST, revision }, 'directory listed anew');
       return 0;
     }
     this.failures += 1;
@@ -167,7 +170,7 @@
     // A watch that was cut may have missed changes, and a new one may wait without telling so.
     this.mustList = true;
     if (this.failuresInRow === 1) {
-      const fields = { event: 'directory.lost', detail: failure.detail };
+      const fields = { event: names.DIRECTORY_LOST, detail: failure.detail };
       this.logger.warn(fields, 'directory does not respond');
     }
     const longestMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failuresInRow - 1));
--- a/src/node/directory/Types.ts
+++ b/src/node/directory/Types.ts
@@ -10,8 +10,13 @@
 
 /** Reads the directory in which operators and backend servers publish. */
 export interface IDirectorySource {
-  /** Lists everything. */
-  list(): Promise<types.Result<directoryTypes.IDirectoryListing, directoryTypes.DirectoryFailure>>;
+  /**
+   * Lists everything. Changes after the revision of the listing have to be watched for.
+   * @param mayBeStale Whether the listing may be seconds old, which costs the directory less.
+   */
+  list(
+    mayBeStale: boolean,
+  ): Promise<types.Result<directoryTypes.IDirectoryListing, directoryTypes.DirectoryFailure>>;
   /** Waits for changes after `revision`, for at most `waitMs` milliseconds. */
   watch(
     revision: number,
--- a/src/node/telemetry/BoundedLogStream.ts
+++ b/src/node/telemetry/BoundedLogStream.ts
@@ -1,6 +1,7 @@
 import * as stream from 'node:stream';
 
 import type * as types from '../../common/Types';
+import * as names from './Names';
 
 /** Bytes of log lines that may wait to be written. */
 const MAX_WAITING_BYTES = 1024 * 1024;
@@ -56,7 +57,7 @@
     if (this.isWriting || this.waiting.length === 0) return;
     const lines = this.waiting;
     if (this.dropped > 0) {
-      lines.push(`${JSON.stringify({ event: 'log.dropped', lines: this.dropped })}\n`);
+      lines.push(`${JSON.stringify({ event: names.LOG_DROPPED, lines: this.dropped })}\n`);
       this.dropped = 0;
     }
     this.waiting = [];
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -15,7 +15,13 @@
 export const CALLS_IN_FLIGHT = 'calls.in_flight';
 export const TABLE_VERSION = 'table.version';
 export const DAEMON_READY = 'daemon.ready';
+export const SETTINGS_RELOADED = 'settings.reloaded';
 export const PROCESS_PAUSED = 'process.paused';
+export const DIRECTORY_RELAYED = 'directory.relayed';
+export const DIRECTORY_LOST = 'directory.lost';
+export const DIRECTORY_REGAINED = 'directory.regained';
+export const DIRECTORY_HISTORY_LOST = 'directory.history_lost';
+export const LOG_DROPPED = 'log.dropped';
 export const DIRECTORY_PROBLEM = 'directory.problem';
 
 /** Prefix of all metrics. */
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -31,19 +31,31 @@
   return { ok: false, error: { kind: 'unavailable', detail } };
 }
 
+/** The last change that a page shows. The revision of the store may be newer than a stale page. */
+function newestRevision({ items }: IStoreReply): number {
+  return Math.max(0, ...(items ?? []).map((item) => item.revision));
+}
+
 /** Reads the platform's metadata store over HTTP. */
 export class StoreClient implements nodeTypes.IDirectorySource {
   private agent = StoreClient.makeAgent();
 
   /** @param baseUrl Scheme, IP address and port. */
-  public constructor(private readonly baseUrl: string) {}
+  public constructor(private baseUrl: string) {}
+
+  /** Sets the address for the reads that follow. */
+  public setBaseUrl(baseUrl: string): void {
+    this.baseUrl = baseUrl;
+  }
 
-  public async list(): Promise<types.Result<directoryTypes.IDirectoryListing, Failure>> {
+  public async list(
+    mayBeStale: boolean,
+  ): Promise<types.Result<directoryTypes.IDirectoryListing, Failure>> {
     const items: recordDecoder.IStoreItem[] = [];
     let revision: number | undefined;
     let after = '';
     for (let page = 0; page < MAX_PAGES; page += 1) {
-      const query: Record<string, string> = { prefix: '' };
+      const query: Record<string, string> = { prefix: '', ...(mayBeStale && { staleOk: '1' }) };
       if (after !== '') query.after = after;
       // Each page begins after the last key of the one before it.
 
@@ -51,7 +63,7 @@
       if (!reply.ok) return reply;
       items.push(...(reply.value.items ?? []));
       // Pages are read one by one. Changes since the first one are followed afterwards.
-      revision ??= reply.value.storeRevision;
+      revision ??= mayBeStale ? newestRevision(reply.value) : reply.value.storeRevision;
       const last = reply.value.items?.at(-1)?.key;
       if (reply.value.truncated !== true || last === undefined) {
         return { ok: true, value: { records: recordDecoder.decodeItems(items), revision } };
--- a/src/platform/testing/PlatformStore.ts
+++ b/src/platform/testing/PlatformStore.ts
@@ -34,6 +34,9 @@
 
   private readonly items = new Map<string, IItem>();
 
+  /** What reads see that may be stale; undefined if they see the newest state. */
+  private staleItems: ReadonlyMap<string, IItem> | undefined;
+
   private history: IItem[] = [];
 
   private historyStart = 1;
@@ -68,6 +71,11 @@
     this.change({ key, revision: this.revision + 1, deleted: true });
   }
 
+  /** Shows the present state to all later reads that may be stale. */
+  public holdStale(): void {
+    this.staleItems = new Map(this.items);
+  }
+
   /** Forgets what has changed so far, and cuts the watches. */
   public compact(): void {
     this.history = [];
@@ -98,7 +106,9 @@
 
   private serveRange(query: URLSearchParams, response: http.ServerResponse): void {
     const after = query.get('after') ?? '';
-    const sorted = [...this.items.values()]
+    const isStale = query.get('staleOk') === '1';
+    const items = isStale ? (this.staleItems ?? this.items) : this.items;
+    const sorted = [...items.values()]
       .filter(({ key }) => key.startsWith(query.get('prefix') ?? '') && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
     PlatformStore.reply(response, {
