Reload changed settings without a restart

Cause: SIGHUP was only logged, so that a changed limit, seed or store address took effect at the next start, and a file that changed without a signal went unnoticed.

Change: the daemon reads the settings again on SIGHUP and when the file has changed, takes over limits, seeds, the address of the store and the log level, and logs what is applied and what waits for the next start. Unusable settings are logged, and those in force stay. The gauges moved to a module of their own.

--- a/src/node/FleetShares.test.ts
+++ b/src/node/FleetShares.test.ts
@@ -10,7 +10,7 @@
     shareServers: jest.fn(),
   };
   const options = { retryAllowance: 206, retryWindow: 10_000 };
-  const shares = new fleetShares.FleetShares(options, members, limits, clock);
+  const shares = new fleetShares.FleetShares(() => options, members, limits, clock);
   shares.start();
   return { clock, limits, shares };
 }
--- a/src/node/FleetShares.ts
+++ b/src/node/FleetShares.ts
@@ -42,7 +42,10 @@
 
   /** @param countMembers Returns the members known, this daemon included; 0 before it has joined. */
   public constructor(
-    private readonly options: Pick<routedSettings.RoutedSettings, 'retryAllowance' | 'retryWindow'>,
+    private readonly readOptions: () => Pick<
+      routedSettings.RoutedSettings,
+      'retryAllowance' | 'retryWindow'
+    >,
     private readonly countMembers: () => number,
     private readonly limits: ISharedLimits,
     private readonly clock: types.IClock,
@@ -60,7 +63,7 @@
   /** Divides the limits now and at intervals. */
   public start(): void {
     const { daemonCount, limits } = this;
-    const { retryAllowance, retryWindow } = this.options;
+    const { retryAllowance, retryWindow } = this.readOptions();
     const share = (ALLOWANCE_SHARE * retryAllowance) / daemonCount;
     limits.setRetryReserve(SAVED_SHARE * share, (1_000 * (1 - SAVED_SHARE) * share) / retryWindow);
     const shared = limits.sharedAmong ?? daemonCount;
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -25,9 +25,11 @@
 import * as readinessServer from './server/ReadinessServer';
 import type * as serverTypes from './server/Types';
 import * as serviceSet from './ServiceSet';
+import * as reloadedSettings from './settings/ReloadedSettings';
 import type * as routedSettings from './settings/RoutedSettings';
 import * as startCall from './startCall';
 import * as startError from './StartError';
+import * as daemonGauges from './telemetry/addDaemonGauges';
 import * as names from './telemetry/Names';
 import * as decisionLog from './telemetry/DecisionLog';
 
@@ -97,7 +99,7 @@
   private stopped: Promise<void> | undefined;
 
   public constructor(
-    private readonly options: routedSettings.RoutedSettings,
+    private options: routedSettings.RoutedSettings,
     private readonly parts: IRoutedParts,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
@@ -152,7 +154,13 @@
     );
     this.shares = this.makeShares();
     this.shares.start();
-    this.addGauges();
+    daemonGauges.addDaemonGauges(this.decisions, {
+      coordinator: this.coordinator,
+      directory: this.directory,
+      follower: this.follower,
+      isReady: () => this.phase === 'ready',
+      countDaemons: () => this.shares.daemonCount,
+    });
   }
 
   /** The stage in the life of the daemon. Calls are served while `ready` and `draining`. */
@@ -181,19 +189,36 @@
     // eslint-disable-next-line import-x/extensions
     const { RoutedFleet } = await import('./fleet/RoutedFleet.js');
     if (this.stage !== 'running') return;
-    const { options, directory, logger, clock, random } = this;
-    this.fleet = new RoutedFleet(options, directory, this.confirmation, logger, clock, random);
+    this.fleet = new RoutedFleet(
+      this.options,
+      this.directory,
+      this.confirmation,
+      this.logger,
+      this.clock,
+      this.random,
+    );
     this.facts = new factExchange.FactExchange(
       this.fleet.facts,
       this.fleet.members,
       this.services,
       this.suspicion,
-      clock,
+      this.clock,
     );
     await this.fleet.start();
     this.facts.start();
   }
 
+  /** Takes over changed settings, apart from those that need a new start. */
+  public reload(loaded: routedSettings.RoutedSettings): void {
+    const { settings, applied, deferred } = reloadedSettings.mergeReloaded(this.options, loaded);
+    this.options = settings;
+    this.logger.info({ event: names.SETTINGS_RELOADED, applied, deferred }, 'settings reloaded');
+    if (applied.length === 0) return;
+    this.fleet?.setSeeds(settings.seedPeers);
+    this.applyDirectory();
+    if (applied.includes('directoryUrl')) this.follower.restart();
+  }
+
   /**
    * Stops as planned: becomes unready, serves on until the platform's balancer has noticed, then
    * stops accepting, and finishes every call in flight before the grace time ends.
@@ -269,29 +294,6 @@
     else this.logger.info(fields, 'configuration in force');
   }
 
-  private addGauges(): void {
-    const { decisions, coordinator, directory, follower } = this;
-    decisions.addGauge('calls_in_flight', 'Calls without an outcome', () => coordinator.inFlight);
-    decisions.addGauge('ready', 'Whether new connections are taken', () =>
-      this.phase === 'ready' ? 1 : 0,
-    );
-    decisions.addGauge(
-      'configuration_version',
-      'Version of the configuration in force',
-      () => directory.configuration?.version ?? 0,
-    );
-    decisions.addGauge('directory_revision', 'Revision of the directory', () => directory.revision);
-    decisions.addGauge('directory_reads', 'Reads of the directory since the start', () => {
-      const { lists, watches } = follower.counts;
-      return lists + watches;
-    });
-    decisions.addGauge(
-      'daemons',
-      'Daemons known, this one included',
-      () => this.shares.daemonCount,
-    );
-  }
-
   private makeShares(): fleetShares.FleetShares {
     const readTable = () => this.table;
     const limits: fleetShares.ISharedLimits = {
@@ -302,7 +304,8 @@
       shareServers: () => this.applyDirectory(),
     };
     const countMembers = () => this.fleet?.members.count ?? 0;
-    return new fleetShares.FleetShares(this.options, countMembers, limits, this.clock);
+    const readOptions = () => this.options;
+    return new fleetShares.FleetShares(readOptions, countMembers, limits, this.clock);
   }
 
   /** Drops what may have become untrue while the process did not run. */
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -84,15 +84,7 @@
       if (kind === 'departed') this.client.forget(record.address);
     });
     directory.onChanged(() => this.notifyFollowers());
-    this.members.updateList({
-      revision: 0,
-      vms: options.seedPeers.map((address) => ({
-        address,
-        role: 'daemon',
-        failureDomain: '',
-        state: 'live',
-      })),
-    });
+    this.setSeeds(options.seedPeers);
   }
 
   /** Listens for peers, and begins to exchange with them. Rejects with a `StartError`. */
@@ -114,6 +106,19 @@
     return this.confirmation.remainingMs === 0 || this.role.isReader;
   }
 
+  /** Sets the peers that are asked while others are unknown. */
+  public setSeeds(seedPeers: readonly string[]): void {
+    this.members.updateList({
+      revision: 0,
+      vms: seedPeers.map((address) => ({
+        address,
+        role: 'daemon',
+        failureDomain: '',
+        state: 'live',
+      })),
+    });
+  }
+
   /** Announces to the peers that this daemon is about to stop. */
   public leave(): void {
     this.agent.leave();
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -312,3 +312,13 @@
   expect(await reply).toMatchObject({ status: 200, headers: { connection: 'close' } });
   await stopped;
 });
+
+// Guards against a limit that stays without effect until the next start.
+test('a reload takes over a changed limit while requests are served', async () => {
+  await publish(1, READS);
+  daemon.reload({ ...settings, checksPerSecond: 0 });
+  const checksBefore = targets.reduce((sum, { checks }) => sum + checks, 0);
+  const replies = await Promise.all([1, 2, 3].map(() => send('/x/1')));
+  expect(replies.map(({ status }) => status)).toEqual([200, 200, 200]);
+  expect(targets.reduce((sum, { checks }) => sum + checks, 0)).toBe(checksBefore);
+});
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -3,6 +3,7 @@
 
 import * as bunyan from 'bunyan';
 
+import type * as types from '../common/Types';
 import * as routedDaemon from '../node/RoutedDaemon';
 import * as routedSettings from '../node/settings/RoutedSettings';
 import * as startError from '../node/StartError';
@@ -20,36 +21,41 @@
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_CANNOT_START = 3;
 
-function fail(message: string, exitCode: number): undefined {
+function fail(message: string, exitCode: number): void {
   process.stderr.write(`${message}\n`);
   process.exitCode = exitCode;
-  return undefined;
 }
 
-async function readSettings(path: string): Promise<routedSettings.RoutedSettings | undefined> {
+/** Interval at which the settings file is checked for a change without a signal, in milliseconds. */
+const SETTINGS_INTERVAL_MS = 5_000;
+
+type LoadedSettings = types.Result<routedSettings.RoutedSettings, string>;
+
+async function readSettings(path: string): Promise<LoadedSettings> {
   let text: string;
   try {
     text = await fsPromises.readFile(path, 'utf8');
   } catch (error) {
-    return fail(`cannot read the settings: ${(error as Error).message}`, EXIT_BAD_SETTINGS);
+    return { ok: false, error: `cannot read the settings: ${(error as Error).message}` };
   }
   const parsed = routedSettings.parseRoutedSettings(text);
-  if (parsed.ok) return parsed.value;
+  if (parsed.ok) return parsed;
   const lines = parsed.error.map((problem) => `${path}: ${problem.path}: ${problem.message}`);
-  return fail(lines.join('\n'), EXIT_BAD_SETTINGS);
+  return { ok: false, error: lines.join('\n') };
 }
 
-async function run(settings: routedSettings.RoutedSettings): Promise<void> {
+async function run(path: string, settings: routedSettings.RoutedSettings): Promise<void> {
   const clock = new systemClock.SystemClock();
   const stream = new boundedLogStream.BoundedLogStream(
     (bytes, onWritten) => fs.write(process.stdout.fd, bytes, onWritten),
     clock,
   );
   const logger = bunyan.createLogger({ name: 'lavenderspar', level: settings.logLevel, stream });
+  const source = new storeClient.StoreClient(settings.directoryUrl);
   const daemon = new routedDaemon.RoutedDaemon(
     settings,
     {
-      source: new storeClient.StoreClient(settings.directoryUrl),
+      source,
       callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
       backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
     },
@@ -65,7 +71,22 @@
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
-  process.on('SIGHUP', () => logger.info('settings are read at the start only'));
+  const reload = async () => {
+    const loaded = await readSettings(path);
+    if (!loaded.ok) {
+      logger.error({ detail: loaded.error }, 'changed settings not used');
+      return;
+    }
+    logger.level(loaded.value.logLevel);
+    source.setBaseUrl(loaded.value.directoryUrl);
+    daemon.reload(loaded.value);
+  };
+  const reloadOrLog = () => {
+    reload().catch((error: Error) => logger.error({ err: error }, 'reload failed'));
+  };
+  process.on('SIGHUP', reloadOrLog);
+  // The platform may change the file without a signal, and offers no notifications of files.
+  fs.watchFile(path, { interval: SETTINGS_INTERVAL_MS, persistent: false }, reloadOrLog);
   try {
     await daemon.start();
   } catch (error) {
@@ -78,8 +99,10 @@
 async function main(): Promise<void> {
   // The build runs the program once to store its compiled code.
   if (process.argv.includes('--write-cache')) return;
-  const settings = await readSettings(process.env[SETTINGS_VARIABLE] ?? '');
-  if (settings !== undefined) await run(settings);
+  const path = process.env[SETTINGS_VARIABLE] ?? '';
+  const settings = await readSettings(path);
+  if (settings.ok) await run(path, settings.value);
+  else fail(settings.error, EXIT_BAD_SETTINGS);
 }
 
 main().catch((error: Error) => {
