Split the choice by asking servers from the service balancer

ServiceBalancer held the questions before a dispatch, their replies and the usual work besides the state of the servers.

--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,8 +1,6 @@
 import * as emitter from '../Emitter';
 import * as ejector from '../policy/Ejector';
-import type * as checkBudget from '../policy/CheckBudget';
-import * as freshReplies from '../policy/FreshReplies';
-import * as freshSelection from '../policy/FreshSelection';
+import type * as freshSelection from '../policy/FreshSelection';
 import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
 import * as serverState from '../policy/ServerState';
@@ -11,6 +9,7 @@
 import type * as types from '../Types';
 import * as admissionQueue from './AdmissionQueue';
 import * as concurrencyLimit from './ConcurrencyLimit';
+import * as freshChooser from './FreshChooser';
 import * as hedgeDelay from './HedgeDelay';
 import * as serverAvailability from './ServerAvailability';
 import type * as callTypes from './Types';
@@ -24,27 +23,9 @@
 /** Permits that a retry costs in addition if it was in vain, so that a dead service gets fewer. */
 const FAILED_RETRY_CHARGE = 2;
 
-/** Weight of the newest duration in the moving average of the usual work. */
-const WORK_SMOOTHING = 0.05;
-
-/** Time in which a server whose connection was lost has to show that it still runs, in ms. */
-const LOSS_CHECK_MS = 500;
-
 /** Why a server gets no new work. */
 export type AvoidanceReason = 'weight-zero' | 'leaving' | 'ejected' | 'connection-limit';
 
-/** Asks servers right before each dispatch, in place of the selection policy. */
-export interface IFreshness {
-  readonly checker: callTypes.IServerChecker;
-  /** Questions that this daemon may ask, for all services together. */
-  readonly budget: checkBudget.CheckBudget;
-  readonly random: types.IRandom;
-  /** Failure domain of this daemon. */
-  readonly failureDomain: string;
-  /** Rank of a server at this daemon, by which servers of other failure domains are asked. */
-  readonly rankOf: (address: string) => number;
-}
-
 function isSameProcess(known: tableTypes.IServerRow, row: tableTypes.IServerRow): boolean {
   return known.instance === row.instance && known.startedAtMs === row.startedAtMs;
 }
@@ -95,10 +76,8 @@
 
   private healthPath: string | undefined;
 
-  /** Moving average of the time that an idle server takes for a request. */
-  private usualWorkMs: number | undefined;
-
-  private readonly replies = new freshReplies.FreshReplies();
+  /** Undefined if the servers are not asked before dispatches. */
+  private chooser: freshChooser.FreshChooser | undefined;
 
   /** Fires with the address of each server that a table adds. */
   public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
@@ -117,7 +96,7 @@
     private readonly policy: selectionPolicy.SelectionPolicy,
     private readonly clock: types.IClock,
     private readonly ejects = true,
-    private readonly freshness?: IFreshness,
+    private readonly freshness?: freshChooser.IFreshness,
   ) {
     this.ejector = new ejector.Ejector(clock);
     this.onEjected = this.ejector.onEjected;
@@ -156,27 +135,13 @@
     call: Pick<callTypes.ICall, 'table' | 'objectiveAtMs'>,
     onSelected: (selected: freshSelection.Selected) => void,
   ): types.IDisposable {
-    const { freshness, healthPath } = this;
-    if (freshness === undefined || healthPath === undefined) {
+    if (this.chooser === undefined) {
       const server = this.choose(excluded, call.table);
       onSelected(server === undefined ? { kind: 'none' } : { kind: 'server', server, cost: 1 });
       return NO_SELECTION;
     }
-    const selection = new freshSelection.FreshSelection(
-      this.candidates(excluded, call.table),
-      this.replies,
-      {
-        ...freshness,
-        clock: this.clock,
-        healthPath,
-        usualWorkMs: this.usualWorkMs,
-        objectiveAtMs: call.objectiveAtMs,
-        onReply: (server, reply) => this.recordCheck(server, reply),
-      },
-      onSelected,
-    );
-    selection.begin();
-    return selection;
+    const candidates = this.candidates(excluded, call.table);
+    return this.chooser.select(candidates, call.objectiveAtMs, onSelected);
   }
 
   /** Why a server gets no new work, or undefined if it may be used. */
@@ -201,7 +166,7 @@
     const isFirst = this.servers.size === 0;
     this.table = table;
     this.service = service.name;
-    this.healthPath = service.healthPath;
+    this.setHealthPath(service.healthPath);
     this.maxDaemons = table.maxDaemons;
     this.retryBudget.setFraction(service.retryFraction);
     this.hedgeBudget.setFraction(service.hedgeFraction);
@@ -209,7 +174,16 @@
     const totalSlots = rows.reduce((sum, row) => sum + row.slots, 0);
     const connections = this.states.reduce((sum, state) => sum + this.connectionShare(state), 0);
     this.limit.setBounds(totalSlots, connections, table.maxDaemons);
-    if (this.freshness !== undefined && service.healthPath !== undefined) this.limit.open();
+    if (this.chooser !== undefined) this.limit.open();
+  }
+
+  private setHealthPath(healthPath: string | undefined): void {
+    if (healthPath === this.healthPath) return;
+    this.healthPath = healthPath;
+    this.chooser =
+      this.freshness === undefined || healthPath === undefined
+        ? undefined
+        : new freshChooser.FreshChooser(this.freshness, healthPath, this.clock);
   }
 
   /** Counts the first attempt of a call, which earns a fraction of an extra attempt. */
@@ -260,11 +234,11 @@
     state.recordEnd(attempt.number, result, nowMs);
     if (result === 'answered') {
       this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
-      this.recordWork((nowMs - attempt.startMs) / attempt.cost);
+      this.chooser?.recordWork((nowMs - attempt.startMs) / attempt.cost);
       this.ejector.recordSuccess(state.address);
     } else if (result === 'failed' || result === 'refused') {
       // Servers that are asked before each dispatch state themselves when they are full.
-      const isSelfStated = result === 'refused' && this.freshness !== undefined;
+      const isSelfStated = result === 'refused' && this.chooser !== undefined;
       if (this.ejects && !isSelfStated) this.ejector.recordFailure(state.address);
     } else if (result === 'timed-out') {
       this.limit.recordTimeout();
@@ -282,14 +256,8 @@
    * connection alone does not tell, since the network may have lost it.
    */
   public confirmLoss(server: serverState.ServerState, onConfirmed: () => void): void {
-    const { freshness, healthPath } = this;
-    if (freshness === undefined || healthPath === undefined) {
-      onConfirmed();
-      return;
-    }
-    freshness.checker.check(server.row, healthPath, LOSS_CHECK_MS, (reply) => {
-      if (reply.kind === 'unreachable' || reply.kind === 'replaced') onConfirmed();
-    });
+    if (this.chooser === undefined) onConfirmed();
+    else this.chooser.confirmLoss(server, onConfirmed);
   }
 
   /** Takes a load report that came with an answer or as the reply to a probe. */
@@ -367,17 +335,6 @@
     return candidates;
   }
 
-  private recordCheck(server: serverState.ServerState, reply: policyTypes.CheckReply): void {
-    const report = 'report' in reply ? reply.report : undefined;
-    if (report !== undefined) server.recordReport(report, this.clock.monotonicMs());
-    else if (reply.kind === 'ready') server.dropReport();
-  }
-
-  private recordWork(workMs: number): void {
-    const previousMs = this.usualWorkMs ?? workMs;
-    this.usualWorkMs = previousMs + WORK_SMOOTHING * (workMs - previousMs);
-  }
-
   private addressesIn(table: tableTypes.ITable | undefined): ReadonlySet<string> {
     return new Set(table?.servers.get(this.service)?.map(({ address }) => address));
   }
--- a/src/node/ServiceSet.ts
+++ b/src/node/ServiceSet.ts
@@ -1,3 +1,4 @@
+import type * as freshChooser from '../common/call/FreshChooser';
 import * as serviceBalancer from '../common/call/ServiceBalancer';
 import type * as callTypes from '../common/call/Types';
 import * as emitter from '../common/Emitter';
@@ -45,7 +46,7 @@
     private readonly budget: probeBudget.ProbeBudget,
     private readonly transport: callTypes.IBackendTransport,
     private readonly clock: types.IClock,
-    private readonly freshness?: serviceBalancer.IFreshness,
+    private readonly freshness?: freshChooser.IFreshness,
   ) {}
 
   /** The balancers by the names of their services. */
