Measure an outage of the directory from the last sign that it responded

Cause: a follower reads the store only when no peer confirms its directory, but an outage was measured from its own last read.

Change: at the first failed read the outage begins with the last confirmation, of this daemon or a peer. An accessor that nothing used is removed. The new test fails without the change.

--- a/src/node/directory/DirectoryFollower.test.ts
+++ b/src/node/directory/DirectoryFollower.test.ts
@@ -54,6 +54,7 @@
 let directory: directoryModule.Directory;
 let confirmation: confirmationModule.Confirmation;
 let source: FakeSource;
+let mustRead: boolean;
 let follower: directoryFollower.DirectoryFollower;
 
 beforeEach(() => {
@@ -61,6 +62,7 @@
   directory = new directoryModule.Directory(clock);
   confirmation = new confirmationModule.Confirmation(clock);
   source = new FakeSource();
+  mustRead = true;
   follower = new directoryFollower.DirectoryFollower(
     source,
     directory,
@@ -68,6 +70,7 @@
     bunyan.createLogger({ name: 'test', streams: [] }),
     clock,
     new seededRandom.SeededRandom(1),
+    () => mustRead,
   );
   follower.start();
 });
@@ -151,3 +154,22 @@
   expect(source.reads.at(-1)).toBe('list');
   expect(source.staleLists).toBe(1);
 });
+
+// Guards against an outage that seems to have begun when this daemon last read by itself (inc-11f7:
+// 24.9 s in place of 12 s), and against a grace time for servers that did not lapse.
+test('an outage begins no earlier than the last confirmation by a peer', async () => {
+  const onReturned = jest.spyOn(directory, 'onReturned');
+  await source.end(contentAt(4));
+  await source.end(contentAt(4));
+  await source.end(contentAt(4));
+  mustRead = false;
+  await source.end(contentAt(4));
+  await advance(20_000);
+  confirmation.confirm();
+  mustRead = true;
+  await advance(100);
+  await source.end({ ok: false, error: LOST });
+  await advance(100);
+  await source.end(contentAt(5));
+  expect(onReturned).not.toHaveBeenCalled();
+});
--- a/src/node/directory/DirectoryFollower.ts
+++ b/src/node/directory/DirectoryFollower.ts
@@ -43,6 +43,7 @@
 
   private failuresInRow = 0;
 
+  /** Monotonic time up to which the directory is known to have responded, to this daemon or a peer. */
   private respondedMs: number;
 
   private hasListed = false;
@@ -72,11 +73,6 @@
     return { lists, watches, failures };
   }
 
-  /** Whether everything was listed at least once. */
-  public get isComplete(): boolean {
-    return this.hasListed;
-  }
-
   public start(): void {
     this.run += 1;
     this.follow(this.run).catch((error: Error) =>
@@ -170,6 +166,8 @@
     // A watch that was cut may have missed changes, and a new one may wait without telling so.
     this.mustList = true;
     if (this.failuresInRow === 1) {
+      const confirmedMs = this.clock.monotonicMs() - this.confirmation.ageMs;
+      this.respondedMs = Math.max(this.respondedMs, confirmedMs);
       const fields = { event: names.DIRECTORY_LOST, detail: failure.detail };
       this.logger.warn(fields, 'directory does not respond');
     }
