Refuse a request whose head does not arrive in time with 408

A 400 tells the caller that its request is wrong and must not be sent again.

Change: such a request is refused as request-incomplete with 408, which says that it was not run. The test gets 400 without the change.

--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -5,6 +5,8 @@
 export type NotRunKind =
   | 'unknown-service'
   | 'malformed-request'
+  /** The head or the body did not arrive in full within the time for it. */
+  | 'request-incomplete'
   | 'headers-too-large'
   | 'body-too-large'
   | 'invalid-deadline'
--- a/src/node/server/CallerServer.test.ts
+++ b/src/node/server/CallerServer.test.ts
@@ -228,3 +228,10 @@
   expect(order[0]).toBe('answer');
   expect(rig.transport.attempts).toHaveLength(1);
 });
+
+// Guards against a caller that takes a slow connection for a mistake in its request (inc-11f7).
+test('a head that does not arrive in time is refused as incomplete', async () => {
+  rig.server.setTimeouts(10, 5_000);
+  expect(await rig.exchange('GET /status/a HTTP/1.1\r\nhost:')).toMatch(/^HTTP\/1.1 408 /);
+  expect(rig.refused).toMatchObject([{ kind: 'request-incomplete', outcome: 'not-run' }]);
+});
--- a/src/node/server/Refusals.ts
+++ b/src/node/server/Refusals.ts
@@ -5,6 +5,7 @@
 export const STATUSES: Record<callTypes.NotRunKind | callTypes.UnknownOutcomeKind, number> = {
   'unknown-service': 404,
   'malformed-request': 400,
+  'request-incomplete': 408,
   'headers-too-large': 431,
   'body-too-large': 413,
   'invalid-deadline': 400,
--- a/src/platform/PlatformCallerProtocol.ts
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -25,10 +25,11 @@
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
-/** Statuses of refusals that no retry can change. All others are 503. */
+/** Statuses of refusals that another daemon would answer alike. All others are 503. */
 const REFUSAL_STATUSES: Partial<Record<callTypes.NotRunKind, number>> = {
   'unknown-service': 404,
   'malformed-request': 400,
+  'request-incomplete': 408,
   'invalid-deadline': 400,
   'headers-too-large': 431,
   'body-too-large': 413,
