--- /dev/null
+++ b/src/common/directory/TableBuilder.test.ts
@@ -0,0 +1,56 @@
+import * as seededRandom from '../SeededRandom';
+import type * as routingTypes from '../routing/Types';
+import * as weightedSplit from '../routing/WeightedSplit';
+import * as tableBuilder from './TableBuilder';
+import type * as directoryTypes from './Types';
+
+const FLEET = { maxDaemons: 10, retryFraction: 0.2, checksPerSecond: 60 };
+
+const SERVER: directoryTypes.IRegistration = {
+  id: '1',
+  service: 'reads',
+  address: '10.0.0.1:80',
+  failureDomain: 'a',
+  slots: 3,
+  state: 'ready',
+  startedAtMs: 1,
+};
+
+function configurationOf(version: number): routingTypes.IConfiguration {
+  const configuration = {
+    version,
+    routes: [],
+    services: [{ name: 'reads', healthPath: '/health', maxConnections: 100 }],
+    limits: { maxBodyBytes: 1_000 },
+  };
+  return configuration as unknown as routingTypes.IConfiguration;
+}
+
+function make(): tableBuilder.TableBuilder {
+  const splits = new weightedSplit.SplitPositions(new seededRandom.SeededRandom(1));
+  return new tableBuilder.TableBuilder(splits);
+}
+
+test('a draining server is listed without weight, and one of an unknown service is left out', () => {
+  const draining = { ...SERVER, id: '2', address: '10.0.0.2:80', state: 'draining' as const };
+  const unknown = { ...SERVER, id: '3', service: 'other' };
+  const table = make().build(configurationOf(1), [SERVER, draining, unknown], 5, FLEET);
+  expect(table.version).toBe(5);
+  expect([...table.servers.keys()]).toEqual(['reads']);
+  expect(table.servers.get('reads')?.map(({ weight }) => weight)).toEqual([100, 0]);
+});
+
+// Guards against all routes being built anew for each server that comes or goes.
+test('the routes are built anew only if the configuration or its terms have changed', () => {
+  const builder = make();
+  const configuration = configurationOf(1);
+  const first = builder.build(configuration, [], 1, FLEET);
+  expect(builder.build(configuration, [SERVER], 2, FLEET).routes).toBe(first.routes);
+  const more = { ...FLEET, maxDaemons: 20 };
+  expect(builder.build(configuration, [SERVER], 2, more).routes).toBe(first.routes);
+  const fewer = { ...FLEET, retryFraction: 0.1 };
+  const changed = builder.build(configuration, [SERVER], 2, fewer);
+  expect(changed.routes).not.toBe(first.routes);
+  expect(changed.services.get('reads')?.retryFraction).toBe(0.1);
+  expect(builder.build(configurationOf(2), [], 3, FLEET).routes?.configurationVersion).toBe(2);
+});
--- a/src/common/directory/TableBuilder.ts
+++ b/src/common/directory/TableBuilder.ts
@@ -20,6 +20,14 @@
   readonly checksPerSecond: number;
 }
 
+interface IBuiltRoutes {
+  readonly configuration: routingTypes.IConfiguration;
+  readonly retryFraction: number;
+  readonly checksPerSecond: number;
+  readonly services: ReadonlyMap<string, tableTypes.IServiceRow>;
+  readonly routes: routeTable.RouteTable;
+}
+
 function toService(
   terms: routingTypes.IServiceTerms,
   limits: routingTypes.ICallerLimits,
@@ -57,30 +65,56 @@
 }
 
 /** Builds the table that calls use from the published configuration and servers. */
-export function buildTable(
-  configuration: routingTypes.IConfiguration,
-  servers: readonly directoryTypes.IRegistration[],
-  revision: number,
-  fleet: IFleetTerms,
-  splits: weightedSplit.SplitPositions,
-): tableTypes.ITable {
-  const services = new Map<string, tableTypes.IServiceRow>();
-  const rows = new Map<string, tableTypes.IServerRow[]>();
-  configuration.services.forEach((terms) => {
-    services.set(terms.name, toService(terms, configuration.limits, fleet));
-    const own = servers.filter(({ service }) => service === terms.name);
-    rows.set(
+export class TableBuilder {
+  /** Routes and services of the last table. They change less often than the servers. */
+  private built: IBuiltRoutes | undefined;
+
+  public constructor(private readonly splits: weightedSplit.SplitPositions) {}
+
+  public build(
+    configuration: routingTypes.IConfiguration,
+    servers: readonly directoryTypes.IRegistration[],
+    revision: number,
+    fleet: IFleetTerms,
+  ): tableTypes.ITable {
+    this.built = this.routesOf(configuration, fleet);
+    const { services, routes } = this.built;
+    const byService = new Map<string, directoryTypes.IRegistration[]>();
+    servers.forEach((server) => {
+      const others = byService.get(server.service);
+      if (others === undefined) byService.set(server.service, [server]);
+      else others.push(server);
+    });
+    const rows = configuration.services.map((terms): [string, tableTypes.IServerRow[]] => [
       terms.name,
-      own.map((server) => toServer(server, terms)),
+      (byService.get(terms.name) ?? []).map((server) => toServer(server, terms)),
+    ]);
+    return {
+      version: revision,
+      hash: '',
+      maxDaemons: fleet.maxDaemons,
+      services,
+      servers: new Map(rows),
+      text: '',
+      routes,
+    };
+  }
+
+  private routesOf(configuration: routingTypes.IConfiguration, fleet: IFleetTerms): IBuiltRoutes {
+    const { built } = this;
+    const { retryFraction, checksPerSecond } = fleet;
+    const isCurrent =
+      built?.configuration === configuration &&
+      built.retryFraction === retryFraction &&
+      built.checksPerSecond === checksPerSecond;
+    if (isCurrent) return built;
+    const services = new Map(
+      configuration.services.map((terms) => [
+        terms.name,
+        toService(terms, configuration.limits, fleet),
+      ]),
     );
-  });
-  return {
-    version: revision,
-    hash: '',
-    maxDaemons: fleet.maxDaemons,
-    services,
-    servers: rows,
-    text: '',
-    routes: new routeTable.RouteTable(configuration, services, splits),
-  };
+    const routes = new routeTable.RouteTable(configuration, services, this.splits);
+    return { configuration, retryFraction, checksPerSecond, services, routes };
+  }
 }
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -82,7 +82,7 @@
 
   private readonly pauses: pauseDetector.PauseDetector;
 
-  private readonly splits: weightedSplit.SplitPositions;
+  private readonly tables: tableBuilder.TableBuilder;
 
   private readonly shares: fleetShares.FleetShares;
 
@@ -106,7 +106,7 @@
     private readonly random: types.IRandom,
   ) {
     this.decisions = new decisionLog.DecisionLog(logger, clock);
-    this.splits = new weightedSplit.SplitPositions(random);
+    this.tables = new tableBuilder.TableBuilder(new weightedSplit.SplitPositions(random));
     this.directory = new directoryModule.Directory(clock);
     this.confirmation = new confirmationModule.Confirmation(clock);
     this.follower = new directoryFollower.DirectoryFollower(
@@ -269,17 +269,11 @@
     const { configuration, servers, revision } = this.directory;
     if (configuration === undefined) return;
     const before = this.table?.routes?.configurationVersion;
-    this.table = tableBuilder.buildTable(
-      configuration,
-      servers,
-      revision,
-      {
-        maxDaemons: this.shares.daemonCount,
-        retryFraction: this.options.retryFraction,
-        checksPerSecond: this.options.checksPerSecond,
-      },
-      this.splits,
-    );
+    this.table = this.tables.build(configuration, servers, revision, {
+      maxDaemons: this.shares.daemonCount,
+      retryFraction: this.options.retryFraction,
+      checksPerSecond: this.options.checksPerSecond,
+    });
     this.checks.setRate(this.options.checksPerSecond * servers.length, this.table.maxDaemons);
     this.services.update(this.table);
     const { headerTimeoutMs, idleTimeoutMs } = configuration.limits;
