Relay changes between daemons in place of the whole directory

Cause: a follower that lacked one change fetched the whole directory from its reader, which packed it anew for each follower. With 240 servers and 1,440 routes that is some 300 KB of JSON for each change and follower.

Change: the directory records removals, and tells what changed after a revision. A peer whose revision is older than that record, or from before the last listing, gets the whole directory as before: a listing does not tell of servers that came and went before it.

--- a/src/common/directory/Directory.test.ts
+++ b/src/common/directory/Directory.test.ts
@@ -125,3 +125,43 @@
   other.replace(JSON.parse(JSON.stringify(directory.listing)) as typeof directory.listing);
   expect(other.listing).toEqual(directory.listing);
 });
+
+// Guards against a follower that keeps a server which its reader knows to be gone.
+test('the changes since a revision bring a daemon that knows less up to date', () => {
+  directory.replace({
+    records: [configurationOf(1, 1), serverOf('1', 2), serverOf('2', 3), serverOf('3', 4)],
+    revision: 5,
+  });
+  const other = new directoryModule.Directory(clock);
+  other.replace(directory.listing);
+  directory.apply([removalOf('1', 6), serverOf('4', 7), configurationOf(2, 8)], 8);
+  directory.apply([removalOf('4', 9), serverOf('2', 10, { state: 'draining' })], 10);
+  const changes = directory.changesSince(5) as directoryTypes.IDirectoryChanges;
+  expect(changes.records.map(({ kind, revision }) => [kind, revision])).toEqual([
+    ['server-removed', 6],
+    ['configuration', 8],
+    ['server-removed', 9],
+    ['server', 10],
+  ]);
+  other.apply(changes.records, changes.revision);
+  expect(other.listing).toEqual(directory.listing);
+  expect(directory.changesSince(4)).toBeUndefined();
+});
+
+// Guards against a record of removals that grows for as long as the daemon runs.
+test('old removals are dropped, and changes from before them are not told', () => {
+  for (let count = 1; count <= 10_001; count += 1) {
+    directory.apply([removalOf(`${count}`, count)], count);
+  }
+  expect(directory.changesSince(0)).toBeUndefined();
+  expect(directory.changesSince(1)?.records).toHaveLength(10_000);
+});
+
+// Guards against a server that a daemon never saw, and whose removal it therefore cannot tell of.
+test('after a listing only later changes can be told', () => {
+  directory.replace({ records: [serverOf('1', 2)], revision: 5 });
+  directory.apply([serverOf('2', 7)], 7);
+  directory.replace({ records: [serverOf('1', 2), serverOf('2', 7)], revision: 12 });
+  expect(directory.changesSince(7)).toBeUndefined();
+  expect(directory.changesSince(12)).toEqual({ records: [], revision: 12 });
+});
--- a/src/common/directory/Directory.ts
+++ b/src/common/directory/Directory.ts
@@ -9,6 +9,9 @@
  */
 export const LAPSE_GRACE_MS = 2_200;
 
+/** Removals on record. Peers that lack more get a whole listing. */
+const MAX_REMOVALS = 10_000;
+
 interface IEntry {
   readonly server: directoryTypes.IRegistration;
   readonly revision: number;
@@ -27,9 +30,12 @@
 
   private readonly entries = new Map<string, IEntry>();
 
-  /** Revisions at which servers were removed, so that an older read does not bring them back. */
+  /** Revisions at which servers were removed, in the order of their removal. */
   private readonly removals = new Map<string, number>();
 
+  /** Revision after which all removals are on record. */
+  private completeSince: number | undefined;
+
   private inForce: routingTypes.IConfiguration | undefined;
 
   private configurationRevision = 0;
@@ -76,6 +82,7 @@
 
   /** Applies changes in the order of their revisions. Those that are known already have no effect. */
   public apply(records: readonly directoryTypes.DirectoryRecord[], revision: number): void {
+    this.completeSince ??= this.knownRevision;
     const news = records.filter((record) => record.revision > this.knownRevision);
     const changed = news.map((record) => this.take(record)).some(Boolean);
     this.knownRevision = Math.max(this.knownRevision, revision);
@@ -89,6 +96,8 @@
   public replace(listing: directoryTypes.IDirectoryListing): void {
     const { records, revision } = listing;
     if (revision < this.knownRevision) return;
+    // A listing does not tell of servers that came and went before it.
+    if (revision > this.knownRevision) this.completeSince = revision;
     const listed = new Set(records.map((record) => Directory.idOf(record)));
     const removed = [...this.entries]
       .filter(([id, entry]) => !listed.has(id) && entry.revision <= revision && !entry.lapsed)
@@ -109,6 +118,20 @@
     return { records, revision: this.knownRevision };
   }
 
+  /** What changed after `revision`, for a daemon that knows less; undefined if that is too long ago. */
+  public changesSince(revision: number): directoryTypes.IDirectoryChanges | undefined {
+    if (this.completeSince === undefined || revision < this.completeSince) return undefined;
+    const removed: directoryTypes.DirectoryRecord[] = [...this.removals].map(([id, removal]) => ({
+      kind: 'server-removed',
+      id,
+      revision: removal,
+    }));
+    const records = [...this.listing.records, ...removed]
+      .filter((record) => record.revision > revision)
+      .sort((left, right) => left.revision - right.revision);
+    return { records, revision: this.knownRevision };
+  }
+
   /** Tells that the directory service responds again after an outage. */
   public onReturned(): void {
     this.graceUntilMs = this.clock.monotonicMs() + LAPSE_GRACE_MS;
@@ -187,7 +210,7 @@
   private remove(id: string, revision: number, isFinal = false): boolean {
     const known = this.entries.get(id);
     if (revision <= (this.removals.get(id) ?? 0) || revision < (known?.revision ?? 0)) return false;
-    this.removals.set(id, revision);
+    this.recordRemoval(id, revision);
     if (known === undefined) return false;
     const isGrace = this.clock.monotonicMs() < this.graceUntilMs;
     if (isGrace && !isFinal && known.server.state === 'ready') {
@@ -198,6 +221,16 @@
     return true;
   }
 
+  private recordRemoval(id: string, revision: number): void {
+    this.removals.delete(id);
+    this.removals.set(id, revision);
+    if (this.removals.size <= MAX_REMOVALS) return;
+    const [oldest] = this.removals;
+    if (oldest === undefined) return;
+    this.removals.delete(oldest[0]);
+    this.completeSince = Math.max(this.completeSince ?? 0, oldest[1]);
+  }
+
   private dropLapsed(): void {
     const lapsed = [...this.entries].filter(([, entry]) => entry.lapsed);
     lapsed.forEach(([id]) => this.entries.delete(id));
--- a/src/common/directory/Types.ts
+++ b/src/common/directory/Types.ts
@@ -41,6 +41,13 @@
   readonly revision: number;
 }
 
+/** What changed in the directory after a revision. */
+export interface IDirectoryChanges {
+  readonly records: readonly DirectoryRecord[];
+  /** Revision to continue from. */
+  readonly revision: number;
+}
+
 /** Why a read of the directory failed. */
 export type DirectoryFailure =
   /** Changes after the revision asked for are no longer known; everything has to be listed again. */
--- a/src/node/directory/DirectoryExchange.test.ts
+++ b/src/node/directory/DirectoryExchange.test.ts
@@ -94,3 +94,16 @@
   await compared;
   expect(directory.revision).toBe(5);
 });
+
+// Guards against whole directories that are sent for each change (gcga-gateway-grown: 1,440 routes).
+test('a daemon that lacks a change gets just the change', async () => {
+  const { directory, exchange } = make();
+  await exchange.compare(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  const server = { id: '2', address: 'b', state: 'ready' } as directoryTypes.IRegistration;
+  source.apply([{ kind: 'server-removed', revision: 6, id: '1' }], 6);
+  source.apply([{ kind: 'server', revision: 7, server }], 7);
+  const listed = jest.spyOn(directory, 'replace');
+  await exchange.compare(ADDRESS, { version: 7, hash: '', ageMs: 20 });
+  expect(directory.listing).toEqual(source.listing);
+  expect(listed).not.toHaveBeenCalled();
+});
--- a/src/node/directory/DirectoryExchange.ts
+++ b/src/node/directory/DirectoryExchange.ts
@@ -23,6 +23,11 @@
 /** Time that the own read has to deliver what a peer already holds, in milliseconds. */
 const OWN_READ_MS = 400;
 
+/** What a daemon sends to a peer that knows less, in JSON and compressed. */
+type Relayed =
+  | { readonly kind: 'changes'; readonly content: directoryTypes.IDirectoryChanges }
+  | { readonly kind: 'listing'; readonly content: directoryTypes.IDirectoryListing };
+
 /** Takes over the directory of peers that know more, and their word that it is complete. */
 export class DirectoryExchange implements fleetTypes.IVersionExchange {
   private fetching = false;
@@ -45,11 +50,17 @@
     this.confirmation.confirm(table.ageMs + this.clock.monotonicMs() - receivedMs);
   }
 
-  /** Replies with the directory if it is newer than the one of the peer. */
+  /** Replies with what the peer lacks: the changes, or everything if they are not all on record. */
   public async reply(request: peer.FetchTableRequest): Promise<peer.FetchTableReply> {
-    const { listing } = this.directory;
-    if (listing.revision <= request.newerThan) return NOTHING_NEWER;
-    return { version: listing.revision, compressedText: await gzip(JSON.stringify(listing)) };
+    const { directory } = this;
+    if (directory.revision <= request.newerThan) return NOTHING_NEWER;
+    const changes = directory.changesSince(request.newerThan);
+    const relayed: Relayed =
+      changes === undefined
+        ? { kind: 'listing', content: directory.listing }
+        : { kind: 'changes', content: changes };
+    const compressedText = await gzip(JSON.stringify(relayed));
+    return { version: relayed.content.revision, compressedText };
   }
 
   private async catchUp(address: string, version: number): Promise<void> {
@@ -76,13 +87,11 @@
     try {
       const maxOutputLength = MAX_DIRECTORY_BYTES;
       const text = await gunzip(fetched.value.compressedText, { maxOutputLength });
-      this.directory.replace(JSON.parse(text.toString('utf8')) as directoryTypes.IDirectoryListing);
-      const fields = {
-        event: names.DIRECTORY_RELAYED,
-        address,
-        before,
-        revision: this.directory.revision,
-      };
+      const { kind, content } = JSON.parse(text.toString('utf8')) as Relayed;
+      if (kind === 'changes') this.directory.apply(content.records, content.revision);
+      else this.directory.replace(content);
+      const { revision } = this.directory;
+      const fields = { event: names.DIRECTORY_RELAYED, address, kind, before, revision };
       this.logger.info(fields, 'directory taken over from a peer');
     } catch (error) {
       this.logger.warn({ err: error, address }, 'directory of a peer could not be read');
--- a/src/node/directory/DirectoryFollower.test.ts
+++ b/src/node/directory/DirectoryFollower.test.ts
@@ -11,7 +11,10 @@
 
 type Failure = directoryTypes.DirectoryFailure;
 type Settle = (
-  result: types.Result<directoryTypes.IDirectoryListing & nodeTypes.IDirectoryChanges, Failure>,
+  result: types.Result<
+    directoryTypes.IDirectoryListing & directoryTypes.IDirectoryChanges,
+    Failure
+  >,
 ) => void;
 
 const LOST: Failure = { kind: 'unavailable', detail: 'test' };
--- a/src/node/directory/Types.ts
+++ b/src/node/directory/Types.ts
@@ -1,13 +1,6 @@
 import type * as directoryTypes from '../../common/directory/Types';
 import type * as types from '../../common/Types';
 
-/** Changes of the directory after a revision. */
-export interface IDirectoryChanges {
-  readonly records: readonly directoryTypes.DirectoryRecord[];
-  /** Revision to continue from. */
-  readonly revision: number;
-}
-
 /** Reads the directory in which operators and backend servers publish. */
 export interface IDirectorySource {
   /**
@@ -21,7 +14,7 @@
   watch(
     revision: number,
     waitMs: number,
-  ): Promise<types.Result<IDirectoryChanges, directoryTypes.DirectoryFailure>>;
+  ): Promise<types.Result<directoryTypes.IDirectoryChanges, directoryTypes.DirectoryFailure>>;
   /** Gives up reads in progress and closes connections. Further reads open new ones. */
   reset(): void;
 }
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -76,7 +76,7 @@
   public async watch(
     revision: number,
     waitMs: number,
-  ): Promise<types.Result<nodeTypes.IDirectoryChanges, Failure>> {
+  ): Promise<types.Result<directoryTypes.IDirectoryChanges, Failure>> {
     const query = { prefix: '', after: `${revision}`, waitMs: `${waitMs}` };
     const reply = await this.read('kv-watch', query, waitMs + WATCH_SLACK_MS);
     if (!reply.ok) return reply;
