--- a/src/platform/testing/PlatformTarget.ts
+++ b/src/platform/testing/PlatformTarget.ts
@@ -33,6 +33,12 @@
   /** Headers of the requests that were run. */
   public readonly runs: http.IncomingHttpHeaders[] = [];
 
+  /** Called with the identifier of each request that is run. */
+  public onRun: (requestId: string) => void = () => undefined;
+
+  /** The body of the answer to a request. */
+  public bodyOf: (requestId: string) => string = () => `body of ${this.id}`;
+
   public checks = 0;
 
   /** Requests whose connection was closed before their answer. */
@@ -80,7 +86,9 @@
     response: http.ServerResponse,
     load: http.OutgoingHttpHeaders,
   ): void {
+    const requestId = `${request.headers['request-id']}`;
     this.runs.push(request.headers);
+    this.onRun(requestId);
     response.once('close', () => {
       if (!response.writableFinished) this.abandoned += 1;
     });
@@ -89,11 +97,11 @@
       request.socket.destroy();
       return;
     }
-    const id = this.answer === 'foreign' ? 'another' : request.headers['request-id'];
+    const id = this.answer === 'foreign' ? 'another' : requestId;
     const signature = this.answer === 'unsigned' ? {} : { 'Response-Signature': 'signature' };
     const headers = { 'Request-Id': id, ...signature, ...load };
     setTimeout(() => {
-      response.writeHead(this.answer === 'failed' ? 500 : 200, headers).end(`body of ${this.id}`);
+      response.writeHead(this.answer === 'failed' ? 500 : 200, headers).end(this.bodyOf(requestId));
     }, this.workMs);
   }
 }
--- /dev/null
+++ b/src/soak/SoakAudit.ts
@@ -0,0 +1,95 @@
+import * as soakFleet from './SoakFleet';
+import type * as soakTypes from './Types';
+
+/** Time after which a leaving server must get no new work, in milliseconds. */
+const LEAVING_LIMIT_MS = 2_500;
+
+/** Time after a disturbance for which the limit for leaving servers does not hold, in milliseconds. */
+const SETTLING_MS = 5_000;
+
+/** Time after the last byte of a request from which a stopping daemon has read it, in milliseconds. */
+const READ_LIMIT_MS = 200;
+
+function countBy<T>(items: readonly T[], key: (item: T) => string): Map<string, number> {
+  const counts = new Map<string, number>();
+  items.forEach((item) => counts.set(key(item), (counts.get(key(item)) ?? 0) + 1));
+  return counts;
+}
+
+/** What callers and servers saw in a run of the soak. */
+export interface IEvidence {
+  readonly calls: readonly soakTypes.ICallRecord[];
+  readonly runs: readonly soakTypes.IRunRecord[];
+  readonly disturbances: readonly soakTypes.IDisturbance[];
+}
+
+/** The calls that broke a promise, by promise. */
+export interface IFindings {
+  readonly wrongAnswers: readonly soakTypes.ICallRecord[];
+  readonly falseNotRun: readonly soakTypes.ICallRecord[];
+  readonly doubledRuns: readonly soakTypes.ICallRecord[];
+  readonly cutInFlight: readonly soakTypes.ICallRecord[];
+  readonly workOnLeaving: readonly soakTypes.IRunRecord[];
+  readonly budgetOverruns: number;
+}
+
+function isCut(
+  call: soakTypes.ICallRecord,
+  hasRun: boolean,
+  disturbances: readonly soakTypes.IDisturbance[],
+): boolean {
+  if (call.status !== undefined) return false;
+  const own = disturbances.filter(
+    ({ subject, kind }) => subject === call.daemon && kind.startsWith('daemon-'),
+  );
+  const overlaps = (one: soakTypes.IDisturbance) =>
+    one.beginMs <= call.endMs && one.endMs >= call.startMs;
+  const wasStopped = own.some((one) => one.kind === 'daemon-stop' && overlaps(one));
+  const hasFailed = own.some((one) => one.kind === 'daemon-failure' && overlaps(one));
+  const wasRead = hasRun || call.endMs - call.startMs > READ_LIMIT_MS;
+  return wasStopped && !hasFailed && wasRead;
+}
+
+/** Windows in which a service got more runs beyond the first of each request than are allowed. */
+function countOverruns({ calls, runs }: IEvidence): number {
+  return [...soakFleet.SERVICES.keys()].filter((service) => {
+    const seen = new Set<string>();
+    const repeatsMs = runs
+      .filter((run) => run.service === service)
+      .filter(({ requestId }) => seen.has(requestId) || !seen.add(requestId))
+      .map(({ atMs }) => atMs);
+    const startsMs = calls.filter((call) => call.service === service).map((call) => call.startMs);
+    const within = (timesMs: readonly number[], endMs: number) =>
+      timesMs.filter((atMs) => atMs <= endMs && atMs > endMs - soakFleet.RETRY_WINDOW_MS).length;
+    return repeatsMs.some((endMs) => {
+      const allowed =
+        soakFleet.RETRY_FRACTION * within(startsMs, endMs) + soakFleet.RETRY_ALLOWANCE;
+      return within(repeatsMs, endMs) > allowed;
+    });
+  }).length;
+}
+
+/** Checks the promises against what callers and servers saw. */
+export function audit(evidence: IEvidence): IFindings {
+  const { calls, runs, disturbances } = evidence;
+  const runCounts = countBy(runs, ({ requestId }) => requestId);
+  const hasRun = ({ requestId }: soakTypes.ICallRecord) => runCounts.has(requestId);
+  // A daemon that does not run, or cannot reach the store, learns later that a server leaves.
+  const isDisturbed = (atMs: number) =>
+    disturbances.some(
+      ({ kind, beginMs, endMs }) =>
+        kind !== 'server' && beginMs <= atMs && endMs + SETTLING_MS >= atMs,
+    );
+  return {
+    wrongAnswers: calls.filter(({ end }) => end === 'wrong-answer'),
+    falseNotRun: calls.filter((call) => call.end === 'refused-not-run' && hasRun(call)),
+    doubledRuns: calls.filter(
+      (call) => !call.idempotent && (runCounts.get(call.requestId) ?? 0) > 1,
+    ),
+    cutInFlight: calls.filter((call) => isCut(call, hasRun(call), disturbances)),
+    workOnLeaving: runs.filter(
+      ({ leavingForMs, atMs }) => (leavingForMs ?? 0) > LEAVING_LIMIT_MS && !isDisturbed(atMs),
+    ),
+    budgetOverruns: countOverruns(evidence),
+  };
+}
--- /dev/null
+++ b/src/soak/SoakFleet.ts
@@ -0,0 +1,233 @@
+import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
+
+import * as undici from 'undici';
+import * as yaml from 'yaml';
+
+import * as platformStore from '../platform/testing/PlatformStore';
+import * as platformTarget from '../platform/testing/PlatformTarget';
+import * as published from '../platform/testing/Published';
+import * as childProcess from '../standin/ChildProcess';
+import * as freePorts from '../standin/FreePorts';
+import * as tcpRelay from '../standin/TcpRelay';
+import type * as soakTypes from './Types';
+
+/** Retries of the fleet as a fraction of the requests, and beyond that in each window. */
+export const RETRY_FRACTION = 0.2;
+export const RETRY_ALLOWANCE = 58;
+export const RETRY_WINDOW_MS = 10_000;
+
+/** Time between the signal to stop and the end by force, in milliseconds. */
+export const STOP_GRACE_MS = 6_000;
+
+const SERVERS_PER_SERVICE = 4;
+const WORK_MS = 20;
+const BODY_BYTES = 3_000;
+const READY_LIMIT_MS = 30_000;
+const POLL_MS = 50;
+const HOST = '127.0.0.1';
+
+/** The services, and whether their requests may be repeated. */
+export const SERVICES: ReadonlyMap<string, boolean> = new Map([
+  ['reads', true],
+  ['orders', false],
+]);
+
+/** A backend server behind a relay, and its registration. */
+export interface ISoakServer {
+  readonly service: string;
+  readonly target: platformTarget.PlatformTarget;
+  readonly relay: tcpRelay.TcpRelay;
+  readonly port: number;
+  /** Address of the relay, which the server registers. */
+  readonly address: string;
+  /** Time at which its leaving was published. */
+  leavingSinceMs: number | undefined;
+}
+
+/** A daemon as a process of its own. */
+export interface ISoakDaemon {
+  readonly child: childProcess.ChildProcess;
+  readonly callerUrl: string;
+  readonly readinessUrl: string;
+}
+
+interface IPlace {
+  readonly callerPort: number;
+  readonly readinessPort: number;
+  readonly peerPort: number;
+}
+
+/** The body that a server sends for a request, so that a caller can tell whether it is whole. */
+export function bodyOf(requestId: string): string {
+  return `${requestId}:`.padEnd(BODY_BYTES, 'x');
+}
+
+async function portOf(address: string): Promise<number> {
+  return Number(address.slice(address.lastIndexOf(':') + 1));
+}
+
+/** Daemons as processes, between stand-ins for the platform, with relays on the way. */
+export class SoakFleet {
+  public readonly store = new platformStore.PlatformStore();
+
+  public readonly servers: ISoakServer[] = [];
+
+  public readonly daemons: ISoakDaemon[] = [];
+
+  public readonly runs: soakTypes.IRunRecord[] = [];
+
+  public storeRelay: tcpRelay.TcpRelay | undefined;
+
+  private storeUrl = '';
+
+  private places: IPlace[] = [];
+
+  private nextServer = 1;
+
+  private version = 0;
+
+  /** @param sources Folder of the compiled sources. */
+  public constructor(
+    private readonly sources: string,
+    private readonly folder: string,
+  ) {}
+
+  public async start(daemons: number): Promise<void> {
+    const port = await portOf(await this.store.listen());
+    this.storeRelay = new tcpRelay.TcpRelay(HOST, port);
+    this.storeUrl = `http://${HOST}:${await this.storeRelay.listen(0, HOST)}`;
+    for (const service of SERVICES.keys()) {
+      for (let count = 0; count < SERVERS_PER_SERVICE; count += 1) await this.addServer(service);
+    }
+    this.publishConfiguration();
+    const ports = await freePorts.freePorts(3 * daemons);
+    this.places = Array.from({ length: daemons }, (_, index) => ({
+      callerPort: ports[3 * index] as number,
+      readinessPort: ports[3 * index + 1] as number,
+      peerPort: ports[3 * index + 2] as number,
+    }));
+    await Promise.all(this.places.map((_, index) => this.startDaemon(index)));
+  }
+
+  public async stop(): Promise<void> {
+    await Promise.all(this.daemons.map(({ child }) => child.kill()));
+    await Promise.all(this.servers.map(({ relay }) => relay.close()));
+    await this.storeRelay?.close();
+    await this.store.close();
+    await Promise.all(this.servers.map(({ target }) => target.close()));
+  }
+
+  /** Publishes a configuration with the next version. */
+  public publishConfiguration(): void {
+    this.version += 1;
+    const rules = [...SERVICES].map(([service, idempotent]) => ({
+      prefix: `/${service}/`,
+      service,
+      kind: idempotent ? ('idempotent' as const) : ('non_idempotent' as const),
+      timeout: '1500ms',
+      maxAttempts: 3,
+    }));
+    this.store.put('op/config', published.configurationOf(this.version, rules));
+  }
+
+  /** Starts a server and registers it. */
+  public async addServer(service: string): Promise<ISoakServer> {
+    const target = new platformTarget.PlatformTarget(`i-${this.nextServer}`);
+    this.nextServer += 1;
+    target.workMs = WORK_MS;
+    target.bodyOf = bodyOf;
+    const port = await portOf(await target.listen());
+    const relay = new tcpRelay.TcpRelay(HOST, port);
+    const address = `${HOST}:${await relay.listen(0, HOST)}`;
+    const server = { service, target, relay, port, address, leavingSinceMs: undefined };
+    target.onRun = (requestId) => this.recordRun(server, requestId);
+    this.servers.push(server);
+    this.register(server);
+    return server;
+  }
+
+  /** Publishes the entry of a server. */
+  public register(server: ISoakServer, state: 'ready' | 'draining' = 'ready'): void {
+    const { service, address, target } = server;
+    const changed = server;
+    changed.leavingSinceMs = state === 'draining' ? performance.now() : undefined;
+    this.store.put(`servers/${target.id}`, published.serverOf(service, address, { state }));
+  }
+
+  /** Starts the daemon with this number, and waits until it is ready. */
+  public async startDaemon(index: number): Promise<void> {
+    const { callerPort, readinessPort, peerPort } = this.places[index] as IPlace;
+    const file = path.join(this.folder, `daemon-${index}.yaml`);
+    const settings = {
+      callerAddress: `${HOST}:${callerPort}`,
+      readinessAddress: `${HOST}:${readinessPort}`,
+      readinessPath: '/ready',
+      peerAddress: `${HOST}:${peerPort}`,
+      failureDomain: 'a',
+      directoryUrl: this.storeUrl,
+      seedPeers: this.places.slice(0, 2).map((place) => `${HOST}:${place.peerPort}`),
+      stopGrace: `${STOP_GRACE_MS}ms`,
+      retryFraction: RETRY_FRACTION,
+      retryAllowance: RETRY_ALLOWANCE,
+      retryWindow: `${RETRY_WINDOW_MS}ms`,
+      checksPerSecond: 60,
+      logLevel: 'warn',
+    };
+    await fs.writeFile(file, yaml.stringify(settings));
+    const child = new childProcess.ChildProcess(
+      [
+        '--require',
+        path.join(this.sources, 'soak/ClockStep.js'),
+        path.join(this.sources, 'platform/main.js'),
+      ],
+      { LAVENDERSPAR_BOOT: file },
+    );
+    this.daemons[index] = {
+      child,
+      callerUrl: `http://${HOST}:${callerPort}`,
+      readinessUrl: `http://${HOST}:${readinessPort}`,
+    };
+    await this.becomesReady(index);
+  }
+
+  /** Version of the configuration in force at a daemon; undefined if it does not reply. */
+  public async versionAt(index: number): Promise<number | undefined> {
+    const text = await this.read(index, '/metrics');
+    const value = /lavenderspar_configuration_version (\d+)/.exec(text ?? '')?.[1];
+    return value === undefined ? undefined : Number(value);
+  }
+
+  private async becomesReady(index: number): Promise<void> {
+    const limitMs = performance.now() + READY_LIMIT_MS;
+    const daemon = this.daemons[index] as ISoakDaemon;
+    while (performance.now() < limitMs && daemon.child.isRunning) {
+      if ((await this.read(index, '/ready')) !== undefined) return;
+      await new Promise((resolve) => {
+        setTimeout(resolve, POLL_MS);
+      });
+    }
+    throw new Error(`daemon ${index} did not become ready: ${daemon.child.lines.join('\n')}`);
+  }
+
+  /** Text of a page at the readiness address; undefined unless its status is 200. */
+  private async read(index: number, page: string): Promise<string | undefined> {
+    const timeouts = { headersTimeout: 1_000, bodyTimeout: 1_000 };
+    try {
+      const url = `${(this.daemons[index] as ISoakDaemon).readinessUrl}${page}`;
+      const reply = await undici.request(url, timeouts);
+      const text = await reply.body.text();
+      return reply.statusCode === 200 ? text : undefined;
+    } catch {
+      // A daemon that is down, paused or about to start does not reply.
+      return undefined;
+    }
+  }
+
+  private recordRun(server: ISoakServer, requestId: string): void {
+    const atMs = performance.now();
+    const { service, leavingSinceMs } = server;
+    const leavingForMs = leavingSinceMs === undefined ? undefined : atMs - leavingSinceMs;
+    this.runs.push({ requestId, service, atMs, leavingForMs });
+  }
+}
--- /dev/null
+++ b/src/soak/SoakLoad.ts
@@ -0,0 +1,127 @@
+import * as undici from 'undici';
+
+import type * as types from '../common/Types';
+import * as published from '../platform/testing/Published';
+import * as soakFleet from './SoakFleet';
+import type * as soakTypes from './Types';
+
+/** Mean time between two calls, in milliseconds. */
+const CALL_INTERVAL_MS = 12;
+
+/** Time that a caller waits, in milliseconds. */
+const DEADLINE_MS = 1_200;
+
+/** Time beyond its deadline after which a caller gives up, in milliseconds. */
+const PATIENCE_MS = 3_000;
+
+/** Statuses that promise that a request was not run. */
+const PROMISES = new Set([408, 421, 429, 503]);
+
+/** Share of the calls that go to the service whose requests may be repeated. */
+const READ_SHARE = 0.6;
+
+/** Calls random daemons on connections that are kept open until the daemon closes them. */
+export class SoakLoad {
+  public readonly calls: soakTypes.ICallRecord[] = [];
+
+  private readonly pools = new Map<number, undici.Pool>();
+
+  private readonly pending = new Set<Promise<void>>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private nextId = 1;
+
+  /** @param targets Numbers of the daemons that callers are sent to. */
+  public constructor(
+    private readonly fleet: soakFleet.SoakFleet,
+    private readonly targets: ReadonlySet<number>,
+    private readonly random: types.IRandom,
+  ) {}
+
+  public start(): void {
+    this.timer = setTimeout(
+      () => {
+        this.callOnce();
+        this.start();
+      },
+      2 * CALL_INTERVAL_MS * this.random.next(),
+    );
+  }
+
+  /** Ends the load, and resolves when every call has ended. */
+  public async stop(): Promise<void> {
+    clearTimeout(this.timer);
+    await Promise.all(this.pending);
+    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+  }
+
+  private callOnce(): void {
+    const numbers = [...this.targets];
+    if (numbers.length === 0) return;
+    const daemon = numbers[this.random.nextInteger(numbers.length)] as number;
+    const service = this.random.next() < READ_SHARE ? 'reads' : 'orders';
+    const startMs = performance.now();
+    const record: soakTypes.ICallRecord = {
+      requestId: `soak-${this.nextId}`,
+      service,
+      idempotent: soakFleet.SERVICES.get(service) ?? false,
+      daemon,
+      startMs,
+      endMs: startMs,
+      end: 'unknown',
+      status: undefined,
+    };
+    this.nextId += 1;
+    this.calls.push(record);
+    const done = this.send(record).finally(() => this.pending.delete(done));
+    this.pending.add(done);
+  }
+
+  private async send(record: soakTypes.ICallRecord): Promise<void> {
+    const { requestId, service, idempotent, daemon } = record;
+    const changed = record;
+    try {
+      const reply = await this.poolOf(daemon).request({
+        method: idempotent ? 'GET' : 'POST',
+        path: `/${service}/item`,
+        headers: {
+          host: published.HOST,
+          'request-id': requestId,
+          'request-deadline': `${DEADLINE_MS}`,
+        },
+        body: idempotent ? null : `order ${requestId}`,
+        headersTimeout: DEADLINE_MS + PATIENCE_MS,
+        bodyTimeout: DEADLINE_MS + PATIENCE_MS,
+      });
+      const text = await reply.body.text();
+      changed.status = reply.statusCode;
+      changed.end = SoakLoad.endOf(requestId, reply.statusCode, reply.headers, text);
+    } catch {
+      // The connection ended without a response, which the audit weighs.
+      changed.end = 'unknown';
+    }
+    changed.endMs = performance.now();
+  }
+
+  private static endOf(
+    requestId: string,
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+    text: string,
+  ): soakTypes.CallEnd {
+    if (PROMISES.has(status)) return 'refused-not-run';
+    if (status !== 200) return 'unknown';
+    const isOwn = headers['request-id'] === requestId && text === soakFleet.bodyOf(requestId);
+    return isOwn && headers['response-signature'] !== undefined ? 'answered' : 'wrong-answer';
+  }
+
+  private poolOf(daemon: number): undici.Pool {
+    const known = this.pools.get(daemon);
+    if (known !== undefined) return known;
+    const { callerUrl } = this.fleet.daemons[daemon] as soakFleet.ISoakDaemon;
+    const pool = new undici.Pool(callerUrl, { connections: 16, pipelining: 1 });
+    this.pools.set(daemon, pool);
+    return pool;
+  }
+}
--- /dev/null
+++ b/src/soak/Types.ts
@@ -0,0 +1,51 @@
+/** How a call ended, as its caller saw it. */
+export type CallEnd = 'answered' | 'refused-not-run' | 'unknown' | 'wrong-answer';
+
+/** One call of the soak. Times are on the monotonic clock of the soak, in milliseconds. */
+export interface ICallRecord {
+  readonly requestId: string;
+  readonly service: string;
+  readonly idempotent: boolean;
+  /** Number of the daemon that was called. */
+  readonly daemon: number;
+  readonly startMs: number;
+  endMs: number;
+  end: CallEnd;
+  /** Status of the response; undefined if the connection ended without one. */
+  status: number | undefined;
+}
+
+/** One run of a request at a backend server. */
+export interface IRunRecord {
+  readonly requestId: string;
+  readonly service: string;
+  readonly atMs: number;
+  /** Time since the server's leaving was published; undefined if it was not leaving. */
+  readonly leavingForMs: number | undefined;
+}
+
+/** A span in which something was disturbed. */
+export interface IDisturbance {
+  readonly kind: 'daemon-stop' | 'daemon-failure' | 'store' | 'server';
+  /** Number of the daemon or the server. */
+  readonly subject: number;
+  readonly beginMs: number;
+  endMs: number;
+}
+
+/** What a run of the soak ends with. The last seven must be 0. */
+export interface ISoakResult {
+  readonly seed: number;
+  readonly faults: number;
+  readonly calls: number;
+  readonly answered: number;
+  readonly refusedNotRun: number;
+  readonly outcomeUnknown: number;
+  readonly wrongAnswers: number;
+  readonly falseNotRun: number;
+  readonly doubledRuns: number;
+  readonly cutInFlight: number;
+  readonly workOnLeaving: number;
+  readonly tableReversions: number;
+  readonly budgetOverruns: number;
+}
--- a/src/standin/TcpRelay.ts
+++ b/src/standin/TcpRelay.ts
@@ -1,7 +1,11 @@
 import * as net from 'node:net';
+import * as stream from 'node:stream';
 
-/** How a cut link behaves: connections break, or stay open and carry nothing. */
-export type CutKind = 'reset' | 'silent';
+/**
+ * How a cut link behaves: connections break, stay open and carry nothing, or carry only what goes
+ * to the target.
+ */
+export type CutKind = 'reset' | 'silent' | 'one-way';
 
 interface ILink {
   readonly source: string;
@@ -14,6 +18,9 @@
  * that a partition separates chosen daemons.
  */
 export class TcpRelay {
+  /** Time by which each piece of data is held up, in milliseconds. */
+  public delayMs = 0;
+
   private readonly links = new Set<ILink>();
 
   private readonly cuts = new Map<string, CutKind>();
@@ -50,7 +57,7 @@
     this.links.forEach((link) => {
       if (this.cutOf(link.source) === undefined) return;
       if (kind === 'reset') this.breakLink(link);
-      else TcpRelay.silence(link);
+      else TcpRelay.silence(link, kind);
     });
   }
 
@@ -59,15 +66,16 @@
     this.cuts.delete(source);
     this.held.forEach((socket) => socket.destroy());
     this.links.forEach((link) => {
-      if (link.inner.isPaused()) this.breakLink(link);
+      if (link.outer.isPaused()) this.breakLink(link);
     });
   }
 
-  private static silence(link: ILink): void {
-    link.inner.unpipe();
-    link.outer.unpipe();
-    link.inner.pause();
-    link.outer.pause();
+  private static silence({ inner, outer }: ILink, kind: CutKind): void {
+    const silenced = kind === 'silent' ? [inner, outer] : [outer];
+    silenced.forEach((socket) => {
+      socket.unpipe();
+      socket.pause();
+    });
   }
 
   private cutOf(source: string): CutKind | undefined {
@@ -87,10 +95,11 @@
       socket.once('close', () => this.held.delete(socket));
       return;
     }
-    this.relay(socket, source);
+    const link = this.relay(socket, source);
+    if (cut !== undefined) TcpRelay.silence(link, cut);
   }
 
-  private relay(inner: net.Socket, source: string): void {
+  private relay(inner: net.Socket, source: string): ILink {
     const outer = net.connect(this.targetPort, this.targetHost);
     const link = { source, inner, outer };
     this.links.add(link);
@@ -99,8 +108,19 @@
       socket.on('error', () => this.breakLink(link));
       socket.once('close', () => this.breakLink(link));
     });
-    inner.pipe(outer);
-    outer.pipe(inner);
+    inner.pipe(this.delay()).pipe(outer);
+    outer.pipe(this.delay()).pipe(inner);
+    return link;
+  }
+
+  private delay(): stream.Transform {
+    const delayMs = () => this.delayMs;
+    return new stream.Transform({
+      transform(chunk, _encoding, onDone) {
+        if (delayMs() === 0) onDone(null, chunk);
+        else setTimeout(() => onDone(null, chunk), delayMs());
+      },
+    });
   }
 
   private breakLink(link: ILink): void {
