Specify the directory and its relay, with mutants and a conformance test

The specification covers listings, stale listings, watches and content of peers that arrives late, twice overtaken or never, lost history and restarts. It states that a daemon uses no server that was gone at its revision, knows each server that is not gone since, and does not go back.

--- a/spec/Parts.ts
+++ b/spec/Parts.ts
@@ -1,3 +1,4 @@
+import * as directorySpecification from './DirectorySpecification';
 import * as explorer from './Explorer';
 import * as keyProtocol from './KeyProtocol';
 import * as keySpecification from './KeySpecification';
@@ -55,6 +56,11 @@
   };
 }
 
+const SMALL_DIRECTORY_BOUNDS = {
+  ...directorySpecification.DEFAULT_DIRECTORY_BOUNDS,
+  maxRevision: 2,
+};
+
 const SMALL_TABLE_BOUNDS = { daemons: 2, maxVersion: 1, maxReplacements: 1 };
 
 export const PARTS: readonly IPart[] = [
@@ -92,4 +98,19 @@
       new probeSpecification.ProbeSpecification(mutant as probeSpecification.ProbeMutant, 2),
     buildForComparison: () => new probeSpecification.ProbeSpecification(undefined, 2),
   }),
+  makePart({
+    bounds: '2 daemons, 1 server, 4 revisions, content on its way to 1 daemon',
+    mutants: directorySpecification.DIRECTORY_MUTANTS,
+    build: (mutant) =>
+      new directorySpecification.DirectorySpecification(
+        mutant as directorySpecification.DirectoryMutant | undefined,
+      ),
+    buildSmall: (mutant) =>
+      new directorySpecification.DirectorySpecification(
+        mutant as directorySpecification.DirectoryMutant,
+        SMALL_DIRECTORY_BOUNDS,
+      ),
+    buildForComparison: () =>
+      new directorySpecification.DirectorySpecification(undefined, SMALL_DIRECTORY_BOUNDS),
+  }),
 ];
