--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -1,5 +1,3 @@
-import * as fs from 'node:fs/promises';
-
 import * as bunyan from 'bunyan';
 import type * as commander from 'commander';
 
@@ -9,6 +7,7 @@
 import * as systemClock from '../../node/SystemClock';
 import * as systemRandom from '../../node/SystemRandom';
 import * as exitCodes from '../ExitCodes';
+import * as readSettings from './readSettings';
 
 const HELP = `
 The daemon writes its log to standard output as JSON lines. SIGTERM and SIGINT stop it as planned:
@@ -25,24 +24,6 @@
   process.exitCode = exitCode;
 }
 
-async function readSettings(path: string): Promise<settings.Settings | undefined> {
-  let text: string;
-  try {
-    text = await fs.readFile(path, 'utf8');
-  } catch (error) {
-    fail(`cannot read the settings: ${(error as Error).message}`, exitCodes.BAD_INPUT);
-    return undefined;
-  }
-  const parsed = settings.parseSettings(text);
-  if (parsed.ok) return parsed.value;
-  const lines = parsed.error.map((problem) => {
-    const place = problem.path === '' ? path : `${path}: ${problem.path}`;
-    return `${place}: ${problem.message}`;
-  });
-  fail(lines.join('\n'), exitCodes.BAD_INPUT);
-  return undefined;
-}
-
 async function run(options: settings.Settings): Promise<void> {
   const logger = bunyan.createLogger({ name: 'lavenderspar', level: options.logLevel });
   const clock = new systemClock.SystemClock();
@@ -66,8 +47,9 @@
 }
 
 async function serve(path: string): Promise<void> {
-  const options = await readSettings(path);
-  if (options !== undefined) await run(options);
+  const options = await readSettings.readSettings(path, settings.parseSettings);
+  if (options.ok) await run(options.value);
+  else fail(options.error, exitCodes.BAD_INPUT);
 }
 
 /** Adds the command `serve`. */
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,6 +3,7 @@
 
 import * as inspect from './commands/inspect';
 import * as bench from './commands/bench';
+import * as checkSettings from './commands/checkSettings';
 import * as serve from './commands/serve';
 import * as table from './commands/table';
 import * as traceRequest from './commands/traceRequest';
@@ -12,6 +13,7 @@
   .version('0.1.0');
 
 serve.register(program);
+checkSettings.register(program);
 table.register(program);
 inspect.register(program);
 bench.register(program);
