--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -5,6 +5,7 @@
 import type * as caller from '../standin/Caller';
 import * as demoFleet from './DemoFleet';
 import * as events from './Events';
+import * as platformDemo from './platformDemo';
 import * as services from './Services';
 import * as workload from './Workload';
 
@@ -90,6 +91,10 @@
   const position = process.argv.indexOf('--seconds');
   const stated = position < 0 ? DEFAULT_SECONDS : Number(process.argv[position + 1]);
   if (!(stated > 0)) throw new Error('--seconds needs a number above 0');
+  if (process.argv.includes('--platform')) {
+    process.exitCode = (await platformDemo.run(stated)) ? 0 : 1;
+    return;
+  }
   const fleet = await demoFleet.DemoFleet.start(DAEMONS, SEED);
   say(`${fleet.daemons.length} daemons and ${fleet.servers.length} backend servers are running`);
   let correct = false;
--- /dev/null
+++ b/src/demo/platformDemo.ts
@@ -0,0 +1,103 @@
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+import * as hdr from 'hdr-histogram-js';
+
+import * as seededRandom from '../common/SeededRandom';
+import * as soakAudit from '../soak/SoakAudit';
+import * as soakFaults from '../soak/SoakFaults';
+import * as soakFleet from '../soak/SoakFleet';
+import * as soakLoad from '../soak/SoakLoad';
+import type * as soakTypes from '../soak/Types';
+
+const DAEMONS = 3;
+const SEED = 1;
+const MICROSECONDS_PER_MS = 1_000;
+
+/** What happens in the demo: the fault, its subject, and begin and end as shares of the time. */
+const EVENTS: readonly { name: string; index: number; begin: number; end: number }[] = [
+  { name: 'new configuration', index: 0, begin: 0.1, end: 0.2 },
+  { name: 'daemon stops as planned', index: 2, begin: 0.25, end: 0.3 },
+  { name: 'server slow', index: 1, begin: 0.4, end: 0.6 },
+  { name: 'server crashes', index: 5, begin: 0.6, end: 0.8 },
+];
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+function latenciesOf(calls: readonly soakTypes.ICallRecord[]): { p50Ms: number; p99Ms: number } {
+  const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
+  calls
+    .filter(({ end }) => end === 'answered')
+    .forEach(({ startMs, endMs }) =>
+      histogram.recordValue(Math.round((endMs - startMs) * MICROSECONDS_PER_MS)),
+    );
+  const at = (percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+  return { p50Ms: at(50), p99Ms: at(99) };
+}
+
+async function play(fleet: soakFleet.SoakFleet, seconds: number): Promise<boolean> {
+  const targets = new Set(fleet.daemons.map((_, index) => index));
+  const load = new soakLoad.SoakLoad(fleet, targets, new seededRandom.SeededRandom(SEED));
+  const faults = new soakFaults.SoakFaults(fleet, targets);
+  const durationMs = seconds * 1_000;
+  load.start();
+  await Promise.all([
+    pause(durationMs),
+    ...EVENTS.map(async ({ name, index, begin, end }) => {
+      const fault = faults.all.find((one) => one.name === name);
+      if (fault === undefined) throw new Error(`no fault is called "${name}"`);
+      await pause(begin * durationMs);
+      say(`${(begin * seconds).toFixed(1)} s: ${name} [${index}]`);
+      await fault.begin(index);
+      await pause((end - begin) * durationMs);
+      await fault.end(index);
+    }),
+  ]);
+  await load.stop();
+  const { calls } = load;
+  const { disturbances } = faults;
+  const findings = soakAudit.audit({ calls, runs: fleet.runs, disturbances });
+  const countOf = (end: soakTypes.CallEnd) => calls.filter((call) => call.end === end).length;
+  const wrongAnswers = findings.wrongAnswers.length;
+  const doubledRuns = findings.doubledRuns.length;
+  const probes = fleet.servers.reduce((sum, { target }) => sum + target.checks, 0);
+  say(
+    JSON.stringify({
+      answered: countOf('answered'),
+      refusedNotRun: countOf('refused-not-run'),
+      outcomeUnknown: countOf('unknown'),
+      wrongAnswers,
+      doubledRuns,
+      probes,
+      ...latenciesOf(calls),
+    }),
+  );
+  return wrongAnswers === 0 && doubledRuns === 0;
+}
+
+/**
+ * Shows the daemons of the platform between stand-ins for its store and its backend servers.
+ * Returns whether every answer was right and no non-idempotent request ran twice.
+ */
+export async function run(seconds: number): Promise<boolean> {
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'demo-'));
+  const fleet = new soakFleet.SoakFleet(path.join(__dirname, '..'), folder);
+  try {
+    await fleet.start(DAEMONS);
+    say(`${DAEMONS} daemons and ${fleet.servers.length} backend servers are running`);
+    return await play(fleet, seconds);
+  } finally {
+    await fleet.stop();
+    await fs.rm(folder, { recursive: true });
+  }
+}
