--- a/src/node/fleet/Fleet.ts
+++ b/src/node/fleet/Fleet.ts
@@ -13,6 +13,7 @@
 import * as platformReader from './PlatformReader';
 import * as readiness from './Readiness';
 import * as tableDistribution from './TableDistribution';
+import type * as fleetStatus from './FleetStatus';
 import type * as fleetTypes from './Types';
 import * as vmListParser from './VmListParser';
 
@@ -97,7 +98,7 @@
   }
 
   /** What operators are shown. */
-  public get status(): fleetTypes.IFleetStatus {
+  public get status(): fleetStatus.IFleetStatus {
     const { current } = this.table;
     const refused = this.distribution.lastRefused;
     return {
--- a/src/node/server/Explain.ts
+++ b/src/node/server/Explain.ts
@@ -2,7 +2,7 @@
 import type * as probingTypes from '../../common/probing/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
-import type * as fleetTypes from '../fleet/Types';
+import type * as fleetStatus from '../fleet/FleetStatus';
 import type * as refusalLog from '../telemetry/RefusalLog';
 import type * as serverTypes from './Types';
 
@@ -13,7 +13,7 @@
   readonly failureDomain: string;
   readonly policy: string;
   readonly table: tableTypes.ITable | undefined;
-  readonly fleet: fleetTypes.IFleetStatus;
+  readonly fleet: fleetStatus.IFleetStatus;
   readonly balancers: ReadonlyMap<string, serviceBalancer.ServiceBalancer>;
   readonly refusals: refusalLog.RefusalLog;
   readonly callsInFlight: number;
