--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -63,7 +63,7 @@
   return `${requestId}:`.padEnd(BODY_BYTES, 'x');
 }
 
-async function portOf(address: string): Promise<number> {
+function portOf(address: string): number {
   return Number(address.slice(address.lastIndexOf(':') + 1));
 }
 
@@ -94,7 +94,7 @@
   ) {}
 
   public async start(daemons: number): Promise<void> {
-    const port = await portOf(await this.store.listen());
+    const port = portOf(await this.store.listen());
     this.storeRelay = new tcpRelay.TcpRelay(HOST, port);
     this.storeUrl = `http://${HOST}:${await this.storeRelay.listen(0, HOST)}`;
     for (const service of SERVICES.keys()) {
@@ -137,7 +137,7 @@
     this.nextServer += 1;
     target.workMs = WORK_MS;
     target.bodyOf = bodyOf;
-    const port = await portOf(await target.listen());
+    const port = portOf(await target.listen());
     const relay = new tcpRelay.TcpRelay(HOST, port);
     const address = `${HOST}:${await relay.listen(0, HOST)}`;
     const server = { service, target, relay, port, address, leavingSinceMs: undefined };
--- a/src/standin/TcpRelay.test.ts
+++ b/src/standin/TcpRelay.test.ts
@@ -44,3 +44,52 @@
   await relay.close();
   echo.close();
 });
+
+// Guards against faults of the soak that cut nothing.
+test('a link that is cut one way reaches the target, and brings nothing back', async () => {
+  const received: string[] = [];
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (data) => {
+      received.push(data.toString());
+      socket.write('reply');
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await events.once(server, 'listening');
+  const { port } = server.address() as net.AddressInfo;
+  const relay = new tcpRelay.TcpRelay('127.0.0.1', port);
+  const relayPort = await relay.listen(0, '127.0.0.1');
+  relay.cut('*', 'one-way');
+  const socket = net.connect(relayPort, '127.0.0.1');
+  let replies = 0;
+  socket.on('data', () => {
+    replies += 1;
+  });
+  const atServer = events.once(server, 'connection');
+  socket.write('hello');
+  const [accepted] = (await atServer) as [net.Socket];
+  await events.once(accepted, 'data');
+  const closed = events.once(socket, 'close');
+  relay.heal('*');
+  await closed;
+  expect(received).toEqual(['hello']);
+  expect(replies).toBe(0);
+  await relay.close();
+  server.close();
+});
+
+test('a delayed link carries everything, in order', async () => {
+  const { echo, relay, connect } = await open();
+  relay.delayMs = 20;
+  const socket = connect();
+  let text = '';
+  socket.on('data', (data) => {
+    text += data.toString();
+  });
+  for (let count = 0; count < 10; count += 1) socket.write(`${count};`);
+  while (text.length < 20) await events.once(socket, 'data');
+  expect(text).toBe('0;1;2;3;4;5;6;7;8;9;');
+  await relay.close();
+  echo.close();
+});
