--- a/src/bench/live/Live.ts
+++ b/src/bench/live/Live.ts
@@ -5,6 +5,7 @@
 import * as seededRandom from '../../common/SeededRandom';
 import * as faultFleet from '../../faults/FaultFleet';
 import * as scenarios from './Scenarios';
+import * as pauseModule from '../../standin/pause';
 
 const SOURCES = path.join(__dirname, '../..');
 const DAEMONS = 4;
@@ -38,12 +39,6 @@
   readonly attemptsPerCall: number;
 }
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 function startFleet(policy: string, seed: number): Promise<faultFleet.FaultFleet> {
   return faultFleet.FaultFleet.start({
     sources: SOURCES,
@@ -82,7 +77,7 @@
   for (let sequence = 0; dueMs < durationMs; sequence += 1) {
     dueMs += -Math.log(1 - random.next()) * meanGapMs;
     const waitMs = startMs + dueMs - performance.now();
-    if (waitMs > 0) await pause(waitMs);
+    if (waitMs > 0) await pauseModule.pause(waitMs);
     const { url } = fleet.daemon(random.nextInteger(DAEMONS));
     pending.push(fleet.caller.submit(url, { service: 'status', identity: `call ${sequence}` }));
   }
--- a/src/demo/Workload.ts
+++ b/src/demo/Workload.ts
@@ -2,12 +2,7 @@
 import * as caller from '../standin/Caller';
 import * as requestKeys from '../standin/RequestKeys';
 import * as services from './Services';
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
+import * as pauseModule from '../standin/pause';
 
 /** Whether the request of an identity must run at most once. */
 export function isOnce(identity: string): boolean {
@@ -61,7 +56,7 @@
       // A caller waits for its answer before it sends its next request.
       const keys = service.cells.idempotent === 'no' ? await this.takeKeys() : {};
       await this.caller.submit(url, { service: name, identity, ...keys });
-      await pause(service.pauseMs * 2 * this.random.next());
+      await pauseModule.pause(service.pauseMs * 2 * this.random.next());
     }
   }
 }
--- a/src/demo/platformDemo.ts
+++ b/src/demo/platformDemo.ts
@@ -10,6 +10,7 @@
 import * as soakFleet from '../soak/SoakFleet';
 import * as soakLoad from '../soak/SoakLoad';
 import type * as soakTypes from '../soak/Types';
+import * as pauseModule from '../standin/pause';
 
 const DAEMONS = 3;
 const SEED = 1;
@@ -27,12 +28,6 @@
   process.stdout.write(`${text}\n`);
 }
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 function latenciesOf(calls: readonly soakTypes.ICallRecord[]): { p50Ms: number; p99Ms: number } {
   const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
   calls
@@ -52,14 +47,14 @@
   const durationMs = seconds * 1_000;
   load.start();
   await Promise.all([
-    pause(durationMs),
+    pauseModule.pause(durationMs),
     ...EVENTS.map(async ({ name, index, begin, end }) => {
       const fault = faults.all.find((one) => one.name === name);
       if (fault === undefined) throw new Error(`no fault is called "${name}"`);
-      await pause(begin * durationMs);
+      await pauseModule.pause(begin * durationMs);
       say(`${(begin * seconds).toFixed(1)} s: ${name} [${index}]`);
       await fault.begin(index);
-      await pause((end - begin) * durationMs);
+      await pauseModule.pause((end - begin) * durationMs);
       await fault.end(index);
     }),
   ]);
--- a/src/faults/MixedLoad.ts
+++ b/src/faults/MixedLoad.ts
@@ -1,17 +1,12 @@
 import type * as types from '../common/Types';
 import * as requestKeys from '../standin/RequestKeys';
 import type * as faultFleet from './FaultFleet';
+import * as pauseModule from '../standin/pause';
 
 const READERS = 6;
 const ORDERERS = 4;
 const RESENDS = 2;
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 /** Reads, and orders with request keys that are sent again at random. */
 export class MixedLoad {
   private running = true;
@@ -39,7 +34,7 @@
   private async loop(action: () => Promise<unknown>): Promise<void> {
     while (this.running) {
       await action();
-      await pause(5 + 20 * this.random.next());
+      await pauseModule.pause(5 + 20 * this.random.next());
     }
   }
 
--- a/src/faults/RandomFaults.ts
+++ b/src/faults/RandomFaults.ts
@@ -2,6 +2,7 @@
 import type * as standinTypes from '../standin/Types';
 import type * as faultFleet from './FaultFleet';
 import * as testNetwork from './TestNetwork';
+import * as pauseModule from '../standin/pause';
 
 /** What a fault acts on. Two faults at once never share a target. */
 export type Target = 'daemon' | 'server' | 'network' | 'platform' | 'table';
@@ -20,12 +21,6 @@
 /** Time that a server drains, so that work after the limit of 5 s would be seen. */
 const DRAINING_MS = 6_500;
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 /** Counts of what planned stops cut. */
 export interface IStopRecord {
   cutAtServers: number;
@@ -49,7 +44,7 @@
 async function becomesIdle(server: faultFleet.ITestServer): Promise<void> {
   const limitMs = performance.now() + IDLE_LIMIT_MS;
   while (server.backend.inFlight > 0 && performance.now() < limitMs) {
-    await pause(10);
+    await pauseModule.pause(10);
   }
 }
 
@@ -85,7 +80,7 @@
       target: 'server',
       begin: async (index) => {
         server(index).backend.setDraining(true);
-        await pause(DRAINING_MS);
+        await pauseModule.pause(DRAINING_MS);
       },
       end: async (index) => {
         await becomesIdle(server(index));
--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -2,6 +2,7 @@
 import type * as platformStore from '../platform/testing/PlatformStore';
 import type * as soakFleet from './SoakFleet';
 import type * as soakTypes from './Types';
+import * as pauseModule from '../standin/pause';
 
 /** What a fault acts on. Faults at the same time never share a subject. */
 export type Subject = 'daemon' | 'server' | 'store' | 'configuration';
@@ -23,12 +24,6 @@
 const DELAY_MS = 120;
 const SLOW_MS = 400;
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 /** The faults of the soak, and a record of what they disturbed. */
 export class SoakFaults {
   public readonly disturbances: soakTypes.IDisturbance[] = [];
@@ -138,7 +133,7 @@
         subject: 'server',
         begin: async (index) => {
           this.fleet.register(serverOf(index), 'draining');
-          await pause(LEAVING_MS);
+          await pauseModule.pause(LEAVING_MS);
         },
         end: async (index) => {
           const server = serverOf(index);
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -11,6 +11,7 @@
 import * as soakFleet from './SoakFleet';
 import * as soakLoad from './SoakLoad';
 import type * as soakTypes from './Types';
+import * as pauseModule from '../standin/pause';
 
 const DAEMONS = 3;
 const VERSION_INTERVAL_MS = 100;
@@ -23,12 +24,6 @@
 /** Findings of one kind that are printed. */
 const MAX_PRINTED = 5;
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 function say(text: string): void {
   process.stderr.write(`${text}\n`);
 }
@@ -46,7 +41,7 @@
   public async run(): Promise<void> {
     while (!this.stopped) {
       await Promise.all(this.fleet.daemons.map((daemon, index) => this.look(daemon, index)));
-      await pause(VERSION_INTERVAL_MS);
+      await pauseModule.pause(VERSION_INTERVAL_MS);
     }
   }
 
@@ -66,7 +61,7 @@
 async function runFault(fault: soakFaults.IFault, index: number, durationMs: number) {
   say(`${fault.name} [${index}] for ${durationMs} ms`);
   await fault.begin(index);
-  await pause(durationMs);
+  await pauseModule.pause(durationMs);
   await fault.end(index);
 }
 
@@ -93,7 +88,7 @@
       );
     }
     if (busy.size >= MAX_FAULTS) await Promise.race(busy.values());
-    await pause(random.nextInteger(SHORTEST_FAULT_MS));
+    await pauseModule.pause(random.nextInteger(SHORTEST_FAULT_MS));
   }
   await Promise.all(busy.values());
   return injected;
--- a/src/standin/DaemonProcess.ts
+++ b/src/standin/DaemonProcess.ts
@@ -5,6 +5,7 @@
 import * as yaml from 'yaml';
 
 import * as childProcess from './ChildProcess';
+import * as pauseModule from './pause';
 
 /** Where a daemon runs. Addresses are IP addresses; each daemon has three ports. */
 export interface IDaemonPlace {
@@ -27,12 +28,6 @@
 const READY_LIMIT_MS = 20_000;
 const POLL_INTERVAL_MS = 20;
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 /** A daemon as a process of its own. */
 export class DaemonProcess {
   private constructor(
@@ -90,7 +85,7 @@
     while (performance.now() < limitMs) {
       if (!this.child.isRunning) break;
       if (await this.isReady()) return;
-      await pause(POLL_INTERVAL_MS);
+      await pauseModule.pause(POLL_INTERVAL_MS);
     }
     const output = this.child.lines.join('\n');
     throw new Error(`${this.place.name} did not become ready: ${output}`);
