--- a/spec/DirectoryConformance.test.ts
+++ b/spec/DirectoryConformance.test.ts
@@ -2,6 +2,7 @@
 import type * as directoryTypes from '../src/common/directory/Types';
 import * as manualClock from '../src/common/ManualClock';
 import * as seededRandom from '../src/common/SeededRandom';
+import * as directoryProtocol from './DirectoryProtocol';
 import * as directorySpecification from './DirectorySpecification';
 import * as traces from './Traces';
 
@@ -31,8 +32,8 @@
   }
 
   public apply(
-    state: directorySpecification.IFleetState,
-    event: directorySpecification.DirectoryEvent,
+    state: directoryProtocol.IFleetState,
+    event: directoryProtocol.DirectoryEvent,
   ): void {
     if (event.type === 'change' || event.type === 'forget-history') return;
     const { daemon } = event;
@@ -66,9 +67,9 @@
   }
 
   private contentOf(
-    state: directorySpecification.IFleetState,
+    state: directoryProtocol.IFleetState,
     daemon: number,
-    source: directorySpecification.Source,
+    source: directoryProtocol.Source,
   ): Deliver {
     if (source.from === 'peer') {
       const peer = this.at(source.peer);
@@ -96,7 +97,7 @@
 
 function follow(
   specification: directorySpecification.DirectorySpecification,
-  events: readonly directorySpecification.DirectoryEvent[],
+  events: readonly directoryProtocol.DirectoryEvent[],
 ): void {
   let state = specification.initial;
   const real = new RealDirectories(specification, state.daemons.length);
@@ -117,7 +118,7 @@
 }
 
 test('the directory agrees on a trace to every state with two revisions', () => {
-  const bounds = { ...directorySpecification.DEFAULT_DIRECTORY_BOUNDS, maxRevision: 2 };
+  const bounds = { ...directoryProtocol.DEFAULT_DIRECTORY_BOUNDS, maxRevision: 2 };
   const specification = new directorySpecification.DirectorySpecification(undefined, bounds);
   traces.tracesToAll(specification).forEach((events) => follow(specification, events));
 });
--- a/spec/Parts.ts
+++ b/spec/Parts.ts
@@ -1,3 +1,4 @@
+import * as directoryProtocol from './DirectoryProtocol';
 import * as directorySpecification from './DirectorySpecification';
 import * as explorer from './Explorer';
 import * as keyProtocol from './KeyProtocol';
@@ -57,7 +58,7 @@
 }
 
 const SMALL_DIRECTORY_BOUNDS = {
-  ...directorySpecification.DEFAULT_DIRECTORY_BOUNDS,
+  ...directoryProtocol.DEFAULT_DIRECTORY_BOUNDS,
   maxRevision: 2,
 };
 
@@ -100,14 +101,14 @@
   }),
   makePart({
     bounds: '2 daemons, 1 server, 4 revisions, content on its way to 1 daemon',
-    mutants: directorySpecification.DIRECTORY_MUTANTS,
+    mutants: directoryProtocol.DIRECTORY_MUTANTS,
     build: (mutant) =>
       new directorySpecification.DirectorySpecification(
-        mutant as directorySpecification.DirectoryMutant | undefined,
+        mutant as directoryProtocol.DirectoryMutant | undefined,
       ),
     buildSmall: (mutant) =>
       new directorySpecification.DirectorySpecification(
-        mutant as directorySpecification.DirectoryMutant,
+        mutant as directoryProtocol.DirectoryMutant,
         SMALL_DIRECTORY_BOUNDS,
       ),
     buildForComparison: () =>
