Let daemons choose whom they follow, and fetch the member list at once

Cause: readers computed their followers from their own member list, by index. With 1.9% of the members missing in a list each follower behind a gap had another reader than the readers thought, and after a start lists are incomplete for 10 to 25 s, since an exchange delivers about 18 records. Followers without a notice for 1.5 s read the store themselves, and a reader's own confirmation was up to 1.05 s old before its timer told anybody (a watch with changes confirms only its start, then 300 ms pause, then a watch of up to 750 ms, then up to 500 ms until the notice). Notices also counted as pending exchanges and were charged to the gossip budget, so that a reader of 29 followers hardly exchanged with anyone else.

Change: each daemon ranks the members by one hash and asks two of lower rank for notices; readers are one of 100, with a layer of relays above 32 daemons. Notices follow each advance of the confirmation. A daemon that lacks members fetches the whole list. The maximum age of a confirmation is three quarters of the new setting changeDeadline (1.5 s as before by default). Daemons that read only as a fallback use longer watches and back off longer, and need no listing if a peer confirmed them since their failure. The grace period after an outage travels with the directory.

Ruled out: a single parent for each follower (its loss delays changes by a second); a longer watch alone (followers still expire).

--- a/src/bench/virtual/SimulatedServer.test.ts
+++ b/src/bench/virtual/SimulatedServer.test.ts
@@ -1,6 +1,6 @@
 import * as benchTable from './BenchTable';
 import * as companies from './Companies';
-import * as heapClock from './HeapClock';
+import * as heapClock from '../../common/HeapClock';
 import * as simulatedServer from './SimulatedServer';
 import type * as benchTypes from './Types';
 
--- a/src/bench/virtual/Simulation.ts
+++ b/src/bench/virtual/Simulation.ts
@@ -5,7 +5,7 @@
 import * as arrivals from './Arrivals';
 import * as benchTable from './BenchTable';
 import * as daemonFactory from './DaemonFactory';
-import * as heapClock from './HeapClock';
+import * as heapClock from '../../common/HeapClock';
 import * as recorder from './Recorder';
 import type * as simulatedDaemon from './SimulatedDaemon';
 import * as simulatedNetwork from './SimulatedNetwork';
--- a/src/bench/virtual/HeapClock.test.ts
+++ b/src/common/HeapClock.test.ts
@@ -1,4 +1,4 @@
-import * as seededRandom from '../../common/SeededRandom';
+import * as seededRandom from './SeededRandom';
 import * as heapClock from './HeapClock';
 
 test('fires timers by due time, then in the order of creation', () => {
--- a/src/bench/virtual/HeapClock.ts
+++ b/src/common/HeapClock.ts
@@ -1,4 +1,4 @@
-import type * as types from '../../common/Types';
+import type * as types from './Types';
 
 interface HeapTimer {
   readonly dueMs: number;
--- a/src/common/directory/Directory.ts
+++ b/src/common/directory/Directory.ts
@@ -135,11 +135,20 @@
     return { records, revision: this.knownRevision };
   }
 
-  /** Starts the grace period when the directory service responds again after an outage. */
-  public startGracePeriod(): void {
-    this.graceEndMs = this.clock.monotonicMs() + EXPIRY_GRACE_MS;
+  /** Time until the grace period ends, in milliseconds; 0 outside of one. */
+  public get graceRemainingMs(): number {
+    return Math.max(0, this.graceEndMs - this.clock.monotonicMs());
+  }
+
+  /**
+   * Starts the grace period when the directory service responds again after an outage, or extends
+   * the current one.
+   */
+  public startGracePeriod(durationMs = EXPIRY_GRACE_MS): void {
+    if (durationMs <= this.graceRemainingMs) return;
+    this.graceEndMs = this.clock.monotonicMs() + durationMs;
     this.graceTimer?.dispose();
-    this.graceTimer = this.clock.setTimer(EXPIRY_GRACE_MS, () => this.removeExpired());
+    this.graceTimer = this.clock.setTimer(durationMs, () => this.removeExpired());
   }
 
   public dispose(): void {
--- /dev/null
+++ b/src/common/directory/RelayAgent.test.ts
@@ -0,0 +1,56 @@
+import * as seededRandom from '../SeededRandom';
+import * as relayFleet from '../testing/RelayFleet';
+
+const SETTLE_MS = 5_000;
+
+function fleetOf(size: number, knownShare = 1): relayFleet.RelayFleet {
+  const fleet = new relayFleet.RelayFleet(size, new seededRandom.SeededRandom(size), knownShare);
+  fleet.advance(SETTLE_MS);
+  return fleet;
+}
+
+function readsPerSecond(fleet: relayFleet.RelayFleet): number {
+  const before = fleet.reads;
+  fleet.advance(10_000);
+  return (fleet.reads - before) / 10;
+}
+
+// Guards against reads that grow with the fleet (ogsl-gate-large: 52 calls of each daemon a day).
+test.each([19, 133, 312, 1_000])('of %i daemons only the readers read', (size) => {
+  const fleet = fleetOf(size);
+  const readers = Math.max(2, Math.ceil(size / 100));
+  expect(readsPerSecond(fleet)).toBeLessThanOrEqual(1.4 * readers);
+  expect(fleet.daemons.filter(({ confirmation }) => confirmation.remainingMs === 0)).toEqual([]);
+});
+
+// Guards against followers without a source where daemons know different members.
+test('daemons that each lack a tenth of the members cause few additional reads', () => {
+  expect(readsPerSecond(fleetOf(312, 0.9))).toBeLessThanOrEqual(12);
+});
+
+// Guards against a relay that sends far more than the others.
+test('no daemon sends more than a bounded number of notices', () => {
+  const fleet = fleetOf(312);
+  fleet.notices.clear();
+  fleet.advance(10_000);
+  expect(Math.max(...fleet.notices.values()) / 10).toBeLessThanOrEqual(2 * 64);
+});
+
+// Guards against a change that takes effect too late at some daemons.
+test('a change reaches every daemon within a second of its publication', () => {
+  const fleet = fleetOf(312);
+  fleet.publish(2);
+  fleet.advance(1_000);
+  expect(fleet.daemons.filter(({ revision }) => revision < 2)).toEqual([]);
+});
+
+// Guards against changes that are lost with the daemons that relay them.
+test('a change reaches all survivors in time although more than half of the daemons failed', () => {
+  const fleet = fleetOf(312);
+  const random = new seededRandom.SeededRandom(7);
+  fleet.daemons.forEach((daemon) => Object.assign(daemon, { isUp: random.next() > 0.55 }));
+  fleet.publish(2);
+  fleet.advance(2_000);
+  const survivors = fleet.daemons.filter(({ isUp }) => isUp);
+  expect(survivors.filter(({ revision }) => revision < 2)).toEqual([]);
+});
--- /dev/null
+++ b/src/common/directory/RelayAgent.ts
@@ -0,0 +1,121 @@
+import type * as gossipAgent from '../membership/GossipAgent';
+import type * as membershipTypes from '../membership/Types';
+import type * as types from '../Types';
+import type * as confirmationModule from './Confirmation';
+import * as relayTree from './RelayTree';
+import * as subscribers from './Subscribers';
+import * as subscriptions from './Subscriptions';
+import type * as directoryTypes from './Types';
+
+/** Interval at which the sources are chosen and asked for notices, in milliseconds. */
+const SUBSCRIBE_INTERVAL_MS = 500;
+
+/** Delay of a notice, in milliseconds, so that a change and its confirmation travel together. */
+const NOTICE_DELAY_MS = 5;
+
+/** Advance of the confirmation that followers are notified of, as a share of its maximum age. */
+const NOTICE_ADVANCE_SHARE = 0.3;
+
+/**
+ * Time after the start, in milliseconds, in which a daemon that knows no members does not take
+ * itself for the only one.
+ */
+const DISCOVERY_MS = 3_000;
+
+/** The fleet as a relay agent sees it. */
+export interface IRelayFleet {
+  readonly statuses: readonly membershipTypes.IMemberStatus[];
+  /** Whether the settings name other daemons. */
+  readonly expectsPeers: boolean;
+  /** Sends the state of this daemon to each of the addresses. */
+  notify(addresses: readonly string[]): void;
+}
+
+/**
+ * Passes changes of the directory, and confirmations that it is up to date, from the few daemons
+ * that read it to all others. Each daemon asks two sources of its choice for notices, so that the
+ * daemons need not agree on the members of the fleet.
+ */
+export class RelayAgent implements types.IDisposable {
+  private readonly tree: relayTree.RelayTree;
+
+  private readonly subscriptions: subscriptions.Subscriptions;
+
+  private readonly subscribers: subscribers.Subscribers;
+
+  private readonly startedMs: number;
+
+  private hasPeers = false;
+
+  private renewTimer: types.IDisposable | undefined;
+
+  private noticeTimer: types.IDisposable | undefined;
+
+  /** Confirmation that the subscribers were last notified of, as monotonic time. */
+  private noticedTimeMs = Number.NEGATIVE_INFINITY;
+
+  public constructor(
+    own: relayTree.IRelayMember,
+    private readonly confirmation: confirmationModule.Confirmation,
+    private readonly fleet: IRelayFleet,
+    private readonly clock: types.IClock,
+  ) {
+    this.startedMs = clock.monotonicMs();
+    this.tree = new relayTree.RelayTree(own);
+    this.subscriptions = new subscriptions.Subscriptions(clock);
+    this.subscribers = new subscribers.Subscribers(clock);
+    confirmation.onAdvanced(() => this.handleConfirmation());
+  }
+
+  /** Whether this daemon has to read the directory service. */
+  public get readRole(): directoryTypes.ReadRole {
+    if (this.tree.isReader && !this.isDiscovering) return 'reader';
+    return this.confirmation.remainingMs === 0 ? 'fallback' : 'follower';
+  }
+
+  /** Chooses sources now and periodically. */
+  public start(): void {
+    const live = this.fleet.statuses.filter(({ state }) => state === 'live');
+    this.hasPeers ||= live.length > 0;
+    this.tree.update(live.map(({ record }) => record));
+    this.fleet.notify(this.subscriptions.takeDue(this.tree.sources));
+    this.renewTimer = this.clock.setTimer(SUBSCRIBE_INTERVAL_MS, () => this.start());
+  }
+
+  /** Whether this daemon wants notices of the peer. */
+  public follows(address: string): boolean {
+    return this.subscriptions.follows(address);
+  }
+
+  /** Processes the state that a peer reported. */
+  public handleReport({ address, table, wantsNotices }: gossipAgent.IPeerReport): void {
+    if (wantsNotices !== undefined) this.subscribers.update(address, wantsNotices);
+    const isCurrent = table.ageMs !== undefined && table.ageMs < this.confirmation.maxAgeMs;
+    // A source without a current directory is passed over like one that does not answer.
+    if (isCurrent) this.subscriptions.recordMessage(address);
+  }
+
+  /** Notifies the subscribers of a change of the directory. */
+  public notifySubscribers(): void {
+    this.noticeTimer ??= this.clock.setTimer(NOTICE_DELAY_MS, () => {
+      this.noticeTimer = undefined;
+      this.noticedTimeMs = this.confirmation.timeMs;
+      this.fleet.notify(this.subscribers.addresses);
+    });
+  }
+
+  public dispose(): void {
+    this.renewTimer?.dispose();
+    this.noticeTimer?.dispose();
+  }
+
+  private get isDiscovering(): boolean {
+    if (this.hasPeers || !this.fleet.expectsPeers) return false;
+    return this.clock.monotonicMs() - this.startedMs < DISCOVERY_MS;
+  }
+
+  private handleConfirmation(): void {
+    const { timeMs, maxAgeMs } = this.confirmation;
+    if (timeMs - this.noticedTimeMs >= NOTICE_ADVANCE_SHARE * maxAgeMs) this.notifySubscribers();
+  }
+}
--- a/src/common/directory/Types.ts
+++ b/src/common/directory/Types.ts
@@ -62,3 +62,9 @@
   readonly detail: string;
   readonly revision: number;
 }
+
+/**
+ * Whether a daemon has to read the directory service: always, only until a peer confirms its
+ * directory, or not now.
+ */
+export type ReadRole = 'reader' | 'fallback' | 'follower';
--- a/src/common/membership/GossipAgent.ts
+++ b/src/common/membership/GossipAgent.ts
@@ -34,6 +34,20 @@
   readonly urgent: boolean;
   /** Whether the sender received heartbeats of members whose records it lacks. */
   readonly wantsMembers: boolean;
+  /**
+   * Whether the sender asks the recipient to notify it of changes of the directory; undefined if
+   * the message changes nothing about that.
+   */
+  readonly wantsNotices?: boolean | undefined;
+}
+
+/** State that a peer reported in a message or a reply. */
+export interface IPeerReport {
+  readonly address: string;
+  readonly table: ITableState;
+  readonly wantsNotices: boolean | undefined;
+  /** Whether the message showed that this daemon lacks the records of some members. */
+  readonly lacksMembers: boolean;
 }
 
 export interface IOutgoingMessage {
@@ -49,6 +63,8 @@
   /** Returns the encoded size of a message. */
   readonly sizeOf: (message: IExchangeMessage) => number;
   readonly tableState: () => ITableState;
+  /** Returns whether this daemon wants notices of a peer. */
+  readonly wantsNoticesOf?: (address: string) => boolean;
 }
 
 /** Chooses the target and content of gossip messages and merges received ones. Does no I/O. */
@@ -61,6 +77,11 @@
 
   private readonly urgentEmitter = new emitter.Emitter<void>();
 
+  private readonly reportEmitter = new emitter.Emitter<IPeerReport>();
+
+  /** Fires for each message and reply of a peer. */
+  public readonly onReport: types.Event<IPeerReport> = this.reportEmitter.event;
+
   /** Fires when `takeUrgentMessage` has something to send. */
   public readonly onUrgent: types.Event<void> = this.urgentEmitter.event;
 
@@ -147,22 +168,29 @@
   }
 
   /**
-   * Composes a message with only the state of this daemon, and charges the budget for sending it to
-   * `targetCount` peers.
+   * Composes a message with only the state of this daemon for one peer. It is not charged to the
+   * budget of the exchanges: notices to many followers would leave none for the daemon's own.
    */
-  public composeNotice(targetCount: number): IExchangeMessage {
-    const notice = { ...this.emptyMessage, urgent: true };
-    this.budget.spend(this.options.sizeOf(notice) * targetCount);
-    return notice;
+  public composeNotice(target: string): IExchangeMessage {
+    return { ...this.emptyMessageTo(target), urgent: true };
   }
 
   /** Merges the message of a peer and returns the reply. */
   public receive(message: IExchangeMessage): IExchangeMessage {
-    const reply = message.urgent ? this.emptyMessage : this.compose(message.wantsMembers);
+    const { address } = message.sender;
+    if (message.urgent) {
+      this.merge(message);
+      return this.emptyMessageTo(address);
+    }
+    const reply = this.compose(message.wantsMembers);
     this.merge(message);
     return this.chargeBudget(reply);
   }
 
+  private emptyMessageTo(target: string): IExchangeMessage {
+    return { ...this.emptyMessage, wantsNotices: this.options.wantsNoticesOf?.(target) };
+  }
+
   /** Merges the records of a message or a reply. */
   public merge(message: IExchangeMessage): void {
     this.members.merge(message.sender);
@@ -170,6 +198,9 @@
     this.updateWantsMembers(message);
     message.heartbeats.forEach(({ id, heartbeat }) => this.members.mergeHeartbeat(id, heartbeat));
     message.facts.forEach((fact) => this.facts.merge(fact));
+    const { sender, table, wantsNotices } = message;
+    const { wantsMembers: lacksMembers } = this;
+    this.reportEmitter.fire({ address: sender.address, table, wantsNotices, lacksMembers });
   }
 
   private updateWantsMembers({ heartbeats }: IExchangeMessage): void {
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -108,7 +108,10 @@
     this.decisionLog = new decisionLog.DecisionLog(logger, clock);
     this.tableBuilder = new tableBuilder.TableBuilder(new weightedSplit.SplitStates(random));
     this.directory = new directoryModule.Directory(clock);
-    this.confirmation = new confirmationModule.Confirmation(clock);
+    this.confirmation = new confirmationModule.Confirmation(
+      clock,
+      () => this.options.changeDeadline,
+    );
     this.watcher = new directoryWatcher.DirectoryWatcher(
       dependencies.source,
       this.directory,
@@ -116,7 +119,7 @@
       logger,
       clock,
       random,
-      () => this.fleet?.mustRead ?? true,
+      () => this.fleet?.readRole ?? 'fallback',
     );
     this.transport = new httpTransport.HttpTransport(clock, random, dependencies.backendProtocol);
     this.checkBudget = new checkBudget.CheckBudget(clock);
@@ -312,7 +315,7 @@
     };
     const countMembers = () => this.fleet?.members.count ?? 0;
     const readOptions = () => this.options;
-    return new fleetShares.FleetShares(readOptions, countMembers, limits, this.clock);
+    return new fleetShares.FleetShares(readOptions, countMembers, limits, this.clock, this.random);
   }
 
   /** Discards state that may be stale after a pause of the process. */
--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -25,7 +25,7 @@
 
 function make() {
   const directory = new directoryModule.Directory(clock);
-  const confirmation = new confirmationModule.Confirmation(clock);
+  const confirmation = new confirmationModule.Confirmation(clock, () => 2_000);
   const logger = bunyan.createLogger({ name: 'test', streams: [] });
   const unused = { fetchTable: () => Promise.reject(new Error('not used')) };
   const sender = new directorySync.DirectorySync(
--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -4,7 +4,7 @@
 import type * as bunyan from 'bunyan';
 
 import type * as confirmationModule from '../../common/directory/Confirmation';
-import type * as directoryModule from '../../common/directory/Directory';
+import * as directoryModule from '../../common/directory/Directory';
 import type * as directoryTypes from '../../common/directory/Types';
 import type * as gossipAgent from '../../common/membership/GossipAgent';
 import type * as types from '../../common/Types';
@@ -17,6 +17,9 @@
 
 const NO_NEWER_VERSION: peer.FetchTableReply = { version: 0, compressedText: Buffer.alloc(0) };
 
+/** Longest grace period accepted from a peer, in milliseconds. */
+const MAX_GRACE_MS = directoryModule.EXPIRY_GRACE_MS;
+
 /** Size limit of a decompressed directory, in bytes. */
 const MAX_DIRECTORY_BYTES = 16 * 1024 * 1024;
 
@@ -26,11 +29,26 @@
  */
 const LOCAL_READ_GRACE_MS = 400;
 
-/** Reply to a peer with an older directory, sent as gzipped JSON. */
-type RelayedDirectory =
+type RelayedContent =
   | { readonly kind: 'changes'; readonly content: directoryTypes.IDirectoryChanges }
   | { readonly kind: 'listing'; readonly content: directoryTypes.IDirectoryListing };
 
+/** Reply to a peer with an older directory, sent as gzipped JSON. */
+type RelayedDirectory = RelayedContent & {
+  /**
+   * Remaining grace period for servers whose entries expired during an outage of the directory
+   * service, in milliseconds. Absent in replies of earlier versions.
+   */
+  readonly graceRemainingMs?: number;
+};
+
+/** A reply, kept because many peers ask for the same changes at the same moment. */
+interface ICachedReply {
+  readonly newerThan: number;
+  readonly revision: number;
+  readonly reply: Promise<peer.FetchTableReply>;
+}
+
 /**
  * Fetches the directory from peers with a newer revision, and adopts their confirmations that it is
  * up to date.
@@ -38,6 +56,8 @@
 export class DirectorySync implements fleetTypes.IPeerSync {
   private fetching = false;
 
+  private cachedReply: ICachedReply | undefined;
+
   /** @param isReader Returns whether this daemon currently reads the directory service itself. */
   public constructor(
     private readonly directory: directoryModule.Directory,
@@ -65,14 +85,28 @@
    */
   public async reply(request: peer.FetchTableRequest): Promise<peer.FetchTableReply> {
     const { directory } = this;
-    if (directory.revision <= request.newerThan) return NO_NEWER_VERSION;
-    const changes = directory.changesSince(request.newerThan);
-    const message: RelayedDirectory =
+    const { newerThan } = request;
+    const { revision } = directory;
+    if (revision <= newerThan) return NO_NEWER_VERSION;
+    const cached = this.cachedReply;
+    const isCurrent = cached?.newerThan === newerThan && cached.revision === revision;
+    // The remaining grace period changes with time, and must not be sent too long.
+    if (isCurrent && directory.graceRemainingMs === 0) return cached.reply;
+    const reply = this.compose(newerThan);
+    this.cachedReply = { newerThan, revision, reply };
+    return reply;
+  }
+
+  private async compose(newerThan: number): Promise<peer.FetchTableReply> {
+    const { directory } = this;
+    const changes = directory.changesSince(newerThan);
+    const relayed: RelayedContent =
       changes === undefined
         ? { kind: 'listing', content: directory.listing }
         : { kind: 'changes', content: changes };
+    const message: RelayedDirectory = { ...relayed, graceRemainingMs: directory.graceRemainingMs };
     const compressedText = await gzip(JSON.stringify(message));
-    return { version: message.content.revision, compressedText };
+    return { version: relayed.content.revision, compressedText };
   }
 
   private async catchUp(address: string, version: number): Promise<void> {
@@ -99,7 +133,9 @@
     try {
       const maxOutputLength = MAX_DIRECTORY_BYTES;
       const text = await gunzip(fetched.value.compressedText, { maxOutputLength });
-      const { kind, content } = JSON.parse(text.toString('utf8')) as RelayedDirectory;
+      const relayed = JSON.parse(text.toString('utf8')) as RelayedDirectory;
+      const { kind, content } = relayed;
+      this.directory.startGracePeriod(Math.min(relayed.graceRemainingMs ?? 0, MAX_GRACE_MS));
       if (kind === 'changes') this.directory.apply(content.records, content.revision);
       else this.directory.replace(content);
       const { revision } = this.directory;
--- a/src/node/directory/DirectoryWatcher.test.ts
+++ b/src/node/directory/DirectoryWatcher.test.ts
@@ -57,15 +57,15 @@
 let directory: directoryModule.Directory;
 let confirmation: confirmationModule.Confirmation;
 let source: FakeSource;
-let mustRead: boolean;
+let readRole: directoryTypes.ReadRole;
 let watcher: directoryWatcher.DirectoryWatcher;
 
 beforeEach(() => {
   clock = new manualClock.ManualClock();
   directory = new directoryModule.Directory(clock);
-  confirmation = new confirmationModule.Confirmation(clock);
+  confirmation = new confirmationModule.Confirmation(clock, () => 2_000);
   source = new FakeSource();
-  mustRead = true;
+  readRole = 'reader';
   watcher = new directoryWatcher.DirectoryWatcher(
     source,
     directory,
@@ -73,7 +73,7 @@
     bunyan.createLogger({ name: 'test', streams: [] }),
     clock,
     new seededRandom.SeededRandom(1),
-    () => mustRead,
+    () => readRole,
   );
   watcher.start();
 });
@@ -165,11 +165,11 @@
   await source.respond(contentAt(4));
   await source.respond(contentAt(4));
   await source.respond(contentAt(4));
-  mustRead = false;
+  readRole = 'follower';
   await source.respond(contentAt(4));
   await advance(20_000);
   confirmation.confirm();
-  mustRead = true;
+  readRole = 'reader';
   await advance(100);
   await source.respond({ ok: false, error: UNAVAILABLE });
   await advance(100);
--- a/src/node/directory/DirectoryWatcher.ts
+++ b/src/node/directory/DirectoryWatcher.ts
@@ -8,11 +8,21 @@
 import * as names from '../telemetry/Names';
 
 /**
- * Duration of a watch without changes, in milliseconds. An unresponsive connection hides changes
- * for at least this long, and the end of each watch confirms that the directory is up to date, for
- * this daemon and the peers that it notifies.
+ * Limits of the duration of a watch without changes, as shares of the maximum age of a
+ * confirmation. The end of each watch confirms that the directory is up to date, for this daemon
+ * and the peers that it notifies, and an unresponsive connection hides changes at least as long.
  */
-const WATCH_MS = 750;
+const WATCH_SHARE = 0.5;
+const CONFIRMATION_SHARE = 0.6;
+
+/** Minimum duration of a watch without changes, in milliseconds. */
+const MIN_WATCH_MS = 150;
+
+/**
+ * Duration of a watch of a daemon that reads only until a peer confirms its directory, in
+ * milliseconds. Such reads grow with the fleet, so they are few.
+ */
+const FALLBACK_WATCH_MS = 2_000;
 
 /** Interval at which a daemon that need not read checks whether it has to, in milliseconds. */
 const ROLE_CHECK_INTERVAL_MS = 100;
@@ -24,6 +34,12 @@
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
 
+/**
+ * Maximum delay after a failed read of a daemon that is not a reader, in milliseconds. When the
+ * directory service recovers, the readers then confirm most other daemons before they read.
+ */
+const FALLBACK_BACKOFF_MS = 3_000;
+
 /** Shortest outage, in milliseconds, in which entries of running servers may have expired. */
 const MIN_EXPIRY_OUTAGE_MS = 1_000;
 
@@ -51,12 +67,15 @@
 
   private mustList = true;
 
+  /** Monotonic time of the last failed read. */
+  private failedAtMs = Number.NEGATIVE_INFINITY;
+
   private disposed = false;
 
   /** Incremented by each start, so that results of reads begun before it are discarded. */
   private generation = 0;
 
-  /** @param mustRead Returns false while this daemon learns of changes from its peers instead. */
+  /** @param readRole Returns whether this daemon has to read, or learns of changes from peers. */
   public constructor(
     private readonly source: nodeTypes.IDirectorySource,
     private readonly directory: directoryModule.Directory,
@@ -64,7 +83,7 @@
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
-    private readonly mustRead: () => boolean = () => true,
+    private readonly readRole: () => directoryTypes.ReadRole = () => 'reader',
   ) {
     this.lastResponseMs = clock.monotonicMs();
   }
@@ -84,6 +103,7 @@
   /** Aborts reads in progress and lists again immediately, as after a pause of the process. */
   public restart(): void {
     this.mustList = true;
+    this.failedAtMs = this.clock.monotonicMs();
     this.source.reset();
     this.start();
   }
@@ -104,8 +124,25 @@
   }
 
   private readNext(generation: number): Promise<number> {
-    if (this.hasListed && !this.mustRead()) return Promise.resolve(ROLE_CHECK_INTERVAL_MS);
-    return this.mustList ? this.list(generation) : this.watch(generation);
+    if (this.hasListed && this.readRole() === 'follower') {
+      return Promise.resolve(ROLE_CHECK_INTERVAL_MS);
+    }
+    return this.needsListing ? this.list(generation) : this.watch(generation);
+  }
+
+  /** Whether changes may be missing that a watch would not report and no peer has delivered. */
+  private get needsListing(): boolean {
+    return this.mustList && (!this.hasListed || this.confirmation.timeMs <= this.failedAtMs);
+  }
+
+  /** Duration of the next watch without changes, in milliseconds. */
+  private get watchMs(): number {
+    if (this.readRole() !== 'reader') return FALLBACK_WATCH_MS;
+    const { maxAgeMs, ageMs } = this.confirmation;
+    const untilDueMs = CONFIRMATION_SHARE * maxAgeMs - ageMs;
+    const limitMs = WATCH_SHARE * maxAgeMs;
+    // Without any confirmation the first watch ends early, so that followers need not read.
+    return Math.round(Math.min(limitMs, Math.max(MIN_WATCH_MS, untilDueMs)));
   }
 
   private async list(generation: number): Promise<number> {
@@ -127,9 +164,10 @@
   private async watch(generation: number): Promise<number> {
     this.watches += 1;
     const startMs = this.clock.monotonicMs();
-    const result = await this.source.watch(this.directory.revision, WATCH_MS);
+    const result = await this.source.watch(this.directory.revision, this.watchMs);
     if (generation !== this.generation || this.disposed) return 0;
     if (!result.ok) return this.recordFailure(result.error);
+    this.mustList = false;
     const { records, revision } = result.value;
     this.handleRecovery();
     this.directory.apply(records, revision);
@@ -157,6 +195,7 @@
 
   /** Returns the delay before the next read. */
   private recordFailure(failure: directoryTypes.DirectoryFailure): number {
+    this.failedAtMs = this.clock.monotonicMs();
     if (failure.kind === 'history-lost') {
       this.mustList = true;
       const { revision } = this.directory;
@@ -176,10 +215,10 @@
       const fields = { event: names.DIRECTORY_LOST, detail: failure.detail };
       this.logger.warn(fields, 'directory is unavailable');
     }
-    const maxDelayMs = Math.min(
-      MAX_BACKOFF_MS,
-      INITIAL_BACKOFF_MS * 2 ** (this.consecutiveFailures - 1),
-    );
+    const maxDelayMs =
+      this.readRole() === 'reader'
+        ? Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** (this.consecutiveFailures - 1))
+        : FALLBACK_BACKOFF_MS;
     return maxDelayMs * (0.5 + this.random.next() / 2);
   }
 
--- a/src/node/fleet/ExchangeLoop.ts
+++ b/src/node/fleet/ExchangeLoop.ts
@@ -68,12 +68,12 @@
     this.send(this.agent.takeUrgentMessage());
   }
 
-  /** Sends the state of this daemon to `targets`. */
+  /** Sends the state of this daemon to `targets`, outside the limit on pending exchanges. */
   public notify(targets: readonly string[]): void {
-    if (targets.length === 0) return;
-    const message = this.agent.composeNotice(targets.length);
     targets.forEach((target) => {
-      this.exchange(target, message).catch((error: Error) => this.logFailure(error));
+      this.deliver(target, this.agent.composeNotice(target)).catch((error: Error) =>
+        this.logFailure(error),
+      );
     });
   }
 
@@ -111,10 +111,17 @@
   }
 
   private async exchange(address: string, message: gossipAgent.IExchangeMessage): Promise<void> {
-    this.begun += 1;
     this.pending += 1;
+    try {
+      await this.deliver(address, message);
+    } finally {
+      this.pending -= 1;
+    }
+  }
+
+  private async deliver(address: string, message: gossipAgent.IExchangeMessage): Promise<void> {
+    this.begun += 1;
     const result = await this.peers.exchange(address, exchangeMessages.toWire(message));
-    this.pending -= 1;
     if (!result.ok) {
       this.failed += 1;
       this.logger.debug({ address, err: result.error }, 'failed to reach peer');
--- a/src/node/fleet/ExchangeMessages.ts
+++ b/src/node/fleet/ExchangeMessages.ts
@@ -29,6 +29,7 @@
     heartbeats: message.heartbeats.map(({ heartbeat }) => heartbeat),
     urgent: message.urgent,
     wantsMembers: message.wantsMembers,
+    wantsNotices: message.wantsNotices,
     tableAgeMs: message.table.ageMs,
   };
 }
@@ -61,6 +62,7 @@
     facts: decodeFacts(received.facts),
     urgent: received.urgent ?? false,
     wantsMembers: received.wantsMembers,
+    wantsNotices: received.wantsNotices,
   };
 }
 
--- a/src/node/fleet/Fleet.test.ts
+++ b/src/node/fleet/Fleet.test.ts
@@ -76,6 +76,7 @@
       if (table === undefined) return unreachable;
       return { ok: true, value: exchangeFrom(address, table.version) };
     },
+    fetchMembers: async () => unreachable,
     fetchTable: async (address) => {
       const table = peerTables.get(address);
       if (table === undefined) return unreachable;
--- a/src/node/fleet/RoutedFleet.test.ts
+++ b/src/node/fleet/RoutedFleet.test.ts
@@ -22,7 +22,7 @@
 function make(address: string, seedPeers: readonly string[], seed: number): IMember {
   const clock = new systemClock.SystemClock();
   const directory = new directoryModule.Directory(clock);
-  const confirmation = new confirmationModule.Confirmation(clock);
+  const confirmation = new confirmationModule.Confirmation(clock, () => 2_000);
   const fleet = new routedFleet.RoutedFleet(
     { peerAddress: address, failureDomain: 'a', seedPeers },
     directory,
@@ -77,7 +77,7 @@
   await eventually(() => members.every(({ fleet }) => fleet.members.count === MEMBERS));
   const reader = members.find(({ confirmation, fleet }) => {
     confirmation.confirm();
-    return fleet.mustRead;
+    return fleet.readRole === 'reader';
   }) as IMember;
   members.forEach(({ confirmation }) => confirmation.reset());
   publish(reader, 7);
@@ -85,6 +85,6 @@
   const others = members.filter((member) => member !== reader);
   await eventually(() => {
     reader.confirmation.confirm();
-    return others.filter(({ fleet }) => !fleet.mustRead).length >= MEMBERS - 2;
+    return others.filter(({ fleet }) => fleet.readRole === 'follower').length >= MEMBERS - 2;
   });
 });
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -2,7 +2,8 @@
 
 import type * as confirmationModule from '../../common/directory/Confirmation';
 import type * as directoryModule from '../../common/directory/Directory';
-import * as readRoles from '../../common/directory/ReadRoles';
+import * as relayAgent from '../../common/directory/RelayAgent';
+import type * as directoryTypes from '../../common/directory/Types';
 import type * as factStore from '../../common/membership/FactStore';
 import * as gossipAgent from '../../common/membership/GossipAgent';
 import * as memberRecords from '../../common/membership/MemberRecords';
@@ -14,9 +15,7 @@
 import * as startError from '../StartError';
 import * as exchangeLoop from './ExchangeLoop';
 import * as exchangeMessages from './ExchangeMessages';
-
-/** Interval at which readers send their confirmation to their followers, in milliseconds. */
-const NOTIFY_INTERVAL_MS = 500;
+import * as memberSync from './MemberSync';
 
 /** Identity of a daemon and its seed peers. Addresses are IP address and port. */
 export interface IRoutedFleetOptions {
@@ -36,7 +35,7 @@
 
   private readonly loop: exchangeLoop.ExchangeLoop;
 
-  private notifyTimer: types.IDisposable | undefined;
+  private readonly relay: relayAgent.RelayAgent;
 
   private readonly client = new peerClient.PeerClient();
 
@@ -61,29 +60,39 @@
           hash: '',
           ageMs: Number.isFinite(confirmation.ageMs) ? Math.ceil(confirmation.ageMs) : undefined,
         }),
+        wantsNoticesOf: (address) => this.relay.follows(address),
       },
       clock,
       random,
     );
     this.members = this.agent.members;
+    this.relay = this.makeRelay();
     this.facts = this.agent.facts;
     const sync = new directorySync.DirectorySync(
       directory,
       confirmation,
-      () => this.mustRead,
+      () => this.readRole !== 'follower',
       this.client,
       logger,
       clock,
     );
     this.loop = new exchangeLoop.ExchangeLoop(this.agent, sync, this.client, logger, clock);
+    const members = new memberSync.MemberSync(this.agent, this.client, logger, clock);
     this.server = new peerServer.PeerServer({
       exchange: (request) => this.loop.receive(request),
       fetchTable: (request) => sync.reply(request),
+      fetchMembers: () => members.reply(),
+    });
+    this.agent.onReport((report) => {
+      this.relay.handleReport(report);
+      members
+        .syncFrom(report)
+        .catch((error: Error) => logger.warn({ err: error }, 'failed to sync members'));
     });
     this.members.onChanged(({ kind, record }) => {
       if (kind === 'departed') this.client.disconnect(record.address);
     });
-    directory.onChanged(() => this.notifyFollowers());
+    directory.onChanged(() => this.relay.notifySubscribers());
     this.setSeedPeers(options.seedPeers);
   }
 
@@ -95,15 +104,12 @@
     });
     this.loop.start();
     this.loop.exchangeNow();
-    this.scheduleNotification();
+    this.relay.start();
   }
 
-  /**
-   * Whether this daemon has to read the directory service: because it is one of the fleet's
-   * readers, or because no reader has confirmed its directory recently.
-   */
-  public get mustRead(): boolean {
-    return this.confirmation.remainingMs === 0 || this.readRole.isReader;
+  /** Whether this daemon has to read the directory service. */
+  public get readRole(): directoryTypes.ReadRole {
+    return this.relay.readRole;
   }
 
   /** Sets the peers that are contacted even before they are known as members. */
@@ -132,24 +138,25 @@
   }
 
   public dispose(): void {
-    this.notifyTimer?.dispose();
+    this.relay.dispose();
     this.loop.dispose();
     this.server.dispose();
     this.client.dispose();
   }
 
-  private get readRole(): readRoles.IReadRole {
-    return readRoles.roleOf(this.options.peerAddress, this.members.livePeers);
-  }
-
-  private notifyFollowers(): void {
-    this.loop.notify(this.readRole.followers);
-  }
-
-  private scheduleNotification(): void {
-    this.notifyTimer = this.clock.setTimer(NOTIFY_INTERVAL_MS, () => {
-      this.notifyFollowers();
-      this.scheduleNotification();
-    });
+  private makeRelay(): relayAgent.RelayAgent {
+    const { peerAddress: address, failureDomain } = this.options;
+    const { members } = this;
+    const fleet: relayAgent.IRelayFleet = {
+      get expectsPeers() {
+        return members.peers.length > 0;
+      },
+      get statuses() {
+        return members.statuses;
+      },
+      notify: (addresses) => this.loop.notify(addresses),
+    };
+    const own = { address, failureDomain };
+    return new relayAgent.RelayAgent(own, this.confirmation, fleet, this.clock);
   }
 }
--- a/src/node/fleet/Types.ts
+++ b/src/node/fleet/Types.ts
@@ -22,6 +22,7 @@
 export interface IPeerSender {
   exchange(address: string, request: peer.ExchangeRequest): Reply<peer.ExchangeReply>;
   fetchTable(address: string, request: peer.FetchTableRequest): Reply<peer.FetchTableReply>;
+  fetchMembers(address: string): Reply<peer.FetchMembersReply>;
   /** Closes the connection to a peer that departed. */
   disconnect(address: string): void;
 }
--- a/src/node/peer/PeerClient.ts
+++ b/src/node/peer/PeerClient.ts
@@ -48,6 +48,11 @@
     return this.call(client.fetchTable.bind(client), request);
   }
 
+  public fetchMembers(address: string): Promise<Reply<peer.FetchMembersReply>> {
+    const client = this.clientOf(address);
+    return this.call(client.fetchMembers.bind(client), {});
+  }
+
   public claimKey(
     address: string,
     request: peer.ClaimKeyRequest,
--- a/src/node/peer/PeerServer.ts
+++ b/src/node/peer/PeerServer.ts
@@ -7,6 +7,15 @@
 export interface IPeerHandler {
   exchange(request: peer.ExchangeRequest): peer.ExchangeReply;
   fetchTable(request: peer.FetchTableRequest): Promise<peer.FetchTableReply>;
+  /** Absent where peers learn the members from exchanges alone. */
+  fetchMembers?(): Promise<peer.FetchMembersReply>;
+}
+
+function replyWhenDone<TReply>(reply: Promise<TReply>, callback: grpc.sendUnaryData<TReply>): void {
+  reply.then(
+    (value) => callback(null, value),
+    (error: Error) => callback({ code: grpc.status.INTERNAL, details: error.message }),
+  );
 }
 
 function toUnaryHandler<TRequest, TReply>(
@@ -32,11 +41,14 @@
       fetchTable: (
         call: grpc.ServerUnaryCall<peer.FetchTableRequest, peer.FetchTableReply>,
         callback: grpc.sendUnaryData<peer.FetchTableReply>,
+      ) => replyWhenDone(handler.fetchTable(call.request), callback),
+      fetchMembers: (
+        _call: grpc.ServerUnaryCall<peer.FetchMembersRequest, peer.FetchMembersReply>,
+        callback: grpc.sendUnaryData<peer.FetchMembersReply>,
       ) => {
-        handler.fetchTable(call.request).then(
-          (reply) => callback(null, reply),
-          (error: Error) => callback({ code: grpc.status.INTERNAL, details: error.message }),
-        );
+        const reply = handler.fetchMembers?.();
+        if (reply === undefined) callback({ code: grpc.status.UNIMPLEMENTED });
+        else replyWhenDone(reply, callback);
       },
       claimKey: toUnaryHandler(keys?.claimKey.bind(keys)),
       completeKey: toUnaryHandler(keys?.completeKey.bind(keys)),
--- a/src/node/settings/ReloadedSettings.test.ts
+++ b/src/node/settings/ReloadedSettings.test.ts
@@ -9,6 +9,7 @@
   failureDomain: 'a',
   directoryUrl: 'http://10.0.0.9:80',
   seedPeers: ['10.0.0.2:82'],
+  changeDeadline: 2_000,
   stopGrace: 6_000,
   retryFraction: 0.2,
   retryAllowance: 50,
--- a/src/node/settings/RoutedSettings.ts
+++ b/src/node/settings/RoutedSettings.ts
@@ -16,6 +16,9 @@
   return zod.NEVER;
 });
 
+/** Default of `changeDeadline`, in milliseconds. */
+const DEFAULT_CHANGE_DEADLINE_MS = 2_000;
+
 const SCHEMA = zod.strictObject({
   callerAddress: ADDRESS,
   readinessAddress: ADDRESS,
@@ -24,6 +27,8 @@
   failureDomain: zod.string().min(1).max(63),
   directoryUrl: zod.url({ protocol: /^http$/, error: 'expected an http URL' }),
   seedPeers: zod.array(ADDRESS),
+  /** Time within which a change of the directory must be active. */
+  changeDeadline: DURATION_MS.default(DEFAULT_CHANGE_DEADLINE_MS),
   /** Time from the stop signal until the process is killed. */
   stopGrace: DURATION_MS,
   retryFraction: zod.number().min(0).max(1),
