--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -107,3 +107,32 @@
   expect(directory.listing).toEqual(peerDirectory.listing);
   expect(replaceSpy).not.toHaveBeenCalled();
 });
+
+// Guards against a follower that drops running servers whose entries expired during an outage,
+// while its source keeps them.
+test('the grace period after an outage travels with the directory', async () => {
+  const { directory, sync } = make();
+  await sync.syncFrom(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  peerDirectory.startGracePeriod();
+  clock.advance(1_000);
+  peerDirectory.apply([{ kind: 'server-removed', revision: 6, id: '1' }], 6);
+  await sync.syncFrom(ADDRESS, { version: 6, hash: '', ageMs: 20 });
+  expect(directory.servers).toHaveLength(1);
+  clock.advance(directoryModule.EXPIRY_GRACE_MS - 1_000);
+  expect(directory.servers).toEqual([]);
+  expect(peerDirectory.servers).toEqual([]);
+});
+
+// Guards against a directory that is packed again for each of many followers.
+test('followers with the same revision get the same packed changes', async () => {
+  const unused = { fetchTable: () => Promise.reject(new Error('not used')) };
+  const logger = bunyan.createLogger({ name: 'test', streams: [] });
+  const confirmation = new confirmationModule.Confirmation(clock, () => 2_000);
+  const sender = new directorySync.DirectorySync(
+    ...([peerDirectory, confirmation, () => true, unused, logger, clock] as const),
+  );
+  const [first, second] = await Promise.all([1, 2].map(() => sender.reply({ newerThan: 0 })));
+  expect(second?.compressedText).toBe(first?.compressedText);
+  peerDirectory.apply([{ kind: 'server-removed', revision: 6, id: '1' }], 6);
+  expect((await sender.reply({ newerThan: 0 })).version).toBe(6);
+});
--- a/src/node/directory/DirectoryWatcher.test.ts
+++ b/src/node/directory/DirectoryWatcher.test.ts
@@ -176,3 +176,24 @@
   await source.respond(contentAt(5));
   expect(startGracePeriod).not.toHaveBeenCalled();
 });
+
+// Guards against reads of the whole fleet that arrive together when the store recovers.
+test('a daemon that is not a reader retries rarely, and needs no listing once a peer confirms', async () => {
+  await source.respond(contentAt(4));
+  readRole = 'fallback';
+  await source.respond({ ok: false, error: UNAVAILABLE });
+  await advance(1_000);
+  expect(source.reads).toEqual(['list', 'watch 4']);
+  confirmation.confirm();
+  await advance(2_500);
+  expect(source.reads).toEqual(['list', 'watch 4', 'watch 4']);
+});
+
+// Guards against changes missed by an interrupted watch that nobody has delivered since.
+test('a daemon that nobody confirmed since its failed read lists again', async () => {
+  await source.respond(contentAt(4));
+  readRole = 'fallback';
+  await source.respond({ ok: false, error: UNAVAILABLE });
+  await advance(3_000);
+  expect(source.reads).toEqual(['list', 'watch 4', 'list']);
+});
