Give each daemon of a large fleet a whole retry permit

Cause: at 312 daemons the share of the retry allowance is 0.9 of a permit, and a bucket that never holds a whole one grants nothing, not even what its own calls earn.

Change: where a share is below one, that fraction of the daemons holds a whole permit, and the others hold it in the next windows. Until the number of daemons is known a daemon holds one permit without a refill, in place of the share of an assumed fleet of 24.

Ruled out: a whole permit for every daemon, which exceeds the allowance from 430 daemons on.

--- a/src/node/FleetShares.ts
+++ b/src/node/FleetShares.ts
@@ -25,6 +25,9 @@
 /** Fraction of a daemon's share that is available as a burst; the rest refills over the window. */
 const BURST_FRACTION = 0.8;
 
+/** Permits available to each daemon until the number of daemons is known. */
+const INITIAL_BURST = 1;
+
 /** Limits that are divided among the daemons. */
 export interface ISharedLimits {
   /** Number of daemons that the current server shares assume; undefined before the first table. */
@@ -40,6 +43,14 @@
 
   private readonly startedMs: number;
 
+  /**
+   * Position in [0, 1) that decides whether this daemon holds a permit where a share is below one.
+   * It advances by the share in each window, so that each daemon holds one in turn.
+   */
+  private turn: number;
+
+  private turnStartedMs: number;
+
   /** @param countMembers Number of known members, this daemon included; 0 before it joins. */
   public constructor(
     private readonly readOptions: () => Pick<
@@ -49,13 +60,16 @@
     private readonly countMembers: () => number,
     private readonly limits: ISharedLimits,
     private readonly clock: types.IClock,
+    random: types.IRandom,
   ) {
     this.startedMs = clock.monotonicMs();
+    this.turn = random.next();
+    this.turnStartedMs = this.startedMs;
   }
 
   /** Estimated upper bound on the number of running daemons. */
   public get daemonCount(): number {
-    const isSettled = this.clock.monotonicMs() - this.startedMs > MEMBERSHIP_SETTLE_MS;
+    const { isSettled } = this;
     const counted = Math.ceil(DAEMON_COUNT_MARGIN * this.countMembers());
     return isSettled && counted > 1 ? counted : Math.max(ASSUMED_DAEMON_COUNT, counted);
   }
@@ -63,12 +77,7 @@
   /** Divides the limits now and periodically. */
   public start(): void {
     const { daemonCount, limits } = this;
-    const { retryAllowance, retryWindow } = this.readOptions();
-    const share = (ALLOWANCE_UTILIZATION * retryAllowance) / daemonCount;
-    limits.setRetryReserve(
-      BURST_FRACTION * share,
-      (1_000 * (1 - BURST_FRACTION) * share) / retryWindow,
-    );
+    this.divideRetryAllowance();
     const appliedCount = limits.appliedDaemonCount ?? daemonCount;
     if (Math.abs(daemonCount - appliedCount) > REDISTRIBUTION_THRESHOLD * appliedCount)
       limits.redistributeServers();
@@ -78,4 +87,35 @@
   public dispose(): void {
     this.timer?.dispose();
   }
+
+  private get isSettled(): boolean {
+    return this.clock.monotonicMs() - this.startedMs > MEMBERSHIP_SETTLE_MS;
+  }
+
+  private divideRetryAllowance(): void {
+    if (!this.isSettled) {
+      this.limits.setRetryReserve(INITIAL_BURST, 0);
+      return;
+    }
+    const { retryAllowance, retryWindow } = this.readOptions();
+    const share = (ALLOWANCE_UTILIZATION * retryAllowance) / this.daemonCount;
+    const burst = this.burstOf(share, retryWindow);
+    const rest = burst === 0 ? 0 : Math.max(0, share - burst);
+    this.limits.setRetryReserve(burst, (1_000 * rest) / retryWindow);
+  }
+
+  /**
+   * Returns the permits that this daemon may accumulate. Less than one permit could never be used,
+   * so where the share is below one, that fraction of the daemons holds a whole permit, and others
+   * hold it in the next window.
+   */
+  private burstOf(share: number, windowMs: number): number {
+    if (BURST_FRACTION * share >= 1) return BURST_FRACTION * share;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.turnStartedMs >= windowMs) {
+      this.turn = (this.turn + share) % 1;
+      this.turnStartedMs = nowMs;
+    }
+    return this.turn < share ? 1 : 0;
+  }
 }
