Keep the requests of a connection in order and bounded

Cause: all pipelined requests of a connection started at once. A non-idempotent request behind a response that closes the connection ran, and its caller sent it again, since it counts as not read. A response during a graceful shutdown closed the connection although a request behind it was at a server. A caller that did not wait for responses could make the daemon hold any number of requests (20,000 in the test).

Change: CallerConnection starts an idempotent request before the earlier ones are answered, up to eight at a time; any other one waits until it is first. Requests behind a closing response are discarded; during a shutdown the last request that has started closes the connection. From 16 waiting requests on the socket is not read.

--- /dev/null
+++ b/src/node/server/CallerConnection.ts
@@ -0,0 +1,112 @@
+import type * as stream from 'node:stream';
+
+import type * as callerExchange from './CallerExchange';
+
+/** Requests of one connection that are in progress at the same time. */
+export const MAX_CONCURRENT_EXCHANGES = 8;
+
+/** Requests of one connection that wait for a response, beyond which no more are read. */
+export const MAX_WAITING_EXCHANGES = 16;
+
+/**
+ * Requests that a caller has sent on one connection and that have no response yet, in the order in
+ * which they arrived. An idempotent request starts before the earlier ones are answered. Any other
+ * one waits: if the response to an earlier request closes the connection, the caller takes the later
+ * requests as not read and sends them again.
+ */
+export class CallerConnection implements callerExchange.IExchangeOwner {
+  private exchanges: callerExchange.CallerExchange[] = [];
+
+  private readonly begun = new Set<callerExchange.CallerExchange>();
+
+  private isClosing = false;
+
+  private isPaused = false;
+
+  public constructor(private readonly socket: stream.Duplex) {}
+
+  /** Number of requests without a response. */
+  public get size(): number {
+    return this.exchanges.length;
+  }
+
+  /** The request whose body is being read, if any. */
+  public get reading(): callerExchange.CallerExchange | undefined {
+    return this.exchanges.find((exchange) => exchange.isReading);
+  }
+
+  /** Whether a request after `exchange` has started. */
+  public hasBegunAfter(exchange: callerExchange.CallerExchange): boolean {
+    const position = this.exchanges.indexOf(exchange);
+    return this.exchanges.slice(position + 1).some((later) => this.begun.has(later));
+  }
+
+  /** Adds a request, and starts it if it need not wait. */
+  public add(exchange: callerExchange.CallerExchange): void {
+    if (this.isClosing) {
+      exchange.discard();
+      return;
+    }
+    this.exchanges.push(exchange);
+    this.beginNext();
+    this.updateReading();
+  }
+
+  /** Removes a request that has ended, and starts those that waited for it. */
+  public remove(exchange: callerExchange.CallerExchange): void {
+    const position = this.exchanges.indexOf(exchange);
+    if (position < 0) return;
+    const later = this.exchanges.slice(position + 1);
+    this.exchanges.splice(position, 1);
+    this.begun.delete(exchange);
+    if (exchange.closesConnection) {
+      this.discard(later);
+    } else {
+      this.beginNext();
+      this.updateReading();
+    }
+  }
+
+  /** Closes the connection after the requests that have been read. */
+  public closeAfterwards(): void {
+    this.isClosing = true;
+    this.exchanges.at(-1)?.closeAfterwards();
+  }
+
+  /** Ends all requests because the caller closed the connection. */
+  public abandon(): void {
+    this.isClosing = true;
+    const { exchanges } = this;
+    // An ended request would otherwise start the next one.
+    this.exchanges = [];
+    exchanges.forEach((exchange) => exchange.abandon());
+  }
+
+  private discard(later: readonly callerExchange.CallerExchange[]): void {
+    this.isClosing = true;
+    this.exchanges = this.exchanges.filter((exchange) => !later.includes(exchange));
+    later.forEach((exchange) => exchange.discard());
+    // Earlier requests are answered before the connection closes.
+    this.beginNext();
+  }
+
+  private beginNext(): void {
+    const next = this.exchanges.find((exchange) => !this.begun.has(exchange));
+    if (next === undefined) return;
+    const isFirst = next === this.exchanges[0];
+    const hasRoom = this.begun.size < MAX_CONCURRENT_EXCHANGES;
+    if (!isFirst && !(hasRoom && next.mayRunAhead)) return;
+    this.begun.add(next);
+    next.begin();
+    this.beginNext();
+  }
+
+  private updateReading(): void {
+    const mustPause = this.exchanges.length >= MAX_WAITING_EXCHANGES;
+    if (mustPause === this.isPaused) return;
+    this.isPaused = mustPause;
+    // Node.js resumes the socket itself at the end of each request that it parses.
+    if (mustPause) process.nextTick(() => this.isPaused && this.socket.pause());
+    else this.socket.resume();
+  }
+}
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -33,6 +33,14 @@
   beforeRequest(): void;
 }
 
+/** The connection of an exchange, with the other requests on it. */
+export interface IExchangeOwner {
+  /** Whether a later request on the connection has started. */
+  hasBegunAfter(exchange: CallerExchange): boolean;
+  /** Called once, after the response was written or the caller disconnected. */
+  remove(exchange: CallerExchange): void;
+}
+
 interface IAccepted {
   readonly head: requestHead.IRequestHead;
   readonly table: tableTypes.ITable;
@@ -65,17 +73,35 @@
 
   private ended = false;
 
-  /** @param onEnd Called once, after the response was written or the caller disconnected. */
   public constructor(
     private readonly request: http.IncomingMessage,
     private readonly response: http.ServerResponse,
     private readonly context: IExchangeContext,
-    private readonly onEnd: () => void,
+    private readonly owner: IExchangeOwner,
   ) {
     this.startMs = context.clock.monotonicMs();
     this.requestId = context.protocol.requestIdOf(request);
   }
 
+  /**
+   * Whether the request may start before earlier ones on its connection are answered: it may run
+   * more than once, or is refused, and the responses before it are not known to close the connection.
+   */
+  public get mayRunAhead(): boolean {
+    if (this.context.daemonState.phase !== 'ready') return false;
+    const accepted = this.accept();
+    return 'kind' in accepted || accepted.head.service.idempotent;
+  }
+
+  /** Whether the connection closes after the response to this request. */
+  public get closesConnection(): boolean {
+    if (this.closing || !this.response.shouldKeepAlive) return true;
+    const { phase } = this.context.daemonState;
+    const isStopping = phase === 'draining' || phase === 'stopping';
+    // A request that has started would lose its response.
+    return isStopping && !this.owner.hasBegunAfter(this);
+  }
+
   /** Whether the body of the request is still being read. */
   public get isReading(): boolean {
     const isDecided = this.attempt !== undefined || this.refusing || this.ended;
@@ -99,13 +125,15 @@
 
   /** Ends the exchange because the caller closed its connection. */
   public abandon(): void {
-    if (this.ended) return;
-    const dispatched = this.attempt !== undefined;
-    this.attempt?.cancel();
-    this.finish();
-    const reason = 'cancelled-by-caller';
-    const detail = 'the caller closed its connection';
-    this.report({ kind: 'unknown', reason, detail, dispatched });
+    this.cancel('the caller closed its connection');
+  }
+
+  /**
+   * Ends the exchange without a response, because the response to an earlier request closes the
+   * connection. The caller takes the request as not read.
+   */
+  public discard(): void {
+    this.cancel('the response to an earlier request closes the connection');
   }
 
   /** Refuses a request whose body is malformed. */
@@ -120,6 +148,14 @@
     this.response.shouldKeepAlive = false;
   }
 
+  private cancel(detail: string): void {
+    if (this.ended) return;
+    const dispatched = this.attempt !== undefined;
+    this.attempt?.cancel();
+    this.finish();
+    this.report({ kind: 'unknown', reason: 'cancelled-by-caller', detail, dispatched });
+  }
+
   private accept(): IAccepted | serverTypes.NotRun {
     const { daemonState } = this.context;
     const { table } = daemonState;
@@ -197,7 +233,7 @@
   private answer(call: callTypes.ICall, answer: callTypes.IAnswer, server: string): void {
     if (this.ended) return;
     const { protocol } = this.context;
-    responseWriter.writeAnswer(this.response, call, answer, protocol, this.closesConnection());
+    responseWriter.writeAnswer(this.response, call, answer, protocol, this.closesConnection);
     this.finish();
     const latencyMs = this.context.clock.monotonicMs() - this.startMs;
     this.context.observer.onAnswered(call, answer.status, server, latencyMs);
@@ -230,7 +266,7 @@
     if (this.ended) return;
     const record = this.report(refusal);
     const reply = this.context.protocol.toLocalReply(record);
-    responseWriter.writeRefusal(this.response, reply, this.closesConnection());
+    responseWriter.writeRefusal(this.response, reply, this.closesConnection);
     this.finish();
   }
 
@@ -248,15 +284,10 @@
     return record;
   }
 
-  private closesConnection(): boolean {
-    const { phase } = this.context.daemonState;
-    return this.closing || phase === 'draining' || phase === 'stopping';
-  }
-
   private finish(): void {
     this.ended = true;
     this.bodyTimer?.dispose();
     this.reader?.stop();
-    this.onEnd();
+    this.owner.remove(this);
   }
 }
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -3,6 +3,7 @@
 import type * as stream from 'node:stream';
 
 import type * as callTypes from '../../common/call/Types';
+import * as callerConnection from './CallerConnection';
 import * as callerExchange from './CallerExchange';
 import * as keyEndpoint from './KeyEndpoint';
 import * as listening from './listen';
@@ -25,8 +26,7 @@
 
 /** Serves callers over HTTP/1.1. */
 export class CallerServer {
-  /** Exchanges in flight on each connection, in the order of their requests. */
-  private readonly exchangesBySocket = new Map<stream.Duplex, Set<callerExchange.CallerExchange>>();
+  private readonly connections = new Map<stream.Duplex, callerConnection.CallerConnection>();
 
   private readonly server: http.Server;
 
@@ -66,7 +66,7 @@
 
   /** Number of requests without a response. */
   public get exchangesInFlight(): number {
-    return [...this.exchangesBySocket.values()].reduce((sum, exchanges) => sum + exchanges.size, 0);
+    return [...this.connections.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
   /** Starts listening. Rejects if the address cannot be used. */
@@ -100,11 +100,11 @@
   }
 
   private trackConnection(socket: stream.Duplex): void {
-    const exchanges = new Set<callerExchange.CallerExchange>();
-    this.exchangesBySocket.set(socket, exchanges);
+    const connection = new callerConnection.CallerConnection(socket);
+    this.connections.set(socket, connection);
     socket.once('close', () => {
-      this.exchangesBySocket.delete(socket);
-      exchanges.forEach((exchange) => exchange.abandon());
+      this.connections.delete(socket);
+      connection.abandon();
     });
   }
 
@@ -116,24 +116,23 @@
       this.keyEndpoint.serve(request, response);
       return;
     }
-    const exchanges = this.exchangesBySocket.get(request.socket);
-    const exchange = new callerExchange.CallerExchange(request, response, this.context, () =>
-      exchanges?.delete(exchange),
-    );
-    exchanges?.add(exchange);
-    exchange.begin();
+    const connection = this.connections.get(request.socket);
+    // The socket closed after the request was read, and nobody waits for the response.
+    if (connection === undefined) return;
+    const { context } = this;
+    connection.add(new callerExchange.CallerExchange(request, response, context, connection));
   }
 
   private handleClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
-    const exchanges = [...(this.exchangesBySocket.get(socket) ?? [])];
-    const reading = exchanges.find((exchange) => exchange.isReading);
+    const connection = this.connections.get(socket);
+    const reading = connection?.reading;
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
     } else if (reading !== undefined) {
       reading.refuseBody(`the body is malformed (${error.code ?? error.message})`);
-    } else if (exchanges.length > 0) {
+    } else if (connection !== undefined && connection.size > 0) {
       // The caller would take bytes written now for the response to the request in flight.
-      exchanges.at(-1)?.closeAfterwards();
+      connection.closeAfterwards();
     } else if (error.code === 'HPE_HEADER_OVERFLOW') {
       const detail = `the headers exceed ${this.maxHeaderBytes} bytes`;
       this.refuseOnSocket(socket, 'headers-too-large', detail);
--- /dev/null
+++ b/src/node/server/Pipelining.test.ts
@@ -0,0 +1,177 @@
+import * as nodeEvents from 'node:events';
+import type * as net from 'node:net';
+
+import * as callerConnection from './CallerConnection';
+import * as callerServerRig from './testing/CallerServerRig';
+
+const OK = ['content-type', 'text/plain'];
+
+let rig: callerServerRig.CallerServerRig;
+let socket: net.Socket;
+let received: string;
+
+beforeEach(async () => {
+  rig = new callerServerRig.CallerServerRig();
+  await rig.listen();
+  socket = rig.connect();
+  received = '';
+  socket.setEncoding('latin1').on('data', (text: string) => {
+    received += text;
+  });
+  await nodeEvents.once(socket, 'connect');
+});
+
+afterEach(async () => {
+  socket.destroy();
+  await rig.close();
+});
+
+function get(path: string, headers = ''): string {
+  return `GET ${path} HTTP/1.1\r\nhost: a\r\n${headers}\r\n`;
+}
+
+function post(path: string, body: string): string {
+  return `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
+
+async function until(check: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 20_000; tries += 1) {
+    if (check()) return;
+    await new Promise(setImmediate);
+  }
+  throw new Error(`not reached; received: ${received}`);
+}
+
+/** Lets everything that was sent arrive, so that what did not happen can be checked. */
+async function settle(): Promise<void> {
+  const probe = rig.connect();
+  probe.write(get('/none/1', 'connection: close\r\n'));
+  probe.resume();
+  await nodeEvents.once(probe, 'close');
+  for (let turn = 0; turn < 50; turn += 1) await new Promise(setImmediate);
+}
+
+function answerOf(status: number) {
+  return { status, headers: OK, body: Buffer.from('') };
+}
+
+function statuses(): string[] {
+  return [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status as string);
+}
+
+function bodies(): string[] {
+  return [...received.matchAll(/body-\d+/g)].map(([body]) => body);
+}
+
+// Guards against responses that a caller takes for those to other requests.
+test('pipelined requests run at the same time and are answered in order', async () => {
+  socket.write(get('/status/1') + get('/status/2') + get('/status/3'));
+  await rig.attempt(3);
+  await rig.reply(3, 200, OK, 'body-3');
+  await rig.reply(2, 200, OK, 'body-2');
+  await settle();
+  expect(received).toBe('');
+  await rig.reply(1, 200, OK, 'body-1');
+  await until(() => bodies().length === 3);
+  expect(bodies()).toEqual(['body-1', 'body-2', 'body-3']);
+});
+
+// Guards against a failure of one request that shifts the responses to those behind it.
+test('a request that fails or is refused in front gets its own response', async () => {
+  socket.write(get('/status/1') + get('/unknown/2') + get('/status/3'));
+  await rig.reply(2, 200, OK, 'body-3');
+  (await rig.attempt(1)).listener.onEnd({ kind: 'answered', answer: answerOf(500) });
+  await until(() => statuses().length === 3);
+  expect(statuses()).toEqual(['500', '404', '200']);
+  expect(bodies()).toEqual(['body-3']);
+});
+
+test('a request that times out in front gets its response before those behind it', async () => {
+  socket.write(get('/status/1', 'request-timeout-ms: 100\r\n') + get('/status/2'));
+  await rig.reply(2, 200, OK, 'body-2');
+  rig.clock.advance(200);
+  await until(() => statuses().length === 2);
+  expect(statuses()).toEqual(['504', '200']);
+});
+
+// Guards against a non-idempotent request that runs, and is sent again since its response was lost.
+test('a non-idempotent request waits until those before it are answered', async () => {
+  socket.write(get('/status/1') + post('/lodgement/2', 'x') + get('/status/3'));
+  await rig.attempt(1);
+  await settle();
+  expect(rig.transport.attempts).toHaveLength(1);
+  await rig.reply(1, 200, OK, 'body-1');
+  await rig.attempt(3);
+  // The body of the second request is read while the third one starts.
+  const paths = rig.transport.attempts.map(({ call }) => call.path);
+  await rig.reply(paths.indexOf('/2') + 1, 200, OK, 'body-2');
+  await rig.reply(paths.indexOf('/3') + 1, 200, OK, 'body-3');
+  await until(() => bodies().length === 3);
+  expect(bodies()).toEqual(['body-1', 'body-2', 'body-3']);
+});
+
+test('requests behind a response that closes the connection are not passed on', async () => {
+  socket.write(get('/status/1', 'connection: close\r\n') + post('/lodgement/2', 'x'));
+  await rig.reply(1, 200, OK, 'body-1');
+  await nodeEvents.once(socket, 'close');
+  await settle();
+  expect(rig.transport.attempts).toHaveLength(1);
+  expect(bodies()).toEqual(['body-1']);
+});
+
+// Guards against work for a caller that has left, and against a waiting request that starts then.
+test('when the caller disconnects, all its requests end and none starts', async () => {
+  socket.write(get('/status/1') + get('/status/2') + post('/lodgement/3', 'x'));
+  const attempts = [await rig.attempt(1), await rig.attempt(2)];
+  socket.destroy();
+  await until(() => attempts.every(({ cancelled }) => cancelled));
+  await settle();
+  expect(rig.transport.attempts).toHaveLength(2);
+  expect(rig.server.exchangesInFlight).toBe(0);
+});
+
+// Guards against a shutdown that cuts off a request which has been passed on.
+test('during a shutdown the last request that has started closes the connection', async () => {
+  socket.write(get('/status/1') + get('/status/2'));
+  await rig.attempt(2);
+  rig.phase = 'draining';
+  socket.write(post('/lodgement/3', 'x'));
+  await settle();
+  await rig.reply(1, 200, OK, 'body-1');
+  await rig.reply(2, 200, OK, 'body-2');
+  await nodeEvents.once(socket, 'close');
+  expect(bodies()).toEqual(['body-1', 'body-2']);
+  expect(received.match(/connection: close/gi)).toHaveLength(1);
+  expect(rig.transport.attempts).toHaveLength(2);
+});
+
+// Guards against a caller that fills the memory with requests it does not wait for.
+test('the requests read ahead on one connection are bounded', async () => {
+  const count = 20_000;
+  const writeMore = () => socket.write(get('/status/1').repeat(1_000));
+  for (let written = 0; written < count; written += 1_000) writeMore();
+  await until(() => rig.transport.attempts.length === callerConnection.MAX_CONCURRENT_EXCHANGES);
+  await settle();
+  expect(rig.transport.attempts).toHaveLength(callerConnection.MAX_CONCURRENT_EXCHANGES);
+  // One read delivers up to 64 KB, which hold about 1,700 of these requests.
+  expect(rig.server.exchangesInFlight).toBeLessThan(4_000);
+});
+
+test('requests beyond the bound are read and answered once there is room', async () => {
+  const count = 3 * callerConnection.MAX_WAITING_EXCHANGES;
+  for (let index = 1; index <= count; index += 1) socket.write(get(`/status/${index}`));
+  for (let index = 1; index <= count; index += 1) {
+    await rig.reply(index, 200, OK, `body-${index}`);
+  }
+  await until(() => bodies().length === count);
+  expect(bodies()).toEqual(Array.from({ length: count }, (_, index) => `body-${index + 1}`));
+});
+
+// Guards against bytes written for a malformed request that the caller takes for another response.
+test('a malformed request behind others closes the connection after their responses', async () => {
+  socket.write(`${get('/status/1')}${get('/status/2')}NONSENSE\r\n\r\n`);
+  await rig.reply(2, 200, OK, 'body-2');
+  await rig.reply(1, 200, OK, 'body-1');
+  await nodeEvents.once(socket, 'close');
+  expect(statuses()).toEqual(['200', '200']);
+});
--- a/src/node/server/testing/CallerServerRig.ts
+++ b/src/node/server/testing/CallerServerRig.ts
@@ -38,6 +38,8 @@
     const service = table.services.get('status') as tableTypes.IServiceRow;
     const keyed = { ...service, name: 'keyed', requestKey: 'required' as const };
     (table.services as Map<string, tableTypes.IServiceRow>).set('keyed', keyed);
+    const lodgement = { ...service, name: 'lodgement', idempotent: false };
+    (table.services as Map<string, tableTypes.IServiceRow>).set('lodgement', lodgement);
     const { balancer } = fixtures.makeRig();
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
     const coordinator = new callCoordinator.CallCoordinator(transport, suspicion, clock);
