Bound what a server or the store may send beside an answer

One item that is no object in a reply of the store, or an error while a change was applied, ended the read loop of the daemon for good.

Change: a connection to a server is closed after 128 KB beside the body, and eight bytes for each byte of the body. Replies of the store and of the configuration service have a size limit. A malformed item is reported and the others hold; an unexpected error counts as a failed read.

--- a/src/node/configuration/ConfigurationClient.ts
+++ b/src/node/configuration/ConfigurationClient.ts
@@ -17,7 +17,11 @@
 
 /** Reads values from the platform's configuration service. */
 export class ConfigurationClient {
-  private readonly agent = new undici.Agent({ connections: 2, pipelining: 1 });
+  private readonly agent = new undici.Agent({
+    connections: 2,
+    pipelining: 1,
+    maxResponseSize: MAX_VALUE_BYTES,
+  });
 
   public constructor(private readonly baseUrl: string) {}
 
--- a/src/node/directory/DirectoryWatcher.test.ts
+++ b/src/node/directory/DirectoryWatcher.test.ts
@@ -197,3 +197,15 @@
   await advance(3_000);
   expect(source.reads).toEqual(['list', 'watch 4', 'list']);
 });
+
+// Guards against one unexpected error that ends all reads of a daemon.
+test('after an error while a change is applied, the directory is read again', async () => {
+  await source.respond(contentAt(4));
+  jest.spyOn(directory, 'apply').mockImplementationOnce(() => {
+    throw new Error('unexpected');
+  });
+  await source.respond(contentAt(6));
+  await advance(100);
+  await source.respond(contentAt(6));
+  expect(source.reads).toEqual(['list', 'watch 4', 'list', 'watch 6']);
+});
--- a/src/node/directory/DirectoryWatcher.ts
+++ b/src/node/directory/DirectoryWatcher.ts
@@ -117,12 +117,22 @@
     while (!this.disposed && generation === this.generation) {
       // Reads are sequential, since each starts at the revision that the previous one returned.
 
-      const pauseMs = await this.readNext(generation);
+      const pauseMs = await this.readOrRecover(generation);
 
       if (pauseMs > 0) await this.delay(pauseMs);
     }
   }
 
+  /** Reads, and treats an unexpected error as a failed read, so that the loop continues. */
+  private async readOrRecover(generation: number): Promise<number> {
+    try {
+      return await this.readNext(generation);
+    } catch (error) {
+      this.logger.error({ err: error }, 'directory could not be read or applied');
+      return this.recordFailure({ kind: 'unavailable', detail: (error as Error).message });
+    }
+  }
+
   private readNext(generation: number): Promise<number> {
     if (this.hasListed && this.readRole() === 'follower') {
       return Promise.resolve(ROLE_CHECK_INTERVAL_MS);
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -23,7 +23,7 @@
 
   public constructor(
     private readonly request: dispatchTypes.IExchangeRequest,
-    private readonly connection: Pick<connections.Connection, 'endedGracefully'>,
+    private readonly connection: Pick<connections.Connection, 'endedGracefully' | 'recordBody'>,
     private readonly listener: dispatchTypes.IExchangeListener,
   ) {}
 
@@ -63,6 +63,7 @@
     if (this.ended) return;
     this.listener.onProgress();
     this.size += chunk.length;
+    this.connection.recordBody(chunk.length);
     if (this.size <= this.request.maxAnswerBytes) this.chunks.push(chunk);
     else this.rejectOversized(controller);
   }
--- a/src/node/dispatch/Connection.ts
+++ b/src/node/dispatch/Connection.ts
@@ -8,6 +8,15 @@
 /** Idle timeout of undici, in milliseconds. The pool itself retires idle connections earlier. */
 const UNDICI_IDLE_MS = 600_000;
 
+/**
+ * Bytes beside the body that a server may send in one exchange, in bytes: the head, and what delimits
+ * the body. Without a limit a server could send them until the deadline of the call.
+ */
+const MAX_FRAMING_BYTES = 128 * 1024;
+
+/** Framing bytes allowed for each byte of a body: a chunk of one byte has five more, and LF. */
+const FRAMING_PER_BODY_BYTE = 8;
+
 /** One TCP connection to a backend server. It is never reconnected. */
 export class Connection {
   /** Number of exchanges started on this connection. */
@@ -21,6 +30,9 @@
 
   private hasGracefulEnd = false;
 
+  /** Value of `bytesRead` above which the connection is closed. */
+  private byteLimit = Number.POSITIVE_INFINITY;
+
   public constructor(
     address: string,
     /** Identifies this connection in `ConnectionHealth`. */
@@ -58,9 +70,15 @@
     handler: undici.Dispatcher.DispatchHandler,
   ): void {
     this.exchangeCount += 1;
+    this.byteLimit = this.bytesRead + MAX_FRAMING_BYTES;
     this.client.dispatch(options, handler);
   }
 
+  /** Raises the limit on received bytes for a part of a body that has arrived. */
+  public recordBody(bytes: number): void {
+    this.byteLimit += FRAMING_PER_BODY_BYTE * bytes;
+  }
+
   /** Closes the connection immediately. */
   public close(): void {
     this.client.destroy().catch(() => undefined);
@@ -87,6 +105,10 @@
 
   private attachSocket(socket: net.Socket): void {
     this.socket = socket;
+    socket.on('readable', () => {
+      if (socket.bytesRead <= this.byteLimit) return;
+      socket.destroy(new Error('the server sends bytes that belong to no body'));
+    });
     // Node.js reports a reset that arrives together with data as an end. Only the remote address,
     // which a reset connection no longer has, distinguishes the two.
     socket.prependListener('end', () => {
--- a/src/node/fleet/MemberSync.test.ts
+++ b/src/node/fleet/MemberSync.test.ts
@@ -1,3 +1,4 @@
+import * as util from 'node:util';
 import * as zlib from 'node:zlib';
 
 import * as bunyan from 'bunyan';
@@ -12,6 +13,8 @@
 
 const MEMBERS = 312;
 
+const gzip = util.promisify(zlib.gzip);
+
 let clock: manualClock.ManualClock;
 let fetches: string[];
 let served: () => Promise<peer.FetchMembersReply>;
@@ -81,13 +84,13 @@
 
 // Guards against one malformed message that ends a process.
 test.each([
-  ['no list', Buffer.alloc(0)],
-  ['bytes that are not compressed', Buffer.from('nonsense')],
-  ['compressed bytes that are no list', zlib.gzipSync(Buffer.alloc(100, 255))],
-  ['a list without end', zlib.gzipSync(Buffer.alloc(8 * 1024 * 1024))],
+  ['no list', Promise.resolve(Buffer.alloc(0))],
+  ['bytes that are not compressed', Promise.resolve(Buffer.from('nonsense'))],
+  ['compressed bytes that are no list', gzip(Buffer.alloc(100, 255))],
+  ['a list without end', gzip(Buffer.alloc(8 * 1024 * 1024))],
 ])('%s changes nothing', async (_name, compressedMembers) => {
   const agent = agentOf(1_000);
-  served = () => Promise.resolve({ compressedMembers });
+  served = async () => ({ compressedMembers: await compressedMembers });
   await syncOf(agent).syncFrom(reportOf(true));
   expect(agent.members.count).toBe(1);
 });
--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -5,15 +5,17 @@
 import type * as routingTypes from '../common/routing/Types';
 import * as wireNames from './WireNames';
 
-/** An item of the store, or the event of its deletion. */
-export interface IStoreItem {
-  readonly key: string;
+const ITEM = zod.object({
+  key: zod.string(),
   /** Value in base64; absent if the item was deleted. */
-  readonly value?: string;
+  value: zod.string().optional(),
   /** Revision of its last change. */
-  readonly revision: number;
-  readonly deleted?: boolean;
-}
+  revision: zod.int(),
+  deleted: zod.boolean().optional(),
+});
+
+/** An item of the store, or the event of its deletion. */
+export type IStoreItem = Readonly<zod.infer<typeof ITEM>>;
 
 const DURATION = zod.string().transform((text, context) => {
   const durationMs = durations.parseDuration(text);
@@ -177,9 +179,21 @@
   };
 }
 
-/** Decodes items of the store. Ignores keys of other writers. */
-export function decodeItems(items: readonly IStoreItem[]): directoryTypes.DirectoryRecord[] {
-  return items.flatMap((item) => {
+/**
+ * Decodes items of the store. Ignores keys of other writers.
+ * @param revision Revision under which a malformed item is reported.
+ */
+export function decodeItems(
+  items: readonly unknown[],
+  revision: number,
+): directoryTypes.DirectoryRecord[] {
+  return items.flatMap((candidate): directoryTypes.DirectoryRecord[] => {
+    const parsed = ITEM.safeParse(candidate);
+    if (!parsed.success) {
+      const problem = `malformed item: ${describeError(parsed.error)}`;
+      return [{ kind: 'unusable', revision, key: '', id: undefined, problem }];
+    }
+    const item = parsed.data;
     if (item.key === wireNames.CONFIGURATION_KEY) return [decodeConfiguration(item)];
     return item.key.startsWith(wireNames.SERVER_KEY_PREFIX) ? [decodeServer(item)] : [];
   });
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -1,4 +1,5 @@
 import * as undici from 'undici';
+import * as zod from 'zod';
 
 import type * as directoryTypes from '../common/directory/Types';
 import type * as types from '../common/Types';
@@ -18,14 +19,22 @@
 
 type Failure = directoryTypes.DirectoryFailure;
 
+/**
+ * Maximum size of a reply, in bytes. A page or a watch holds about 1 MB of items, or one item of
+ * 1 MB, in base64.
+ */
+const MAX_REPLY_BYTES = 16 * 1024 * 1024;
+
 /** Reply of the store: a page of items, or the events of a watch. */
-interface IStoreReply {
-  readonly items?: readonly recordDecoder.IStoreItem[];
-  readonly events?: readonly recordDecoder.IStoreItem[];
+const REPLY = zod.object({
+  items: zod.array(zod.unknown()).optional(),
+  events: zod.array(zod.unknown()).optional(),
   /** Whether further pages follow. */
-  readonly truncated?: boolean;
-  readonly storeRevision: number;
-}
+  truncated: zod.boolean().optional(),
+  storeRevision: zod.int(),
+});
+
+type IStoreReply = Readonly<zod.infer<typeof REPLY>>;
 
 function unavailable(detail: string): { readonly ok: false; readonly error: Failure } {
   return { ok: false, error: { kind: 'unavailable', detail } };
@@ -33,7 +42,14 @@
 
 /** Returns the newest revision in a page. `storeRevision` may be newer than a stale page. */
 function newestRevision({ items }: IStoreReply): number {
-  return Math.max(0, ...(items ?? []).map((item) => item.revision));
+  const revisions = (items ?? []).map((item) => Number(Object(item).revision));
+  return Math.max(0, ...revisions.filter(Number.isSafeInteger));
+}
+
+/** Returns the key of the last item in a page, or undefined if the page has none. */
+function lastKeyOf({ items }: IStoreReply): string | undefined {
+  const key: unknown = Object(items?.at(-1)).key;
+  return typeof key === 'string' ? key : undefined;
 }
 
 /** Reads the platform's metadata store over HTTP. */
@@ -51,7 +67,7 @@
   public async list(
     mayBeStale: boolean,
   ): Promise<types.Result<directoryTypes.IDirectoryListing, Failure>> {
-    const items: recordDecoder.IStoreItem[] = [];
+    const items: unknown[] = [];
     let revision: number | undefined;
     let after = '';
     for (let page = 0; page < MAX_PAGES; page += 1) {
@@ -63,9 +79,12 @@
       items.push(...(reply.value.items ?? []));
       // Pages are read one by one. A watch from the first page's revision returns later changes.
       revision ??= mayBeStale ? newestRevision(reply.value) : reply.value.storeRevision;
-      const last = reply.value.items?.at(-1)?.key;
+      const last = lastKeyOf(reply.value);
       if (reply.value.truncated !== true || last === undefined) {
-        return { ok: true, value: { records: recordDecoder.decodeItems(items), revision } };
+        return {
+          ok: true,
+          value: { records: recordDecoder.decodeItems(items, revision), revision },
+        };
       }
       after = last;
     }
@@ -79,8 +98,9 @@
     const query = { prefix: '', after: `${revision}`, waitMs: `${waitMs}` };
     const reply = await this.read('kv-watch', query, waitMs + WATCH_TIMEOUT_MARGIN_MS);
     if (!reply.ok) return reply;
-    const records = recordDecoder.decodeItems(reply.value.events ?? []);
-    return { ok: true, value: { records, revision: reply.value.storeRevision } };
+    const { events, storeRevision } = reply.value;
+    const records = recordDecoder.decodeItems(events ?? [], storeRevision);
+    return { ok: true, value: { records, revision: storeRevision } };
   }
 
   public reset(): void {
@@ -90,7 +110,7 @@
   }
 
   private static makeAgent(): undici.Agent {
-    return new undici.Agent({ connections: 1, pipelining: 1 });
+    return new undici.Agent({ connections: 1, pipelining: 1, maxResponseSize: MAX_REPLY_BYTES });
   }
 
   private async read(
@@ -108,9 +128,10 @@
       const text = await reply.body.text();
       if (reply.statusCode === STATUS_GONE) return { ok: false, error: { kind: 'history-lost' } };
       if (reply.statusCode !== STATUS_OK) return unavailable(`status ${reply.statusCode}`);
-      const content = JSON.parse(text) as IStoreReply;
-      if (!Number.isSafeInteger(content.storeRevision)) return unavailable('no store revision');
-      return { ok: true, value: content };
+      const parsed = REPLY.safeParse(JSON.parse(text));
+      if (!parsed.success)
+        return unavailable(`malformed reply: ${parsed.error.issues[0]?.message}`);
+      return { ok: true, value: parsed.data };
     } catch (error) {
       return unavailable((error as Error).message);
     }
