Read rarely while the member list is incomplete, and exchange nearby

Of the bytes between failure domains most are exchanges, four of five with a peer in another domain.

Change: in the first 5 s a possible reader reads again only after half of the maximum age of a confirmation. The interval between two fetches of the member list grows by half in place of doubling. Three of five exchanges go to a peer in the same failure domain.

--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -17,10 +17,16 @@
 const NOTICE_ADVANCE_SHARE = 0.3;
 
 /**
- * Time after the start, in milliseconds, in which a daemon that knows no members does not take
- * itself for the only one.
+ * Time after the start, in milliseconds, in which the member list is incomplete, so that many
+ * daemons take themselves for readers.
  */
-const DISCOVERY_MS = 3_000;
+const DISCOVERY_MS = 5_000;
+
+/**
+ * Share of the maximum age of a confirmation after which a possible reader reads again while the
+ * member list is incomplete.
+ */
+const DISCOVERY_READ_SHARE = 0.5;
 
 /** The fleet as a relay agent sees it. */
 export interface IRelayFleet {
@@ -45,8 +51,6 @@
 
   private readonly startedMs: number;
 
-  private hasPeers = false;
-
   private renewTimer: types.IDisposable | undefined;
 
   private noticeTimer: types.IDisposable | undefined;
@@ -69,14 +73,15 @@
 
   /** Whether this daemon has to read the directory service. */
   public get readRole(): directoryTypes.ReadRole {
-    if (this.tree.isReader && !this.isDiscovering) return 'reader';
-    return this.confirmation.remainingMs === 0 ? 'fallback' : 'follower';
+    const { maxAgeMs, remainingMs } = this.confirmation;
+    if (!this.tree.isReader) return remainingMs === 0 ? 'fallback' : 'follower';
+    if (!this.isDiscovering) return 'reader';
+    return remainingMs < DISCOVERY_READ_SHARE * maxAgeMs ? 'reader' : 'follower';
   }
 
   /** Chooses sources now and periodically. */
   public start(): void {
     const live = this.fleet.statuses.filter(({ state }) => state === 'live');
-    this.hasPeers ||= live.length > 0;
     this.tree.update(live.map(({ record }) => record));
     this.fleet.notify(this.subscriptions.takeDue(this.tree.sources));
     this.renewTimer = this.clock.setTimer(SUBSCRIBE_INTERVAL_MS, () => this.start());
@@ -110,8 +115,8 @@
   }
 
   private get isDiscovering(): boolean {
-    if (this.hasPeers || !this.fleet.expectsPeers) return false;
-    return this.clock.monotonicMs() - this.startedMs < DISCOVERY_MS;
+    const elapsedMs = this.clock.monotonicMs() - this.startedMs;
+    return this.fleet.expectsPeers && elapsedMs < DISCOVERY_MS;
   }
 
   private handleConfirmation(): void {
--- a/src/common/membership/GossipAgent.ts
+++ b/src/common/membership/GossipAgent.ts
@@ -15,6 +15,11 @@
  * removal timeout, each side has removed the other, and an outdated VM list may omit it too.
  */
 const DEPARTED_RETRY_PROBABILITY = 0.1;
+/**
+ * Share of the exchanges that go to a peer in the same failure domain. Bytes between failure domains
+ * cost more, and the other exchanges are enough to keep the domains in step.
+ */
+const NEAR_EXCHANGE_SHARE = 0.6;
 /** Number of unknown heartbeats tolerated per message: they can be of members that just left. */
 const MAX_UNKNOWN_HEARTBEATS = 2;
 
@@ -224,12 +229,23 @@
   private chooseExchangeTarget(): string | undefined {
     const { peers, departedAddresses } = this.members;
     const retriesDeparted = peers.length === 0 || this.random.next() < DEPARTED_RETRY_PROBABILITY;
-    const candidates = retriesDeparted && departedAddresses.length > 0 ? departedAddresses : peers;
+    const candidates =
+      retriesDeparted && departedAddresses.length > 0 ? departedAddresses : this.preferNear(peers);
     return candidates.length === 0
       ? undefined
       : candidates[this.random.nextInteger(candidates.length)];
   }
 
+  /** Returns the peers in the same failure domain, or for a part of the exchanges all of them. */
+  private preferNear(peers: readonly string[]): readonly string[] {
+    if (this.random.next() >= NEAR_EXCHANGE_SHARE) return peers;
+    const { failureDomain } = this.options;
+    const near = peers.filter(
+      (address) => this.members.recordOf(address)?.failureDomain === failureDomain,
+    );
+    return near.length > 0 ? near : peers;
+  }
+
   /** Chooses up to `count` different peers. */
   public choosePeers(count: number): readonly string[] {
     const candidates = [...this.members.peers];
--- a/src/node/fleet/MemberSync.ts
+++ b/src/node/fleet/MemberSync.ts
@@ -14,9 +14,10 @@
 /** Size limit of a decompressed member list, in bytes: about 10,000 members. */
 const MAX_LIST_BYTES = 1024 * 1024;
 
-/** Bounds of the interval between two fetches, in milliseconds; it doubles with each fetch. */
+/** Bounds of the interval between two fetches, in milliseconds, and its growth with each fetch. */
 const MIN_FETCH_INTERVAL_MS = 500;
 const MAX_FETCH_INTERVAL_MS = 16_000;
+const FETCH_INTERVAL_GROWTH = 1.5;
 
 /** Time for which a composed list is sent to further peers, in milliseconds. */
 const LIST_REUSE_MS = 500;
@@ -57,7 +58,7 @@
     const nowMs = this.clock.monotonicMs();
     if (this.fetching || nowMs < this.nextFetchMs) return;
     this.nextFetchMs = nowMs + this.intervalMs;
-    this.intervalMs = Math.min(MAX_FETCH_INTERVAL_MS, 2 * this.intervalMs);
+    this.intervalMs = Math.min(MAX_FETCH_INTERVAL_MS, FETCH_INTERVAL_GROWTH * this.intervalMs);
     this.fetching = true;
     try {
       await this.fetch(address);
