Close what a failed start opened, log error messages, limit hedges

- A daemon that could not use an address logged so and kept running, with its readiness address open.
- Log lines lost the message and the stack of every error: the logger had no serializer for `err`.
- A hedge did not look at `maxAttempts` of the route.
A test fails before.

--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -26,7 +26,11 @@
 }
 
 async function run(options: settings.Settings): Promise<void> {
-  const logger = bunyan.createLogger({ name: 'lavenderspar', level: options.logLevel });
+  const logger = bunyan.createLogger({
+    name: 'lavenderspar',
+    level: options.logLevel,
+    serializers: { err: bunyan.stdSerializers.err },
+  });
   const clock = new systemClock.SystemClock();
   const instance = new daemon.Daemon(options, logger, clock, new systemRandom.SystemRandom());
   const stop = () => {
--- a/src/common/call/CallCoordinator.test.ts
+++ b/src/common/call/CallCoordinator.test.ts
@@ -99,6 +99,17 @@
   expect(rig.outcomes).toMatchObject([{ kind: 'answered' }]);
 });
 
+// Guards against hedges that send a call to more servers than its route allows.
+test.each([
+  [1, 1],
+  [2, 2],
+])('a call limited to %i attempts is hedged only within the limit', (maxAttempts, expected) => {
+  const rig = fixtures.makeRig({ hedgeFraction: 1 });
+  rig.start({ maxAttempts });
+  rig.clock.advance(900);
+  expect(rig.transport.attempts).toHaveLength(expected);
+});
+
 test('does not hedge a non-idempotent call', () => {
   const rig = fixtures.makeRig({ hedgeFraction: 0.5, idempotent: false });
   rig.start();
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -180,7 +180,7 @@
   }
 
   private hedge(): void {
-    if (this.ended || this.wasInFlightOnLostServer()) return;
+    if (this.ended || !this.hasAttemptsLeft || this.wasInFlightOnLostServer()) return;
     const server = this.context.balancer.choose(this.tried, this.call.table);
     if (server !== undefined && this.context.balancer.takeHedgePermit()) {
       this.hedges += 1;
@@ -189,6 +189,12 @@
     if (!this.ended) this.scheduleHedge();
   }
 
+  /** Whether the operators' limit on the servers of this call allows a further attempt. */
+  private get hasAttemptsLeft(): boolean {
+    const unsent = [...this.active].filter(({ sent }) => !sent).length;
+    return this.sent + unsent < (this.call.maxAttempts ?? Number.POSITIVE_INFINITY);
+  }
+
   private wasInFlightOnLostServer(): boolean {
     const { suspicion } = this.context;
     return !suspicion.isEmpty && suspicion.serversLost(this.call.fingerprint).length > 0;
@@ -273,8 +279,7 @@
     const spent = this.call.retriesSpent + this.retries;
     const { maxAttempts } = this.call;
     const isSuspect = this.context.suspicion.isSuspect(this.call.fingerprint);
-    const isWithinLimits =
-      spent < MAX_RETRIES_SPENT && this.sent < (maxAttempts ?? Number.POSITIVE_INFINITY);
+    const isWithinLimits = spent < MAX_RETRIES_SPENT && this.hasAttemptsLeft;
     const hasPermit =
       isWithinLimits && !isSuspect ? this.context.balancer.takeRetryPermit() : undefined;
     const isAllowed = hasPermit === true;
--- a/src/index.ts
+++ b/src/index.ts
@@ -33,6 +33,7 @@
 
   public constructor(options: settings.Settings, parts: IDaemonOptions = {}) {
     const logger = bunyan.createLogger({
+      serializers: { err: bunyan.stdSerializers.err },
       name: 'lavenderspar',
       level: options.logLevel,
       stream: parts.logStream ?? process.stdout,
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -179,10 +179,20 @@
 
   /**
    * Starts watching the directory, listens on the addresses in the settings and joins the fleet.
-   * Calls are refused as `not-ready` until a configuration is active. Rejects with a `StartError`,
-   * without closing what was opened.
+   * Calls are refused as `not-ready` until a configuration is active. Rejects with a `StartError`
+   * after closing what was opened.
    */
   public async start(): Promise<void> {
+    try {
+      await this.open();
+    } catch (error) {
+      this.stage = 'stopping';
+      await this.release();
+      throw error;
+    }
+  }
+
+  private async open(): Promise<void> {
     const { callerAddress, readinessAddress, failureDomain } = this.options;
     this.watcher.start();
     await startError.listen('readinessAddress', readinessAddress, this.readinessServer);
--- a/src/node/dispatch/EndlessAnswers.test.ts
+++ b/src/node/dispatch/EndlessAnswers.test.ts
@@ -65,11 +65,15 @@
     table: { maxDaemons: 10 },
   } as unknown as callTypes.ICall;
   return new Promise((resolve) => {
-    transport.send(call, { ...row, service: 'reads' }, {
-      onSent: () => undefined,
-      onLoadReport: () => undefined,
-      onEnd: resolve,
-    });
+    transport.send(
+      call,
+      { ...row, service: 'reads' },
+      {
+        onSent: () => undefined,
+        onLoadReport: () => undefined,
+        onEnd: resolve,
+      },
+    );
   });
 }
 
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import * as net from 'node:net';
 
 import * as bunyan from 'bunyan';
 
@@ -335,6 +336,42 @@
   await stopped;
 });
 
+// Guards against a process that keeps running, and holds an address, though it cannot serve.
+test.each(['callerAddress', 'peerAddress'] as const)(
+  'a daemon whose %s is in use fails to start and closes what it opened',
+  async (taken) => {
+    const [readiness, ...others] = (await freePorts.freePorts(3)).map(
+      (port) => `127.0.0.1:${port}`,
+    ) as [string, string, string];
+    const [callerAddress, peerAddress] = others;
+    const second = new routedDaemon.RoutedDaemon(
+      {
+        ...settings,
+        ...{ callerAddress, peerAddress, readinessAddress: readiness },
+        [taken]: settings[taken],
+      },
+      {
+        source: new storeClient.StoreClient(storeUrl),
+        callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
+        backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
+      },
+      bunyan.createLogger({ name: 'test', streams: [] }),
+      new SlowClock(),
+      new seededRandom.SeededRandom(2),
+    );
+    await expect(second.start()).rejects.toThrow(taken);
+    const isOpen = await new Promise<boolean>((resolve) => {
+      const [host, port] = readiness.split(':') as [string, string];
+      const socket = net.connect({ host, port: Number(port) }, () => {
+        socket.destroy();
+        resolve(true);
+      });
+      socket.on('error', () => resolve(false));
+    });
+    expect(isOpen).toBe(false);
+  },
+);
+
 // Guards against a changed limit that takes effect only after a restart.
 test('a reload applies a changed limit while requests are served', async () => {
   await publish(1, READS);
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -50,7 +50,12 @@
     (bytes, onWritten) => fs.write(process.stdout.fd, bytes, onWritten),
     clock,
   );
-  const logger = bunyan.createLogger({ name: 'lavenderspar', level: settings.logLevel, stream });
+  const logger = bunyan.createLogger({
+    name: 'lavenderspar',
+    level: settings.logLevel,
+    stream,
+    serializers: { err: bunyan.stdSerializers.err },
+  });
   const source = new storeClient.StoreClient(settings.directoryUrl);
   const daemon = new routedDaemon.RoutedDaemon(
     settings,
