Keep a response that waits behind one of a shutdown

Cause, found by reading: during a shutdown a response closed the connection although a later request of the connection already had its response, which waited for its turn and was lost. And after a closing response that waited, further requests could still start. A new test fails before.

Change: CallerConnection knows the position of the last request that has its response; no response before it closes the connection. The wait for a starting daemon moves from CallerExchange to StartWait.

--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -19,6 +19,14 @@
 
   private readonly begun = new Set<callerExchange.CallerExchange>();
 
+  /** Position of each request on the connection, in the order of arrival. */
+  private readonly positions = new Map<callerExchange.CallerExchange, number>();
+
+  private arrivals = 0;
+
+  /** Position of the last request that has a response, which may wait for earlier ones. */
+  private lastAnswered = 0;
+
   private isClosing = false;
 
   private isPaused = false;
@@ -35,10 +43,11 @@
     return this.exchanges.find((exchange) => exchange.isReading);
   }
 
-  /** Whether a request after `exchange` has started. */
+  /** Whether a request after `exchange` has started, or already has its response. */
   public hasBegunAfter(exchange: callerExchange.CallerExchange): boolean {
-    const position = this.exchanges.indexOf(exchange);
-    return this.exchanges.slice(position + 1).some((later) => this.begun.has(later));
+    const position = this.positions.get(exchange) ?? 0;
+    if (this.lastAnswered > position) return true;
+    return [...this.begun].some((other) => (this.positions.get(other) ?? 0) > position);
   }
 
   /** Adds a request, and starts it if it need not wait. */
@@ -48,6 +57,8 @@
       return;
     }
     this.exchanges.push(exchange);
+    this.arrivals += 1;
+    this.positions.set(exchange, this.arrivals);
     this.beginNext();
     this.updateReading();
   }
@@ -56,10 +67,13 @@
   public remove(exchange: callerExchange.CallerExchange): void {
     const position = this.exchanges.indexOf(exchange);
     if (position < 0) return;
+    const { closesConnection } = exchange;
     const later = this.exchanges.slice(position + 1);
     this.exchanges.splice(position, 1);
     this.begun.delete(exchange);
-    if (exchange.closesConnection) {
+    this.lastAnswered = Math.max(this.lastAnswered, this.positions.get(exchange) ?? 0);
+    this.positions.delete(exchange);
+    if (closesConnection) {
       this.discard(later);
     } else {
       this.beginNext();
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -8,16 +8,11 @@
 import type * as callerProtocol from './CallerProtocol';
 import * as requestHead from './RequestHead';
 import * as responseWriter from './ResponseWriter';
+import * as startWait from './StartWait';
 import type * as serverTypes from './Types';
 
 const FINGERPRINT_LENGTH = 22;
 
-/**
- * Time, in milliseconds, that a request waits for a daemon that is starting. After a restart of the
- * whole fleet a refusal would cost the caller a retry, which reaches another daemon that is starting.
- */
-const MAX_START_WAIT_MS = 500;
-
 /** Runs calls, and decides the outcome of refused requests that carry a request key. */
 export interface ICallRunner {
   start(
@@ -41,7 +36,7 @@
 
 /** The connection of an exchange, with the other requests on it. */
 export interface IExchangeOwner {
-  /** Whether a later request on the connection has started. */
+  /** Whether a later request on the connection has started, or already has its response. */
   hasBegunAfter(exchange: CallerExchange): boolean;
   /** Called once, after the response was written or the caller disconnected. */
   remove(exchange: CallerExchange): void;
@@ -69,8 +64,7 @@
 
   private bodyTimer: types.IDisposable | undefined;
 
-  /** What a request that waits for the start of the daemon waits for. */
-  private startWaits: readonly types.IDisposable[] = [];
+  private readonly startWait: startWait.StartWait;
 
   private tableVersion = 0;
 
@@ -90,6 +84,7 @@
   ) {
     this.startMs = context.clock.monotonicMs();
     this.requestId = context.protocol.requestIdOf(request);
+    this.startWait = new startWait.StartWait(context.daemonState, context.clock);
   }
 
   /**
@@ -107,7 +102,7 @@
     if (this.closing || !this.response.shouldKeepAlive) return true;
     const { phase } = this.context.daemonState;
     const isStopping = phase === 'draining' || phase === 'stopping';
-    // A request that has started would lose its response.
+    // A request that has started, or whose response waits for this one, would lose its response.
     return isStopping && !this.owner.hasBegunAfter(this);
   }
 
@@ -119,21 +114,7 @@
 
   public begin(): void {
     this.context.beforeRequest();
-    const { phase, onReady } = this.context.daemonState;
-    if (phase !== 'starting' || onReady === undefined) {
-      this.read();
-      return;
-    }
-    const endWait = () => {
-      this.disposeStartWaits();
-      this.read();
-    };
-    this.startWaits = [onReady(endWait), this.context.clock.setTimer(MAX_START_WAIT_MS, endWait)];
-  }
-
-  private disposeStartWaits(): void {
-    this.startWaits.forEach((wait) => wait.dispose());
-    this.startWaits = [];
+    this.startWait.begin(() => this.read());
   }
 
   private read(): void {
@@ -313,7 +294,7 @@
 
   private finish(): void {
     this.ended = true;
-    this.disposeStartWaits();
+    this.startWait.dispose();
     this.bodyTimer?.dispose();
     this.reader?.stop();
     this.owner.remove(this);
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -145,6 +145,21 @@
   expect(rig.transport.attempts).toHaveLength(2);
 });
 
+// Guards against a request that is passed on behind a response which closes the connection.
+test('during a shutdown nothing starts behind a closing response that waits for its turn', async () => {
+  socket.write(get('/status/1') + get('/status/2'));
+  await rig.attempt(2);
+  rig.phase = 'draining';
+  await rig.reply(2, 200, OK, 'body-2');
+  socket.write(post('/lodgement/3', 'x'));
+  await settle();
+  await rig.reply(1, 200, OK, 'body-1');
+  await nodeEvents.once(socket, 'close');
+  await settle();
+  expect(bodies()).toEqual(['body-1', 'body-2']);
+  expect(rig.transport.attempts).toHaveLength(2);
+});
+
 // Guards against a caller that fills the memory with requests it does not wait for.
 test('the requests read ahead on one connection are bounded', async () => {
   const count = 20_000;
