--- a/src/cli/commands/checkSettings.test.ts
+++ b/src/cli/commands/checkSettings.test.ts
@@ -17,6 +17,7 @@
   'provider.address': '10.200.1.7:8541',
   'seeds|json': '["10.1.0.34:8544","10.2.0.34:8544"]',
   'bounds.grace': '6s',
+  'bounds.configApply': '2000ms',
   'bounds.retryBudgetRatio': '0.2',
   'bounds.budgetSlack': '58',
   'bounds.budgetWindow': '10s',
