Check the bytes of a request target and of header names in the product

On arm64 the parser of Node.js accepts the bytes 80 to FF in a request target, on x86-64 it refuses them: a bare server showed E9 arriving as a path. On both, tab and form feed pass in a target, and a space in a header name, such as 'transfer-encoding : chunked'. undici refuses to send such a name or target, so that a caller got 503 after four servers had been tried in vain.

The product checks both itself, before routing, refuses with 400 as not run, and closes the connection. Responses of servers are parsed by undici's own parser, which is the same on each processor: of all 256 bytes in names and values none that it accepts makes writeHead throw (trial).

A '#' is still forwarded as received, which an existing test asks for.

--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -7,6 +7,7 @@
 import * as bodyReader from './BodyReader';
 import type * as callerProtocol from './CallerProtocol';
 import * as requestHead from './RequestHead';
+import * as requestSyntax from './RequestSyntax';
 import * as responseWriter from './ResponseWriter';
 import * as startWait from './StartWait';
 import type * as serverTypes from './Types';
@@ -175,6 +176,12 @@
     if (table === undefined || daemonState.phase === 'starting') {
       return requestHead.notRun('not-ready', 'the daemon is not ready yet');
     }
+    const problem = requestSyntax.findProblem(this.request);
+    if (problem !== undefined) {
+      // A later request on the connection may be part of what the sender meant as this one.
+      this.closeAfterwards();
+      return requestHead.notRun('malformed-request', problem);
+    }
     const { protocol } = this.context;
     this.service = protocol.serviceOf(this.request, table);
     const head = protocol.readHead(this.request, table);
