Log what backend servers state about the requests that they want

Nothing in the logs told whether a limit is not read, read too late, or kept by each daemon alone. The head of each response is now read for signals, whoever waits for it, and each change is logged as server.signal. No decision uses them yet.

--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -5,6 +5,7 @@
 import type * as selectionPolicy from '../policy/SelectionPolicy';
 import * as serverState from '../policy/ServerState';
 import type * as policyTypes from '../policy/Types';
+import type * as serverRestraints from '../restraint/ServerRestraints';
 import type * as tableTypes from '../table/Types';
 import type * as types from '../Types';
 import * as admissionQueue from './AdmissionQueue';
@@ -91,12 +92,14 @@
   /**
    * @param ejectsServers Whether failing servers are ejected. False for benchmark baselines.
    * @param checkOptions Used for services that have a health path.
+   * @param restraints What servers state about the requests that they want, if they do.
    */
   public constructor(
     private readonly policy: selectionPolicy.SelectionPolicy,
     private readonly clock: types.IClock,
     private readonly ejectsServers = true,
     private readonly checkOptions?: checkedSelector.ICheckedSelectorOptions,
+    private readonly restraints?: serverRestraints.ServerRestraints,
   ) {
     this.ejector = new ejector.Ejector(clock);
     this.onEjected = this.ejector.onEjected;
@@ -227,6 +230,7 @@
     const startMs = this.clock.monotonicMs();
     const state = server;
     state.warmth = this.ejector.warmthOf(server.address);
+    this.restraints?.recordRequest(server.row);
     return { server, number: state.recordStart(startMs), startMs, cost };
   }
 
--- /dev/null
+++ b/src/common/restraint/RequestShare.ts
@@ -0,0 +1,100 @@
+import * as subset from '../policy/Subset';
+import type * as types from '../Types';
+import type * as restraintTypes from './Types';
+
+/** Daemons assumed to share a limit before the members of the fleet are known. */
+const ASSUMED_DAEMON_COUNT = 24;
+
+/**
+ * Number of daemons that may use a server: each may send one request at any moment beside its rate.
+ * In 4 s a server thus gets at most 4 s of its limit and one request of each of them, which stays
+ * within one and a half times the limit and 5 requests, also where daemons know different members.
+ */
+const HOLDERS_PER_LIMIT = 1.4;
+const MIN_HOLDERS = 4;
+
+/**
+ * Number of daemons that come before this one among those that use a server. The daemons that rank
+ * a server first are those that have it in their subset of servers.
+ */
+function positionOf(server: string, { own, daemons = [] }: restraintTypes.IDaemonView): number {
+  const ownRank = subset.rendezvousRank(own, server);
+  return daemons.filter((daemon) => subset.rendezvousRank(daemon, server) < ownRank).length;
+}
+
+/** Share of one daemon in the requests that a server takes from all daemons together. */
+export class RequestShare {
+  private permits: number;
+
+  private refilledAtMs: number;
+
+  private rate = 0;
+
+  private limit = 0;
+
+  private position: number;
+
+  public constructor(
+    private readonly server: string,
+    private readonly clock: types.IClock,
+    private view: restraintTypes.IDaemonView,
+  ) {
+    this.refilledAtMs = clock.monotonicMs();
+    this.position = positionOf(server, view);
+    // All daemons learn of a limit at about the same time. Different amounts at the start keep them
+    // from sending their requests at the same moment.
+    this.permits = subset.rendezvousRank(`${view.own} share`, server);
+  }
+
+  /** Requests a second that this daemon may send. */
+  public get perSecond(): number {
+    return this.rate;
+  }
+
+  /** Sets the limit that the server names, in requests a second. */
+  public setLimit(limit: number): void {
+    if (limit === this.limit) return;
+    this.limit = limit;
+    this.divide();
+  }
+
+  /** Sets the daemons that share the limit. */
+  public setView(view: restraintTypes.IDaemonView): void {
+    if (view === this.view) return;
+    this.view = view;
+    this.position = positionOf(this.server, view);
+    this.divide();
+  }
+
+  /** Time until this daemon may send the next request, in milliseconds; infinite if never. */
+  public get waitMs(): number {
+    this.refill();
+    if (this.permits >= 1) return 0;
+    return this.rate > 0 ? ((1 - this.permits) / this.rate) * 1_000 : Number.POSITIVE_INFINITY;
+  }
+
+  public recordRequest(): void {
+    this.refill();
+    this.permits -= 1;
+  }
+
+  private divide(): void {
+    this.refill();
+    const { limit, position } = this;
+    const { daemons } = this.view;
+    if (daemons === undefined) {
+      this.rate = limit / ASSUMED_DAEMON_COUNT;
+      return;
+    }
+    const mostHolders = Math.floor(HOLDERS_PER_LIMIT * limit + MIN_HOLDERS);
+    const holders = Math.min(daemons.length, mostHolders);
+    this.rate = position < holders ? limit / holders : 0;
+  }
+
+  private refill(): void {
+    const nowMs = this.clock.monotonicMs();
+    const earned = ((nowMs - this.refilledAtMs) / 1_000) * this.rate;
+    this.permits = Math.min(1, this.permits + earned);
+    this.refilledAtMs = nowMs;
+  }
+}
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -9,6 +9,7 @@
 import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
 import * as subset from '../common/policy/Subset';
 import * as probeBudget from '../common/probing/ProbeBudget';
+import * as serverRestraints from '../common/restraint/ServerRestraints';
 import * as weightedSplit from '../common/routing/WeightedSplit';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../common/table/Types';
@@ -73,6 +74,8 @@
 
   private readonly checkBudget: checkBudget.CheckBudget;
 
+  private readonly restraints: serverRestraints.ServerRestraints;
+
   private readonly services: serviceSet.ServiceSet;
 
   private readonly coordinator: callCoordinator.CallCoordinator;
@@ -126,6 +129,11 @@
     );
     this.transport = new httpTransport.HttpTransport(clock, random, dependencies.backendProtocol);
     this.checkBudget = new checkBudget.CheckBudget(clock);
+    this.restraints = new serverRestraints.ServerRestraints(options.peerAddress, clock, random);
+    this.transport.onSignals(({ server, signals, source }) =>
+      this.restraints.record(server, signals, source),
+    );
+    this.restraints.onChanged((change) => this.decisionLog.recordSignal(change));
     this.services = new serviceSet.ServiceSet(
       options.peerAddress,
       () => new leastInFlightPolicy.LeastInFlightPolicy(random),
@@ -139,6 +147,7 @@
         failureDomain: options.failureDomain,
         rankOf: (address) => subset.rendezvousRank(options.peerAddress, address),
       },
+      this.restraints,
     );
     this.suspicion = new requestSuspicion.RequestSuspicion(clock, SUSPICION_THRESHOLD);
     this.coordinator = new callCoordinator.CallCoordinator(
@@ -171,6 +180,7 @@
       watcher: this.watcher,
       isReady: () => this.phase === 'ready',
       countDaemons: () => this.fleetShares.daemonCount,
+      countLimitedServers: () => this.restraints.limitedCount,
     });
   }
 
--- a/src/node/ServiceSet.ts
+++ b/src/node/ServiceSet.ts
@@ -7,6 +7,7 @@
 import type * as selectionPolicy from '../common/policy/SelectionPolicy';
 import * as subset from '../common/policy/Subset';
 import type * as probeBudget from '../common/probing/ProbeBudget';
+import type * as serverRestraints from '../common/restraint/ServerRestraints';
 import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
 
@@ -41,6 +42,7 @@
    * @param ownAddress Peer address of this daemon, which determines its subset of servers.
    * @param checkOptions Used for services with a health path: their servers are checked right before
    * each dispatch.
+   * @param restraints What servers state about the requests that they want.
    */
   public constructor(
     private readonly ownAddress: string,
@@ -49,6 +51,7 @@
     private readonly transport: callTypes.IBackendTransport,
     private readonly clock: types.IClock,
     private readonly checkOptions?: checkedSelector.ICheckedSelectorOptions,
+    private readonly restraints?: serverRestraints.ServerRestraints,
   ) {}
 
   /** Balancers by service name. */
@@ -115,6 +118,7 @@
       this.clock,
       true,
       this.checkOptions,
+      this.restraints,
     );
     balancer.onDraining((address) => this.drainingEmitter.fire(address));
     balancer.onEjected((ejection) => this.ejectedEmitter.fire(ejection));
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -53,6 +53,7 @@
     if (statusCode < 200) return;
     this.status = statusCode;
     this.responseHeaders = headers.decodeRaw((controller.rawHeaders ?? []) as Buffer[]);
+    this.request.onHead(statusCode, this.responseHeaders);
     const declared = Number(headers.find(this.responseHeaders, 'content-length') ?? 0);
     if (this.hasBody() && declared > this.request.maxAnswerBytes) this.rejectOversized(controller);
     else if (!this.isFramed() && !this.request.allowsCloseDelimitedBody)
--- a/src/node/dispatch/BackendProtocol.ts
+++ b/src/node/dispatch/BackendProtocol.ts
@@ -1,5 +1,6 @@
 import type * as callTypes from '../../common/call/Types';
 import type * as policyTypes from '../../common/policy/Types';
+import type * as restraintTypes from '../../common/restraint/Types';
 import type * as tableTypes from '../../common/table/Types';
 
 /** Classification of a complete response of a backend server. */
@@ -38,6 +39,20 @@
   /** Returns the load report in the headers of a response, if any. */
   public abstract readLoad(headers: readonly string[]): policyTypes.ILoadReport | undefined;
 
+  /**
+   * Returns what `server` states about itself in the head of a response, or undefined if the
+   * response is certainly not from that server. Servers state nothing by default.
+   */
+  public readSignals(
+    server: tableTypes.IServerRow,
+    status: number,
+    headers: readonly string[],
+  ): restraintTypes.IServerSignals | undefined;
+
+  public readSignals(): undefined {
+    return undefined;
+  }
+
   /** Classifies the response of `server` to a health check. */
   public abstract classifyCheckReply(
     server: tableTypes.IServerRow,
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -1,7 +1,9 @@
 import * as undici from 'undici';
 
 import type * as callTypes from '../../common/call/Types';
+import * as emitter from '../../common/Emitter';
 import type * as policyTypes from '../../common/policy/Types';
+import type * as restraintTypes from '../../common/restraint/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
 import type * as backendProtocol from './BackendProtocol';
@@ -20,6 +22,13 @@
 /** Health checks open no connection to a server that already has this many. */
 const MAX_CHECK_CONNECTIONS = 4;
 
+/** What a server stated in a response. */
+export interface ISignalsEvent {
+  readonly server: tableTypes.IServerRow;
+  readonly source: restraintTypes.SignalSource;
+  readonly signals: restraintTypes.IServerSignals;
+}
+
 /** Sends attempts and probes to backend servers over HTTP/1.1. */
 export class HttpTransport
   implements callTypes.IBackendTransport, callTypes.IServerChecker, types.IDisposable
@@ -32,6 +41,11 @@
     maxResponseSize: MAX_PROBE_ANSWER_BYTES,
   });
 
+  private readonly signalsEmitter = new emitter.Emitter<ISignalsEvent>();
+
+  /** Fires for the head of each response to a request or a health check. */
+  public readonly onSignals: types.Event<ISignalsEvent> = this.signalsEmitter.event;
+
   private sweepTimer: types.IDisposable | undefined;
 
   public constructor(
@@ -168,6 +182,7 @@
       idempotent: service.idempotent,
       maxAnswerBytes: service.maxAnswerBytes,
       allowsCloseDelimitedBody: protocol.allowsCloseDelimitedBody,
+      onHead: (status, list) => this.recordHead(server, 'answer', status, list),
       classify: (status, list) => protocol.classifyResponse(call, status, list),
       readLoad: (list) => protocol.readLoad(list),
     };
@@ -185,11 +200,22 @@
       idempotent: true,
       maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
       allowsCloseDelimitedBody: this.protocol.allowsCloseDelimitedBody,
+      onHead: (status, list) => this.recordHead(server, 'check', status, list),
       classify: () => ({ kind: 'answer' }),
       readLoad: () => undefined,
     };
   }
 
+  private recordHead(
+    server: tableTypes.IServerRow,
+    source: restraintTypes.SignalSource,
+    status: number,
+    list: readonly string[],
+  ): void {
+    const signals = this.protocol.readSignals(server, status, list);
+    if (signals !== undefined) this.signalsEmitter.fire({ server, source, signals });
+  }
+
   private toCheckReply(
     server: tableTypes.IServerRow,
     outcome: callTypes.AttemptOutcome,
--- a/src/node/dispatch/Types.ts
+++ b/src/node/dispatch/Types.ts
@@ -14,6 +14,8 @@
   readonly maxAnswerBytes: number;
   /** Whether a response that only the close of its connection delimits is accepted. */
   readonly allowsCloseDelimitedBody: boolean;
+  /** Called with the status and the headers of a final response, before its body arrives. */
+  onHead(status: number, headers: readonly string[]): void;
   classify(status: number, headers: readonly string[]): backendProtocol.ResponseClassification;
   readLoad(headers: readonly string[]): policyTypes.ILoadReport | undefined;
 }
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -2,6 +2,7 @@
 import * as promClient from 'prom-client';
 
 import type * as callTypes from '../../common/call/Types';
+import type * as restraintTypes from '../../common/restraint/Types';
 import type * as types from '../../common/Types';
 import type * as serverTypes from '../server/Types';
 import * as logRateLimiter from './LogRateLimiter';
@@ -44,6 +45,13 @@
     registers: [this.registry],
   });
 
+  private readonly signals = new promClient.Counter({
+    name: 'lavenderspar_server_signals_total',
+    help: 'Changes of what servers state about the requests that they want',
+    labelNames: ['source'],
+    registers: [this.registry],
+  });
+
   private readonly droppedLines = new promClient.Counter({
     name: 'lavenderspar_log_lines_dropped_total',
     help: 'Log lines that the limit for each second left out',
@@ -133,6 +141,20 @@
     this.log(names.RETRY_DECIDED, { requestId: call.requestId, ...decision });
   }
 
+  /** Logs and counts that a server states something new about the requests that it wants. */
+  public recordSignal(change: restraintTypes.ISignalChange): void {
+    const { server, source, signals, recentRequests, sharePerSecond } = change;
+    this.signals.inc({ source });
+    this.log(names.SERVER_SIGNAL, {
+      server: server.address,
+      instance: server.instance,
+      source,
+      ...signals,
+      recentRequests,
+      sharePerSecond,
+    });
+  }
+
   private log(event: string, fields: Readonly<Record<string, unknown>>): void {
     const dropped = this.rateLimiter.admit(event);
     if (dropped === undefined) {
--- a/src/platform/PlatformBackendProtocol.ts
+++ b/src/platform/PlatformBackendProtocol.ts
@@ -1,5 +1,6 @@
 import type * as callTypes from '../common/call/Types';
 import type * as policyTypes from '../common/policy/Types';
+import type * as restraintTypes from '../common/restraint/Types';
 import type * as tableTypes from '../common/table/Types';
 import * as backendProtocol from '../node/dispatch/BackendProtocol';
 import * as headers from '../node/dispatch/Headers';
@@ -9,12 +10,37 @@
 const STATUS_REDIRECT = 300;
 const STATUS_SERVER_ERROR = 500;
 const STATUS_MISDIRECTED = 421;
+const STATUS_UNAVAILABLE = 503;
 
 /** Statuses that tell a caller that its request was not run. */
 const NOT_RUN_STATUSES = new Set([408, STATUS_MISDIRECTED, 429, 503]);
 
 const PERCENT = 100;
 
+const MS_PER_S = 1_000;
+
+/** Headers of which a response that a server has not garbled carries at least one. */
+const GENUINE_HEADERS = [
+  wireNames.RESPONSE_SIGNATURE,
+  wireNames.NOT_EXECUTED,
+  wireNames.INSTANCE_ID,
+];
+
+const DECIMAL = /^\d+(\.\d+)?$/;
+
+function parseLimit(
+  status: number,
+  list: readonly string[],
+): restraintTypes.IServerSignals['limit'] {
+  // Another server answers, so that the one to which the request was addressed is gone.
+  if (status === STATUS_MISDIRECTED) return 'unknown';
+  const text = headers.find(list, wireNames.SERVER_LIMIT);
+  if (text !== undefined) return DECIMAL.test(text) ? Number(text) : 'unknown';
+  return GENUINE_HEADERS.some((name) => headers.find(list, name) !== undefined)
+    ? 'none'
+    : 'unknown';
+}
+
 /** Parses a load header: `running,queued,slots[,percent]`. */
 function parseLoad(text: string | undefined): policyTypes.ILoadReport | undefined {
   if (text === undefined) return undefined;
@@ -68,6 +94,22 @@
     return parseLoad(headers.find(list, wireNames.SERVER_LOAD));
   }
 
+  public override readSignals(
+    server: tableTypes.IServerRow,
+    status: number,
+    list: readonly string[],
+  ): restraintTypes.IServerSignals | undefined {
+    const instance = headers.find(list, wireNames.INSTANCE_ID);
+    if (instance !== undefined && instance !== server.instance) return undefined;
+    const retryAfter = headers.find(list, wireNames.RETRY_AFTER) ?? '';
+    const isPause = status === STATUS_UNAVAILABLE && DECIMAL.test(retryAfter);
+    return {
+      limit: parseLimit(status, list),
+      isLeaving: headers.find(list, wireNames.SERVER_LEAVING) === '1',
+      pauseMs: isPause ? Number(retryAfter) * MS_PER_S : 0,
+    };
+  }
+
   public classifyCheckReply(
     server: tableTypes.IServerRow,
     status: number,
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -15,6 +15,10 @@
 export const SERVER_LOAD = 'server-load';
 /** States that the request was not run. */
 export const NOT_EXECUTED = 'not-executed';
+/** Requests a second that the server takes from all daemons together, a decimal number. */
+export const SERVER_LIMIT = 'server-limit';
+/** Present while the server is leaving. */
+export const SERVER_LEAVING = 'server-leaving';
 /** Delay before a retry in seconds, with fractions. */
 export const RETRY_AFTER = 'retry-after';
 
