--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -293,6 +293,22 @@
   expect(servers[0]?.runs).toHaveLength(0);
 });
 
+// Guards against more requests than a server has said that it takes.
+test("a server that names a limit gets this daemon's share of it", async () => {
+  await publish(1, READS);
+  const [limited, other] = servers as [
+    platformServer.PlatformServer,
+    platformServer.PlatformServer,
+  ];
+  limited.signals = { 'Server-Limit': '0.5' };
+  // Each server that is checked states its limit.
+  for (let count = 0; count < 20; count += 1) await send('/x/1');
+  const runsBefore = limited.runs.length;
+  for (let count = 0; count < 40; count += 1) expect((await send('/x/1')).status).toBe(200);
+  expect(limited.runs.length - runsBefore).toBeLessThanOrEqual(1);
+  expect(other.runs.length).toBeGreaterThanOrEqual(39);
+});
+
 // Guards against a store outage that interrupts traffic.
 test.each(['busy', 'reset', 'silent'] as const)(
   'while the store is %s, requests are served',
--- a/src/platform/testing/PlatformServer.ts
+++ b/src/platform/testing/PlatformServer.ts
@@ -25,6 +25,9 @@
   /** Value of the load header; undefined to omit the header. */
   public load: string | undefined = '0,0,3,100';
 
+  /** Further headers of all responses. */
+  public signals: http.OutgoingHttpHeaders = {};
+
   public isHealthy = true;
 
   /** Service time of a request, in milliseconds. */
@@ -70,7 +73,10 @@
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const load = this.load === undefined ? {} : { 'Server-Load': this.load };
+    const load = {
+      ...(this.load === undefined ? {} : { 'Server-Load': this.load }),
+      ...this.signals,
+    };
     if (request.url === HEALTH_PATH) {
       this.checks += 1;
       response.writeHead(this.isHealthy ? 200 : 503, { 'Instance-Id': this.id, ...load }).end();
@@ -78,7 +84,7 @@
     }
     const expected = request.headers['expected-instance'];
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421, { 'Instance-Id': this.id }).end();
+      response.writeHead(421, { 'Instance-Id': this.id, ...this.signals }).end();
     } else if (this.answer === 'shed') {
       this.refusals += 1;
       response.writeHead(503, { 'Not-Executed': '1', ...load }).end();
