Accept no response without an id on a connection that has carried a request

It could happen here: health checks share the connections of requests, and the refusal of a check carries no request id. Its second copy, as the response to the next request, was taken as that request's refusal: REFUSED, or TWICE after the retry elsewhere.

A response without an id is now taken for the request's own only on a new connection; on a reused one its outcome is unknown and the connection is closed. A reply to a check that carries an id belongs to an earlier request, and closes the connection too. Copies with an id were told apart before.

The product's own protocol does not ask servers to repeat the id in refusals; there a copied refusal cannot be told apart.

--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -23,7 +23,10 @@
 
   public constructor(
     private readonly request: dispatchTypes.IExchangeRequest,
-    private readonly connection: Pick<connections.Connection, 'endedGracefully' | 'recordBody'>,
+    private readonly connection: Pick<
+      connections.Connection,
+      'endedGracefully' | 'exchangeCount' | 'recordBody'
+    >,
     private readonly listener: dispatchTypes.IExchangeListener,
   ) {}
 
@@ -79,7 +82,8 @@
     }
     this.reportLoad();
     const body = this.chunks.length === 1 ? (this.chunks[0] as Buffer) : Buffer.concat(this.chunks);
-    const classification = this.request.classify(this.status, this.responseHeaders);
+    const isReused = this.connection.exchangeCount > 1;
+    const classification = this.request.classify(this.status, this.responseHeaders, isReused);
     if (classification.kind === 'refused') {
       this.end({ kind: 'refused', draining: classification.draining });
     } else if (classification.kind === 'invalid') {
--- a/src/node/dispatch/BackendProtocol.ts
+++ b/src/node/dispatch/BackendProtocol.ts
@@ -29,13 +29,25 @@
     remainingMs: number,
   ): string[];
 
-  /** Classifies a complete response to `call`. */
+  /**
+   * Classifies a complete response to `call`.
+   * @param isReused Whether the connection has carried an earlier exchange, so that the response may
+   * be a second copy of an earlier one.
+   */
   public abstract classifyResponse(
     call: Pick<callTypes.ICall, 'requestId'>,
     status: number,
     headers: readonly string[],
+    isReused: boolean,
   ): ResponseClassification;
 
+  /** Whether a response to a health check is certainly one to an earlier request. */
+  public isForeignCheckReply(headers: readonly string[]): boolean;
+
+  public isForeignCheckReply(): boolean {
+    return false;
+  }
+
   /** Returns the load report in the headers of a response, if any. */
   public abstract readLoad(headers: readonly string[]): policyTypes.ILoadReport | undefined;
 
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -183,7 +183,7 @@
       maxAnswerBytes: service.maxAnswerBytes,
       allowsCloseDelimitedBody: protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, 'answer', status, list),
-      classify: (status, list) => protocol.classifyResponse(call, status, list),
+      classify: (status, list, isReused) => protocol.classifyResponse(call, status, list, isReused),
       readLoad: (list) => protocol.readLoad(list),
     };
   }
@@ -201,7 +201,10 @@
       maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
       allowsCloseDelimitedBody: this.protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, 'check', status, list),
-      classify: () => ({ kind: 'answer' }),
+      classify: (_status, list) =>
+        this.protocol.isForeignCheckReply(list)
+          ? { kind: 'invalid', detail: 'the reply to a check belongs to an earlier request' }
+          : { kind: 'answer' },
       readLoad: () => undefined,
     };
   }
@@ -228,6 +231,7 @@
       );
     }
     const isLimit = outcome.kind === 'not-sent' && outcome.reason === 'connection-limit';
-    return { kind: isLimit ? 'silent' : 'unreachable' };
+    const isForeign = outcome.kind === 'lost' && outcome.reason === 'answer-invalid';
+    return { kind: isLimit || isForeign ? 'silent' : 'unreachable' };
   }
 }
--- a/src/node/dispatch/Types.ts
+++ b/src/node/dispatch/Types.ts
@@ -16,7 +16,12 @@
   readonly allowsCloseDelimitedBody: boolean;
   /** Called with the status and the headers of a final response, before its body arrives. */
   onHead(status: number, headers: readonly string[]): void;
-  classify(status: number, headers: readonly string[]): backendProtocol.ResponseClassification;
+  /** @param isReused Whether the connection has carried an earlier exchange. */
+  classify(
+    status: number,
+    headers: readonly string[],
+    isReused: boolean,
+  ): backendProtocol.ResponseClassification;
   readLoad(headers: readonly string[]): policyTypes.ILoadReport | undefined;
 }
 
--- a/src/platform/PlatformBackendProtocol.ts
+++ b/src/platform/PlatformBackendProtocol.ts
@@ -70,11 +70,16 @@
     call: Pick<callTypes.ICall, 'requestId'>,
     status: number,
     list: readonly string[],
+    isReused = false,
   ): backendProtocol.ResponseClassification {
     const requestId = headers.find(list, wireNames.REQUEST_ID);
     if (requestId !== undefined && requestId !== call.requestId) {
       return { kind: 'invalid', detail: `the answer belongs to the request ${requestId}` };
     }
+    if (requestId === undefined && isReused) {
+      // It may be the reply to a health check, once more, which would state that nothing was run.
+      return { kind: 'invalid', detail: 'the answer does not tell to which request it belongs' };
+    }
     if (headers.find(list, wireNames.NOT_EXECUTED) !== undefined || status === STATUS_MISDIRECTED) {
       return { kind: 'refused', draining: false };
     }
@@ -90,6 +95,10 @@
     return { kind: 'answer', isFailure: status >= STATUS_SERVER_ERROR };
   }
 
+  public override isForeignCheckReply(list: readonly string[]): boolean {
+    return headers.find(list, wireNames.REQUEST_ID) !== undefined;
+  }
+
   public readLoad(list: readonly string[]): policyTypes.ILoadReport | undefined {
     return parseLoad(headers.find(list, wireNames.SERVER_LOAD));
   }
--- a/src/platform/testing/PlatformServer.ts
+++ b/src/platform/testing/PlatformServer.ts
@@ -82,12 +82,15 @@
       response.writeHead(this.isHealthy ? 200 : 503, { 'Instance-Id': this.id, ...load }).end();
       return;
     }
+    const requestId = `${request.headers['request-id']}`;
     const expected = request.headers['expected-instance'];
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421, { 'Instance-Id': this.id, ...this.signals }).end();
+      response
+        .writeHead(421, { 'Request-Id': requestId, 'Instance-Id': this.id, ...this.signals })
+        .end();
     } else if (this.answer === 'shed') {
       this.refusals += 1;
-      response.writeHead(503, { 'Not-Executed': '1', ...load }).end();
+      response.writeHead(503, { 'Request-Id': requestId, 'Not-Executed': '1', ...load }).end();
     } else this.run(request, response, load);
   }
 
