Answer every request before a graceful shutdown ends

From 45% of the grace period a request whose deadline is after the end is refused as not run, so that its caller goes elsewhere. At the end each request that is left gets a response, 'unknown' where it was passed on, in order also on a pipelined connection, and the bytes of large answers are sent before the sockets are closed.

--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -44,9 +44,18 @@
 /** Fraction of the grace period during which new connections are still served. */
 const DRAIN_FRACTION = 0.55;
 
-/** Time reserved at the end of the grace period to close open resources, in milliseconds. */
+/**
+ * Fraction of the grace period during which requests are served whatever their deadline. A later one
+ * whose deadline is after the end is refused as not run, so that its caller can go elsewhere.
+ */
+const OPEN_ENDED_FRACTION = 0.45;
+
+/** Time reserved at the end of the grace period to send the last responses, in milliseconds. */
 const SHUTDOWN_RESERVE_MS = 300;
 
+/** Time reserved at the very end to close open resources, in milliseconds. */
+const CLOSE_RESERVE_MS = 150;
+
 /** Interval between checks for calls in flight during shutdown, in milliseconds. */
 const DRAIN_CHECK_INTERVAL_MS = 20;
 
@@ -102,6 +111,8 @@
 
   private stage: 'running' | 'draining' | 'stopping' = 'running';
 
+  private stopTimes: serverTypes.IStopTimes | undefined;
+
   private stopPromise: Promise<void> | undefined;
 
   public constructor(
@@ -263,6 +274,10 @@
   private async runStop(): Promise<void> {
     const { stopGrace } = this.options;
     const startMs = this.clock.monotonicMs();
+    this.stopTimes = {
+      lastOpenEndedMs: startMs + stopGrace * OPEN_ENDED_FRACTION,
+      endMs: startMs + stopGrace - SHUTDOWN_RESERVE_MS,
+    };
     this.stage = 'draining';
     this.fleet?.leave();
     this.logger.info(
@@ -276,10 +291,10 @@
       'waiting for calls in flight to finish',
     );
     const closed = this.callerServer.close();
-    const endMs = startMs + stopGrace - SHUTDOWN_RESERVE_MS;
-    while (this.callerServer.exchangesInFlight > 0 && this.clock.monotonicMs() < endMs) {
-      await this.wait(DRAIN_CHECK_INTERVAL_MS);
-    }
+    await this.waitWhile(() => this.callerServer.exchangesInFlight > 0, this.stopTimes.endMs);
+    this.callerServer.endForStop();
+    const closeAtMs = startMs + stopGrace - CLOSE_RESERVE_MS;
+    await this.waitWhile(() => this.callerServer.hasUnsentBytes, closeAtMs);
     await this.release();
     await closed;
     this.logger.info('daemon stopped');
@@ -297,6 +312,12 @@
     this.transport.dispose();
   }
 
+  private async waitWhile(condition: () => boolean, untilMs: number): Promise<void> {
+    while (condition() && this.clock.monotonicMs() < untilMs) {
+      await this.wait(DRAIN_CHECK_INTERVAL_MS);
+    }
+  }
+
   private wait(durationMs: number): Promise<void> {
     return new Promise((resolve) => {
       this.clock.setTimer(durationMs, resolve);
@@ -357,6 +378,7 @@
   private makeCallerServer(): callerServer.CallerServer {
     const readTable = () => this.table;
     const readPhase = () => this.phase;
+    const readStopTimes = () => this.stopTimes;
     return new callerServer.CallerServer(
       {
         daemonState: {
@@ -366,6 +388,9 @@
           get phase() {
             return readPhase();
           },
+          get stopTimes() {
+            return readStopTimes();
+          },
           onReady: this.readyEmitter.event,
         },
         protocol: this.dependencies.callerProtocol,
--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -87,6 +87,16 @@
     this.exchanges.at(-1)?.closeAfterwards();
   }
 
+  /** Bytes of responses that have not been handed to the operating system yet. */
+  public get unsentBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  /** Ends all requests with a response, in order, because the daemon stops. */
+  public endForStop(): void {
+    [...this.exchanges].forEach((exchange) => exchange.endForStop());
+  }
+
   /** Ends all requests because the caller closed the connection. */
   public abandon(): void {
     this.isClosing = true;
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -145,6 +145,18 @@
     this.cancel('the response to an earlier request closes the connection');
   }
 
+  /** Ends the exchange with a response, because the daemon stops. */
+  public endForStop(): void {
+    if (this.ended) return;
+    if (this.attempt === undefined) {
+      this.refuseUnclaimed(requestHead.notRun('shutting-down', 'the daemon stops'));
+      return;
+    }
+    this.attempt.cancel();
+    const detail = 'the daemon stops before the answer has arrived';
+    this.refuse({ kind: 'unknown', reason: 'deadline-exceeded', detail, dispatched: true });
+  }
+
   /** Refuses a request whose body is malformed. */
   public refuseBody(detail: string): void {
     this.closing = true;
@@ -187,9 +199,18 @@
     const head = protocol.readHead(this.request, table);
     if ('kind' in head) return head;
     this.service = head.service.name;
+    if (this.outlastsDaemon(head.timeoutMs)) {
+      return requestHead.notRun('shutting-down', 'the daemon stops before the deadline');
+    }
     return { head, table };
   }
 
+  private outlastsDaemon(timeoutMs: number): boolean {
+    const { stopTimes } = this.context.daemonState;
+    if (stopTimes === undefined || this.startMs <= stopTimes.lastOpenEndedMs) return false;
+    return this.startMs + timeoutMs > stopTimes.endMs;
+  }
+
   private awaitBody(head: requestHead.IRequestHead): void {
     if (this.request.headers.expect !== undefined && this.request.httpVersion === '1.1') {
       const declaredBytes = Number(this.request.headers['content-length'] ?? 0);
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -94,6 +94,16 @@
     });
   }
 
+  /** Whether bytes of responses wait for callers that read slowly. */
+  public get hasUnsentBytes(): boolean {
+    return [...this.connections.values()].some(({ unsentBytes }) => unsentBytes > 0);
+  }
+
+  /** Ends all requests with a response, because the daemon stops. */
+  public endForStop(): void {
+    this.connections.forEach((connection) => connection.endForStop());
+  }
+
   /** Closes all connections immediately, including those with exchanges in flight. */
   public closeNow(): void {
     this.server.closeAllConnections();
--- a/src/node/server/Types.ts
+++ b/src/node/server/Types.ts
@@ -11,11 +11,21 @@
 /** Refusal of a request that was certainly not run. */
 export type NotRun = Extract<Refusal, { kind: 'not-run' }>;
 
+/** Times of a graceful shutdown, in monotonic milliseconds. */
+export interface IStopTimes {
+  /** From then on a request is refused if its deadline is after `endMs`. */
+  readonly lastOpenEndedMs: number;
+  /** When requests that have no answer yet are ended. */
+  readonly endMs: number;
+}
+
 /** State of the daemon that the handling of requests depends on. */
 export interface IDaemonState {
   /** Active table, or undefined before the first one. */
   readonly table: tableTypes.ITable | undefined;
   readonly phase: Phase;
+  /** Set during a graceful shutdown that ends at a certain time. */
+  readonly stopTimes?: IStopTimes | undefined;
   /** Fires when the daemon has become ready. If undefined, requests do not wait for that. */
   readonly onReady?: types.Event<void>;
 }
--- a/src/node/server/testing/CallerServerRig.ts
+++ b/src/node/server/testing/CallerServerRig.ts
@@ -30,6 +30,8 @@
 
   public phase: serverTypes.Phase = 'ready';
 
+  public stopTimes: serverTypes.IStopTimes | undefined;
+
   /** Reports that the daemon has become ready. */
   public readonly ready = new emitter.Emitter<void>();
 
@@ -48,12 +50,16 @@
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
     const coordinator = new callCoordinator.CallCoordinator(transport, suspicion, clock);
     const readPhase = () => this.phase;
+    const readStopTimes = () => this.stopTimes;
     this.server = new callerServer.CallerServer({
       daemonState: {
         table,
         get phase() {
           return readPhase();
         },
+        get stopTimes() {
+          return readStopTimes();
+        },
         onReady: this.ready.event,
       },
       clock,
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -362,6 +362,16 @@
   await stopped;
 });
 
+// Guards against requests that are cut off without a response at the end of the grace period.
+test('a request that outlasts the grace period gets a response', async () => {
+  await publish(1, WRITES);
+  servers.forEach((server) => Object.assign(server, { answer: 'mute' }));
+  const reply = send('/x/1', { method: 'POST' }, 'body');
+  await eventually(() => runs() === 1);
+  await daemon.stop();
+  expect(await reply).toMatchObject({ status: 504, headers: { connection: 'close' } });
+});
+
 // Guards against a process that keeps running, and holds an address, though it cannot serve.
 test.each(['callerAddress', 'peerAddress'] as const)(
   'a daemon whose %s is in use fails to start and closes what it opened',
