Share the leaving that a server states, and tell callers of pauses

- Server-Leaving travels to the other daemons as a fact about the process, its instance and start, so that a new process at the address serves at once.
- While every server has asked for a pause, or for fewer requests than come, callers are refused as not run with the time until the first of them takes requests again, spread by a factor of up to two.

A Retry-After that is no decimal number of seconds has no effect, a longer one than ten minutes counts as ten minutes, and a shorter one does not shorten what stands.

--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -121,7 +121,17 @@
   private endWithoutServer(reason: 'none' | 'overloaded'): void {
     if (reason === 'overloaded' && this.sent === 0) {
       this.shed('every server that was asked is too busy to answer in time');
-    } else this.finish(this.failures.toOutcome());
+    } else this.finish(this.failedOutcome());
+  }
+
+  /** Returns the outcome of a call that gets no further attempt. */
+  private failedOutcome(): callTypes.CallOutcome {
+    const outcome = this.failures.toOutcome();
+    if (outcome.kind !== 'not-run') return outcome;
+    const retryAfterMs = this.context.balancer.retryDelayMs();
+    if (retryAfterMs === undefined) return outcome;
+    const detail = 'every backend server has asked for fewer requests';
+    return { kind: 'not-run', reason: 'overloaded', detail, retryAfterMs };
   }
 
   private send(server: serverState.ServerState, cost = 1): void {
@@ -287,7 +297,7 @@
     const decision = { isAllowed, sent, maxAttempts, isSuspect, hasPermit };
     this.context.observer?.onRetryDecided(this.call, decision);
     if (!isAllowed) {
-      this.finish(this.failures.toOutcome());
+      this.finish(this.failedOutcome());
       return;
     }
     this.retries += 1;
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -159,6 +159,14 @@
     return { dispose: () => (selection ?? first).dispose() };
   }
 
+  /**
+   * Returns the delay after which callers may return if every server has asked for fewer requests, in
+   * milliseconds, or undefined if one of them has not.
+   */
+  public retryDelayMs(): number | undefined {
+    return this.restraints?.retryDelayMs(this.states.map(({ row }) => row));
+  }
+
   /** Returns why a server gets no new work, or undefined if it is available. */
   public avoidanceOf(address: string): AvoidanceReason | undefined {
     const server = this.servers.get(address);
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -48,7 +48,13 @@
 /** Outcome of a call. Exactly one outcome reaches the caller. */
 export type CallOutcome =
   | { readonly kind: 'answered'; readonly answer: IAnswer; readonly server: string }
-  | { readonly kind: 'not-run'; readonly reason: NotRunKind; readonly detail: string }
+  | {
+      readonly kind: 'not-run';
+      readonly reason: NotRunKind;
+      readonly detail: string;
+      /** Time after which a server takes the request, in milliseconds, if it is known. */
+      readonly retryAfterMs?: number | undefined;
+    }
   | {
       readonly kind: 'unknown';
       readonly reason: UnknownOutcomeKind;
--- a/src/node/FactExchange.test.ts
+++ b/src/node/FactExchange.test.ts
@@ -2,6 +2,7 @@
 import * as manualClock from '../common/ManualClock';
 import * as policyFactory from '../common/policy/PolicyFactory';
 import * as probeBudget from '../common/probing/ProbeBudget';
+import * as serverRestraints from '../common/restraint/ServerRestraints';
 import * as seededRandom from '../common/SeededRandom';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import * as fakeTransport from '../common/testing/FakeTransport';
@@ -25,10 +26,18 @@
   services.update(fixtures.makeTable());
   const suspicion = new requestSuspicion.RequestSuspicion(clock);
   const members = { leavingServers: new Set<string>() };
-  const exchange = new factExchange.FactExchange(facts, members, services, suspicion, clock);
+  const restraints = new serverRestraints.ServerRestraints('10.0.1.1:1', clock, random);
+  const exchange = new factExchange.FactExchange(
+    facts,
+    members,
+    services,
+    suspicion,
+    clock,
+    restraints,
+  );
   exchange.start();
   const avoidance = () => services.balancerOf('status')?.avoidanceOf(SERVER);
-  return { clock, facts, services, suspicion, members, avoidance };
+  return { clock, facts, services, suspicion, members, avoidance, restraints };
 }
 
 function factOfPeer(
@@ -102,3 +111,20 @@
   services.update({ ...fixtures.makeTable({}, 60), version: 2 });
   expect(services.balancerOf('status')?.states).toHaveLength(30);
 });
+
+// Guards against the leaving of a process that is taken for that of a later one at its address.
+test('the leaving of a server process is shared as that of this process alone', () => {
+  const { facts, restraints, avoidance } = build();
+  const process = { address: SERVER, instance: 'i-1', startedAtMs: 17 };
+  const signals = { limit: 'none', isLeaving: true, pauseMs: 0 } as const;
+  restraints.record(process, signals, 'answer');
+  restraints.record(process, signals, 'check');
+  const shared = facts.about('draining', SERVER);
+  expect(shared).toHaveLength(1);
+  const peer = build();
+  peer.facts.merge({ ...factOfPeer('draining', SERVER, []), details: shared[0]?.details ?? [] });
+  expect(peer.restraints.restraintOf(process)).toBe('leaving');
+  expect(peer.restraints.restraintOf({ ...process, startedAtMs: 18 })).toBeUndefined();
+  expect(peer.avoidance()).toBeUndefined();
+  expect(avoidance()).toBeUndefined();
+});
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -246,6 +246,7 @@
       this.services,
       this.suspicion,
       this.clock,
+      this.restraints,
     );
     await this.fleet.start();
     this.facts.start();
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -314,6 +314,7 @@
       outcome: refusal.kind,
       detail: refusal.detail,
       dispatched: refusal.kind === 'unknown' && refusal.dispatched,
+      retryAfterMs: refusal.kind === 'not-run' ? refusal.retryAfterMs : undefined,
       tableVersion: this.tableVersion,
     };
     this.context.observer.onRefused(record, this.context.clock.monotonicMs() - this.startMs);
--- a/src/node/server/Types.ts
+++ b/src/node/server/Types.ts
@@ -39,6 +39,8 @@
   readonly outcome: Refusal['kind'];
   readonly detail: string;
   readonly dispatched: boolean;
+  /** Time after which a server takes the request, in milliseconds, if it is known. */
+  readonly retryAfterMs?: number | undefined;
   /** Version of the table that applied, or 0 if there was none. */
   readonly tableVersion: number;
 }
--- a/src/platform/PlatformBackendProtocol.test.ts
+++ b/src/platform/PlatformBackendProtocol.test.ts
@@ -52,3 +52,42 @@
   expect(check(503, ['instance-id', 'i-1'])).toBe('unhealthy');
   expect(check(503, ['not-executed', '1'])).toBe('full');
 });
+
+function signals(status: number, list: readonly string[]) {
+  return protocol.readSignals(SERVER, status, list);
+}
+
+// Guards against a header of another writer that stops a server for good, or a daemon.
+test.each([
+  ['2', 2_000],
+  ['0.25', 250],
+  ['0', 0],
+  ['-1', 0],
+  ['1e3', 0],
+  ['soon', 0],
+  ['Fri, 04 Dec 2026 20:00:00 GMT', 0],
+  ['9'.repeat(400), Number.POSITIVE_INFINITY],
+])('a retry delay of %s is a pause of %d ms', (text, pauseMs) => {
+  expect(signals(503, [...SIGNED, 'retry-after', text])).toMatchObject({ pauseMs });
+  expect(signals(429, [...SIGNED, 'retry-after', text])).toMatchObject({ pauseMs: 0 });
+});
+
+test.each([
+  ['7.5', 7.5],
+  ['0', 0],
+  ['-7', 'unknown'],
+  ['many', 'unknown'],
+  ['', 'unknown'],
+])('a limit of %j is %j', (text, limit) => {
+  expect(signals(200, [...SIGNED, 'server-limit', text])).toMatchObject({ limit });
+});
+
+// Guards against a garbled response, or one of another server, that ends a limit.
+test('only a genuine response of the server tells that there is no limit', () => {
+  expect(signals(200, SIGNED)).toMatchObject({ limit: 'none' });
+  expect(signals(503, ['not-executed', '1'])).toMatchObject({ limit: 'none' });
+  expect(signals(200, ['instance-id', 'i-1'])).toMatchObject({ limit: 'none' });
+  expect(signals(500, [])).toMatchObject({ limit: 'unknown' });
+  expect(signals(421, [...SIGNED, 'server-limit', '3'])).toMatchObject({ limit: 'unknown' });
+  expect(signals(200, ['instance-id', 'i-2', 'server-leaving', '1'])).toBeUndefined();
+});
--- a/src/platform/PlatformCallerProtocol.ts
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -21,6 +21,8 @@
 /** Retry delay in seconds if every server is overloaded: a slot becomes free within tens of ms. */
 const RETRY_AFTER_OVERLOAD_S = 0.05;
 
+const MS_PER_S = 1_000;
+
 const STATUS_UNAVAILABLE = 503;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -49,6 +51,12 @@
   return list.reduce((sum, text) => sum + text.length, (list.length / 2) * HEADER_OVERHEAD_BYTES);
 }
 
+/** Returns the retry delay of a refused request, in seconds. */
+function retryAfterOf({ kind, retryAfterMs }: serverTypes.IRefusalRecord): number {
+  if (retryAfterMs !== undefined) return Math.ceil(retryAfterMs) / MS_PER_S;
+  return kind === 'overloaded' ? RETRY_AFTER_OVERLOAD_S : RETRY_AFTER_S;
+}
+
 function statusOf(record: serverTypes.IRefusalRecord): number {
   if (record.outcome === 'not-run') {
     return REFUSAL_STATUSES[record.kind as callTypes.NotRunKind] ?? STATUS_UNAVAILABLE;
@@ -122,8 +130,7 @@
     const list = ['content-type', 'application/json', wireNames.REQUEST_ID, record.requestId];
     const { kind, outcome, detail } = record;
     if (status === STATUS_UNAVAILABLE) {
-      const retryAfterS = kind === 'overloaded' ? RETRY_AFTER_OVERLOAD_S : RETRY_AFTER_S;
-      list.push(wireNames.RETRY_AFTER, `${retryAfterS}`);
+      list.push(wireNames.RETRY_AFTER, `${retryAfterOf(record)}`);
     }
     return { status, headers: list, body: JSON.stringify({ kind, outcome, detail }) };
   }
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -309,6 +309,54 @@
   expect(other.runs.length).toBeGreaterThanOrEqual(39);
 });
 
+// Guards against requests to a server that has said in an answer that it leaves, while the store
+// still lists it.
+test.each(['signed', 'shed', 'failed'] as const)(
+  'a server that says that it leaves, with answers that are %s, gets no more requests',
+  async (answer) => {
+    await publish(1, READS);
+    const [leaving] = servers as [platformServer.PlatformServer];
+    Object.assign(leaving, { answer, signals: { 'Server-Leaving': '1' } });
+    for (let count = 0; count < 20; count += 1) await send('/x/1');
+    const before = { runs: leaving.runs.length, checks: leaving.checks };
+    leaving.signals = {};
+    store.put('servers/i-3', platformRecords.makeServerEntry('reads', '127.0.0.1:1'));
+    await publish(2, READS);
+    for (let count = 0; count < 20; count += 1) expect((await send('/x/1')).status).toBe(200);
+    expect({ runs: leaving.runs.length, checks: leaving.checks }).toEqual(before);
+  },
+);
+
+// Guards against requests and checks that disturb a server which has asked for a pause.
+test('a server that refuses with a retry delay gets nothing until it has passed', async () => {
+  await publish(1, READS);
+  const [paused] = servers as [platformServer.PlatformServer];
+  Object.assign(paused, { answer: 'shed', signals: { 'Retry-After': '0.2' } });
+  for (let count = 0; count < 50 && paused.refusals === 0; count += 1) await send('/x/1');
+  const before = { refusals: paused.refusals, checks: paused.checks };
+  Object.assign(paused, { answer: 'signed', signals: {} });
+  for (let count = 0; count < 30; count += 1) expect((await send('/x/1')).status).toBe(200);
+  expect({ refusals: paused.refusals, checks: paused.checks }).toEqual(before);
+  await eventually(async () => {
+    await send('/x/1');
+    return paused.runs.length > 0;
+  });
+});
+
+// Guards against callers who are told to return before any server wants their requests.
+test('while every server has asked for a pause, callers are refused at once', async () => {
+  await publish(1, READS);
+  servers.forEach((server) =>
+    Object.assign(server, { answer: 'shed', signals: { 'Retry-After': '60' } }),
+  );
+  const refusals = () => servers.reduce((sum, server) => sum + server.refusals, 0);
+  for (let count = 0; count < 50 && refusals() < 2; count += 1) await send('/x/1');
+  const reply = await send('/x/1');
+  expect(reply.status).toBe(503);
+  expect(Number(reply.headers['retry-after'])).toBeGreaterThan(50);
+  expect(refusals()).toBe(2);
+});
+
 // Guards against a store outage that interrupts traffic.
 test.each(['busy', 'reset', 'silent'] as const)(
   'while the store is %s, requests are served',
