Keep the outcome of forwarded calls truthful, and their servers within the limit

Callers could see "not run" for an idempotent request that a server had run: a call that was waiting for a server when its service got out of reach was handed to a peer, and if that one refused it, the refusal went to the caller; the same after a peer whose reply was lost. And the peer was given all attempts that the route allows, although some had been used.

A running call can now be abandoned, which ends it with what is known of its attempts: not run if it was never sent, else unknown, with the number of its servers. A refusal by a peer replaces no unknown outcome, and a peer gets the attempts that are left.

--- a/src/common/call/CallCoordinator.test.ts
+++ b/src/common/call/CallCoordinator.test.ts
@@ -65,6 +65,22 @@
   expect(rig.outcomes).toMatchObject([{ kind: 'not-run', reason: 'backend-server-refused' }]);
 });
 
+// Guards against "not run" for a call that a server may have run before it got out of reach.
+test('a call that is abandoned after it was sent is unknown, with the number of its servers', () => {
+  const rig = fixtures.makeRig();
+  const running = rig.start();
+  endAttempt(rig, 0, LOST);
+  running.abandon();
+  expect(rig.outcomes).toMatchObject([{ kind: 'unknown', reason: 'connection-lost', attempts: 2 }]);
+  expect(attemptAt(rig, 1).cancelled).toBe(true);
+});
+
+test('a call that is abandoned before it was sent has not run', () => {
+  const rig = fixtures.makeRig({}, 3, false);
+  rig.start().abandon();
+  expect(rig.outcomes).toMatchObject([{ kind: 'not-run', reason: 'no-backend-server' }]);
+});
+
 test('returns no answer after the deadline', () => {
   const rig = fixtures.makeRig();
   rig.start();
--- a/src/common/call/CallCoordinator.ts
+++ b/src/common/call/CallCoordinator.ts
@@ -30,18 +30,18 @@
   }
 
   /**
-   * Runs `call` on the servers of `balancer`, and returns a handle that cancels it.
+   * Runs `call` on the servers of `balancer`, and returns its handle.
    * @param onOutcome Called exactly once, unless the call is cancelled first.
    */
   public start(
     call: callTypes.ICall,
     balancer: serviceBalancer.ServiceBalancer,
     onOutcome: (outcome: callTypes.CallOutcome) => void,
-  ): callTypes.IAttempt {
+  ): callTypes.IRunningCall {
     const refusal = this.refusalOf(call);
     if (refusal !== undefined) {
       onOutcome(refusal);
-      return { cancel: () => undefined };
+      return { cancel: () => undefined, abandon: () => undefined };
     }
     this.running += 1;
     const context = {
@@ -56,7 +56,7 @@
       if (outcome !== undefined) onOutcome(outcome);
     });
     running.begin();
-    return { cancel: () => running.cancel() };
+    return running;
   }
 
   private refusalOf(call: callTypes.ICall): callTypes.CallOutcome | undefined {
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -36,7 +36,7 @@
 }
 
 /** One call in progress: its attempts, retries, hedges and deadline. */
-export class RunningCall {
+export class RunningCall implements callTypes.IRunningCall {
   private readonly active = new Set<IActiveAttempt>();
 
   private readonly tried = new Set<string>();
@@ -94,6 +94,17 @@
     this.finish(undefined);
   }
 
+  /** Ends the call because its servers are out of reach. */
+  public abandon(): void {
+    if (this.ended) return;
+    if ([...this.active].some(({ sent }) => sent)) {
+      const detail = 'no backend server of the service answers this daemon';
+      this.failures.recordLost({ kind: 'lost', reason: 'connection-lost', detail });
+    }
+    this.cancelActive('cancelled');
+    this.finish(this.failedOutcome());
+  }
+
   private onAdmitted(): void {
     this.admittedAtMs = this.context.clock.monotonicMs();
     this.context.balancer.recordFirstAttempt(this.call.depth);
@@ -127,6 +138,7 @@
   /** Returns the outcome of a call that gets no further attempt. */
   private failedOutcome(): callTypes.CallOutcome {
     const outcome = this.failures.toOutcome();
+    if (outcome.kind === 'unknown') return { ...outcome, attempts: this.sent };
     if (outcome.kind !== 'not-run') return outcome;
     const retryAfterMs = this.context.balancer.retryDelayMs();
     if (retryAfterMs === undefined) return outcome;
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -61,6 +61,8 @@
       readonly detail: string;
       /** Whether this daemon sent the request to a backend server during this call. */
       readonly dispatched: boolean;
+      /** Number of servers to which this daemon sent the request, if it is known. */
+      readonly attempts?: number | undefined;
     };
 
 /** Request to run on one of the servers of a service. */
@@ -132,6 +134,15 @@
   cancel(): void;
 }
 
+/** Handle of a call that runs on the servers of this daemon. */
+export interface IRunningCall extends IAttempt {
+  /**
+   * Ends the call because its servers are out of reach. Its outcome follows: `unknown` if a server
+   * may have run it.
+   */
+  abandon(): void;
+}
+
 /** Sends requests to backend servers. Implemented over HTTP and by the virtual-time benchmark. */
 export interface IBackendTransport {
   /** Sends `call` to `server` once and never retries it. */
--- a/src/common/testing/Fixtures.ts
+++ b/src/common/testing/Fixtures.ts
@@ -30,7 +30,7 @@
   readonly table: tableTypes.ITable;
   /** Outcomes in the order in which the calls ended. */
   readonly outcomes: callTypes.CallOutcome[];
-  start(changes?: Partial<callTypes.ICall>): callTypes.IAttempt;
+  start(changes?: Partial<callTypes.ICall>): callTypes.IRunningCall;
 }
 
 export function makeTable(
--- a/src/node/forwarding/CallForwarder.ts
+++ b/src/node/forwarding/CallForwarder.ts
@@ -3,6 +3,15 @@
 import * as forwardedCall from './ForwardedCall';
 import type * as forwardTypes from './Types';
 
+/** Returns a call for the servers to which it may still be sent. */
+function withAttemptsLeft(
+  call: callTypes.ICall,
+  { attempts = 1 }: forwardTypes.UnknownOutcome,
+): callTypes.ICall {
+  const { maxAttempts } = call;
+  return maxAttempts === undefined ? call : { ...call, maxAttempts: maxAttempts - attempts };
+}
+
 /**
  * Runs the calls of callers: on the servers of this daemon, or, while it does not reach those of the
  * service, at a peer that does.
@@ -24,17 +33,21 @@
     if (!this.reach.isReachable(call.service.name)) return this.forward(call, onOutcome);
     let forwarded: callTypes.IAttempt | undefined;
     const local = this.local.start(call, (outcome) => {
-      if (this.mayForward(call, outcome)) forwarded = this.forward(call, onOutcome);
-      else onOutcome(outcome);
+      if (!this.mayForward(call, outcome)) onOutcome(outcome);
+      else if (outcome.kind !== 'unknown') forwarded = this.forward(call, onOutcome);
+      else forwarded = this.forward(withAttemptsLeft(call, outcome), onOutcome, outcome);
     });
     return { cancel: () => (forwarded ?? local).cancel() };
   }
 
+  /** @param unknownOutcome Outcome on the servers of this daemon, if they may have run the call. */
   private forward(
     call: callTypes.ICall,
     onOutcome: (outcome: callTypes.CallOutcome) => void,
+    unknownOutcome?: forwardTypes.UnknownOutcome,
   ): callTypes.IAttempt {
-    const forwarded = new forwardedCall.ForwardedCall(call, this.context, onOutcome);
+    const { context } = this;
+    const forwarded = new forwardedCall.ForwardedCall(call, context, onOutcome, unknownOutcome);
     forwarded.begin();
     return forwarded;
   }
@@ -48,7 +61,9 @@
       const isLate = outcome.retryAfterMs !== undefined;
       return outcome.reason === 'no-backend-server' && hasServers && !isLate;
     }
-    const isLost = outcome.kind === 'unknown' && outcome.reason === 'connection-lost';
-    return isLost && idempotent && !this.reach.isReachable(name) && this.takeRetryPermit(name);
+    if (outcome.kind !== 'unknown' || outcome.reason !== 'connection-lost') return false;
+    const attemptsLeft = withAttemptsLeft(call, outcome).maxAttempts ?? 1;
+    const isRepeatable = idempotent && attemptsLeft > 0;
+    return isRepeatable && !this.reach.isReachable(name) && this.takeRetryPermit(name);
   }
 }
--- a/src/node/forwarding/ForwardedCall.test.ts
+++ b/src/node/forwarding/ForwardedCall.test.ts
@@ -110,6 +110,14 @@
   expect(outcomes).toMatchObject([{ kind: 'unknown' }]);
 });
 
+// Guards against "not run" from a peer for a call that an earlier peer may have run.
+test('a refusal by a second peer does not hide that the first may have run the call', () => {
+  const outcome = { kind: 'not-run', reason: 'overloaded', detail: 'busy' } as const;
+  replies = [LOST, reply(outcome)];
+  begin(true);
+  expect(outcomes).toMatchObject([{ kind: 'unknown', reason: 'connection-lost' }]);
+});
+
 test('a call that no peer can run is refused as not run, after a few peers', () => {
   replies = Array.from({ length: 9 }, () => CANNOT_HELP);
   begin(true);
--- a/src/node/forwarding/ForwardedCall.ts
+++ b/src/node/forwarding/ForwardedCall.ts
@@ -31,16 +31,17 @@
 
   private helper: string | undefined;
 
-  /** Detail of the last failure after which a peer may have run the call. */
-  private lostDetail: string | undefined;
-
   private ended = false;
 
-  /** @param onOutcome Called exactly once, unless the call is cancelled first. */
+  /**
+   * @param onOutcome Called exactly once, unless the call is cancelled first.
+   * @param unknownOutcome Outcome of an earlier attempt, after which the call may have run.
+   */
   public constructor(
     private readonly call: callTypes.ICall,
     private readonly context: IForwardContext,
     private readonly onOutcome: (outcome: callTypes.CallOutcome) => void,
+    private unknownOutcome?: forwardTypes.UnknownOutcome,
   ) {
     const remainingMs = call.deadlineMs - context.clock.monotonicMs();
     this.deadlineTimer = context.clock.setTimer(remainingMs, () => this.expire());
@@ -78,20 +79,22 @@
   private handleResult(helper: string, result: forwardTypes.ForwardResult): void {
     this.context.observer.onForwarded(this.call, helper, result.kind);
     if (result.kind === 'outcome') {
-      this.end(result.outcome);
+      const isRefused = result.outcome.kind === 'not-run';
+      this.end(isRefused ? (this.unknownOutcome ?? result.outcome) : result.outcome);
       return;
     }
     this.context.helpers.avoid(helper);
-    if (result.kind === 'lost') this.lostDetail = `${helper}: ${result.detail}`;
+    if (result.kind === 'lost') {
+      const detail = `${helper}: ${result.detail}`;
+      const kind = 'unknown';
+      this.unknownOutcome = { kind, reason: 'connection-lost', detail, dispatched: true };
+    }
     if (result.kind === 'cannot-help' || this.call.service.idempotent) this.askNext();
     else this.end(this.failedOutcome());
   }
 
   private failedOutcome(): callTypes.CallOutcome {
-    if (this.lostDetail !== undefined) {
-      const detail = this.lostDetail;
-      return { kind: 'unknown', reason: 'connection-lost', detail, dispatched: true };
-    }
+    if (this.unknownOutcome !== undefined) return this.unknownOutcome;
     return {
       kind: 'not-run',
       reason: 'no-backend-server',
--- a/src/node/forwarding/LocalCalls.ts
+++ b/src/node/forwarding/LocalCalls.ts
@@ -8,8 +8,7 @@
 
 interface ILocalCall {
   readonly service: string;
-  /** Ends the call with an unknown outcome. */
-  readonly end: () => void;
+  readonly running: callTypes.IRunningCall;
 }
 
 /**
@@ -36,27 +35,22 @@
     call: callTypes.ICall,
     onOutcome: (outcome: callTypes.CallOutcome) => void,
   ): callTypes.IAttempt {
-    if (!call.service.idempotent) return this.startOnServers(call, onOutcome);
+    const { name, idempotent } = call.service;
+    let local: ILocalCall | undefined;
     let hasEnded = false;
-    let attempt: callTypes.IAttempt | undefined;
-    const local: ILocalCall = {
-      service: call.service.name,
-      end: () => {
-        attempt?.cancel();
-        const detail = 'no backend server of the service answers this daemon';
-        onOutcome({ kind: 'unknown', reason: 'connection-lost', detail, dispatched: true });
-      },
-    };
-    attempt = this.startOnServers(call, (outcome) => {
+    const running = startCall.startCall(call, this.services, this.coordinator, (outcome) => {
       hasEnded = true;
-      this.repeatable.delete(local);
+      if (local !== undefined) this.repeatable.delete(local);
       onOutcome(outcome);
     });
-    if (!hasEnded) this.repeatable.add(local);
+    if (!idempotent || hasEnded) return running;
+    const added = { service: name, running };
+    local = added;
+    this.repeatable.add(added);
     return {
       cancel: () => {
-        this.repeatable.delete(local);
-        attempt?.cancel();
+        this.repeatable.delete(added);
+        running.cancel();
       },
     };
   }
@@ -65,19 +59,9 @@
     this.subscription.dispose();
   }
 
-  private startOnServers(
-    call: callTypes.ICall,
-    onOutcome: (outcome: callTypes.CallOutcome) => void,
-  ): callTypes.IAttempt {
-    return startCall.startCall(call, this.services, this.coordinator, onOutcome);
-  }
-
   private endUnreachable(): void {
     [...this.repeatable]
       .filter(({ service }) => !this.reach.isReachable(service))
-      .forEach((local) => {
-        this.repeatable.delete(local);
-        local.end();
-      });
+      .forEach(({ running }) => running.abandon());
   }
 }
--- a/src/node/forwarding/Types.ts
+++ b/src/node/forwarding/Types.ts
@@ -1,6 +1,8 @@
 import type * as callTypes from '../../common/call/Types';
 import type * as peer from '../peer/generated/peer';
 
+export type UnknownOutcome = Extract<callTypes.CallOutcome, { kind: 'unknown' }>;
+
 /** Result of a call that was forwarded to a peer. */
 export type ForwardResult =
   | { readonly kind: 'outcome'; readonly outcome: callTypes.CallOutcome }
--- a/src/node/startCall.ts
+++ b/src/node/startCall.ts
@@ -8,12 +8,12 @@
   services: serviceSet.ServiceSet,
   coordinator: callCoordinator.CallCoordinator,
   onOutcome: (outcome: callTypes.CallOutcome) => void,
-): callTypes.IAttempt {
+): callTypes.IRunningCall {
   const balancer = services.balancerOf(call.service.name);
   if (balancer === undefined) {
     const detail = 'the service is no longer in the table';
     onOutcome({ kind: 'not-run', reason: 'no-backend-server', detail });
-    return { cancel: () => undefined };
+    return { cancel: () => undefined, abandon: () => undefined };
   }
   return coordinator.start(call, balancer, onOutcome);
 }
