Model what servers state about leaving and pauses

RestraintSpecification has processes that follow each other at one address, directories that lag, peers that pass on what they were told, and restarts of daemons.

--- a/spec/Models.ts
+++ b/spec/Models.ts
@@ -4,6 +4,7 @@
 import * as keyProtocol from './KeyProtocol';
 import * as keySpecification from './KeySpecification';
 import * as probeSpecification from './ProbeSpecification';
+import * as restraintSpecification from './RestraintSpecification';
 import * as stateGraph from './StateGraph';
 import * as tableSpecification from './TableSpecification';
 import type * as specTypes from './Types';
@@ -64,6 +65,8 @@
 
 const SMALL_TABLE_BOUNDS = { daemons: 2, maxVersion: 1, maxReplacements: 1 };
 
+const SMALL_RESTRAINT_BOUNDS = { daemons: 1, processes: 2, maxRestarts: 1 };
+
 export const MODELS: readonly IModel[] = [
   makeModel({
     bounds: '1 key, 3 attempts, 2 contents, 3 processes, 2 crashes',
@@ -114,4 +117,20 @@
     buildForComparison: () =>
       new directorySpecification.DirectorySpecification(undefined, SMALL_DIRECTORY_BOUNDS),
   }),
+  makeModel({
+    bounds:
+      '2 daemons, 2 processes at one address, pauses of up to 2 ticks, 1 restart of each daemon',
+    mutants: restraintSpecification.RESTRAINT_MUTANTS,
+    build: (mutant) =>
+      new restraintSpecification.RestraintSpecification(
+        mutant as restraintSpecification.RestraintMutant | undefined,
+      ),
+    buildSmall: (mutant) =>
+      new restraintSpecification.RestraintSpecification(
+        mutant as restraintSpecification.RestraintMutant,
+        SMALL_RESTRAINT_BOUNDS,
+      ),
+    buildForComparison: () =>
+      new restraintSpecification.RestraintSpecification(undefined, SMALL_RESTRAINT_BOUNDS),
+  }),
 ];
