Use a server again after the pause that it asked for

The cause is in the product: a refusal with a retry delay counted as a failure, which raises the cost of the server until it has answered several requests. While the other servers are idle it is never selected again, so that it stayed unused long after its pause, and returned by chance when another one was slow to reply.

Such a refusal says nothing about how the server fares after it, and is no longer counted.

Not changed: any other failure raises the cost of a server until later answers lower it, however much time passes.

--- a/src/common/call/CheckedSelector.test.ts
+++ b/src/common/call/CheckedSelector.test.ts
@@ -2,6 +2,7 @@
 import * as checkBudget from '../policy/CheckBudget';
 import * as randomPolicy from '../policy/RandomPolicy';
 import type * as policyTypes from '../policy/Types';
+import * as serverRestraints from '../restraint/ServerRestraints';
 import * as seededRandom from '../SeededRandom';
 import type * as tableTypes from '../table/Types';
 import * as serviceBalancer from './ServiceBalancer';
@@ -11,6 +12,7 @@
 function setUp(replyOf: (address: string) => policyTypes.CheckReply) {
   const clock = new manualClock.ManualClock();
   const random = new seededRandom.SeededRandom(1);
+  const restraints = new serverRestraints.ServerRestraints('10.0.1.1:1', clock, random);
   const budget = new checkBudget.CheckBudget(clock);
   budget.setRate(10_000, 1);
   const balancer = new serviceBalancer.ServiceBalancer(
@@ -27,6 +29,7 @@
       failureDomain: 'a',
       rankOf: () => 0,
     },
+    restraints,
   );
   const rows = ['x', 'y', 'z'].map((address) => ({
     service: 's',
@@ -38,14 +41,26 @@
   }));
   const table = { maxDaemons: 1, servers: new Map([['s', rows]]) } as unknown as tableTypes.ITable;
   balancer.update(table, SERVICE as tableTypes.IServiceRow);
-  const refuse = () => {
+  const refuse = (onRefused: () => void = () => undefined) => {
     balancer.select(new Set(['y', 'z']), { table, objectiveAtMs: undefined }, (selected) => {
       if (selected.kind !== 'server') return;
+      onRefused();
       balancer.recordEnd(balancer.recordStart(selected.server, selected.cost), 'refused');
     });
     clock.advance(100);
   };
-  return { balancer, refuse };
+  const selectOne = () => {
+    let address: string | undefined;
+    balancer.select(new Set(), { table, objectiveAtMs: undefined }, (selected) => {
+      if (selected.kind === 'server') address = selected.server.address;
+    });
+    return address;
+  };
+  const pause = (pauseMs: number) => {
+    const signals = { limit: 'none', isLeaving: false, pauseMs } as const;
+    restraints.record({ address: 'x' }, signals, 'answer');
+  };
+  return { balancer, clock, refuse, selectOne, pause };
 }
 
 function readyReply(inFlight: number): policyTypes.CheckReply {
@@ -59,6 +74,15 @@
   expect(balancer.avoidanceOf('x')).toBeUndefined();
 });
 
+// Guards against a server that stays unused after the pause, since its refusal counts as a failure.
+test('a server is used again after the pause that it asked for', () => {
+  const { clock, refuse, selectOne, pause } = setUp(() => readyReply(0));
+  refuse(() => pause(200));
+  expect(Array.from({ length: 30 }, selectOne)).not.toContain('x');
+  clock.advance(200);
+  expect(Array.from({ length: 30 }, selectOne)).toContain('x');
+});
+
 // Guards against suspecting a request after a lost connection while its server still runs.
 test('a loss is confirmed only if the server is gone', () => {
   const confirmed: string[] = [];
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -259,7 +259,9 @@
   public recordEnd(attempt: IStartedAttempt, result: policyTypes.AttemptResult): void {
     const nowMs = this.clock.monotonicMs();
     const state = attempt.server;
-    state.recordEnd(attempt.number, result, nowMs);
+    // A server that asks for a pause has not failed, and works again after it.
+    const isPause = result === 'refused' && this.restraintOf(state) === 'paused';
+    state.recordEnd(attempt.number, isPause ? 'cancelled' : result, nowMs);
     if (result === 'answered') {
       this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
       this.checkedSelector?.recordServiceTime((nowMs - attempt.startMs) / attempt.cost);
