Stop listening for callers when a start fails

Traced with the open handles of each worker: the caller server of a daemon whose peer address is in use. RoutedDaemon.start promises to close what it opened, but closed only the connections of callers, so that the address stayed in use and the process kept running.

The test asked the readiness address alone; it asks all three now.

--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -325,8 +325,7 @@
     this.fleet?.dispose();
     this.watcher.dispose();
     this.directory.dispose();
-    this.callerServer.closeNow();
-    await this.readinessServer.close();
+    await Promise.all([this.callerServer.closeNow(), this.readinessServer.close()]);
     this.transport.dispose();
   }
 
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -104,9 +104,12 @@
     this.connections.forEach((connection) => connection.endForStop());
   }
 
-  /** Closes all connections immediately, including those with exchanges in flight. */
-  public closeNow(): void {
-    this.server.closeAllConnections();
+  /**
+   * Stops accepting connections, and closes all immediately, including those with exchanges in
+   * flight.
+   */
+  public closeNow(): Promise<void> {
+    return listening.closeNow(this.server);
   }
 
   private trackConnection(socket: stream.Duplex): void {
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -140,6 +140,17 @@
   });
 }
 
+function isOpen(address: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const [host, port] = address.split(':') as [string, string];
+    const socket = net.connect({ host, port: Number(port) }, () => {
+      socket.destroy();
+      resolve(true);
+    });
+    socket.on('error', () => resolve(false));
+  });
+}
+
 /** Polls until `check` holds, since the daemon watches the directory in the background. */
 async function eventually(check: () => Promise<boolean> | boolean): Promise<void> {
   for (let tries = 0; tries < 2_000; tries += 1) {
@@ -444,15 +455,8 @@
       new seededRandom.SeededRandom(2),
     );
     await expect(second.start()).rejects.toThrow(taken);
-    const isOpen = await new Promise<boolean>((resolve) => {
-      const [host, port] = readiness.split(':') as [string, string];
-      const socket = net.connect({ host, port: Number(port) }, () => {
-        socket.destroy();
-        resolve(true);
-      });
-      socket.on('error', () => resolve(false));
-    });
-    expect(isOpen).toBe(false);
+    const own = [readiness, callerAddress, peerAddress];
+    expect(await Promise.all(own.map(isOpen))).toEqual([false, false, false]);
   },
 );
 
