Trace what servers state to the response, and list it on the readiness address

The page /servers on the readiness address lists them; the log line server.signal has the id of the request, and a limit or a retry delay that cannot be used is logged as disregarded instead of being ignored without a trace.

--- a/src/common/restraint/ServerRestraints.test.ts
+++ b/src/common/restraint/ServerRestraints.test.ts
@@ -143,3 +143,25 @@
   delays.forEach((delayMs) => expect(delayMs).toBeLessThanOrEqual(2_000));
   expect(new Set(delays).size).toBeGreaterThan(10);
 });
+
+test('lists the servers that get no requests, or few, with the reason and the end', () => {
+  const successor = { ...SERVER, startedAtMs: 2 };
+  restraints.record(SERVER, { ...NONE, pauseMs: 2_000 }, 'answer');
+  restraints.record(successor, { ...NONE, limit: 8 }, 'answer');
+  clock.advance(500);
+  expect(restraints.restrained).toMatchObject([
+    { server: successor, pauseMs: 0, limit: 8, sharePerSecond: 8 },
+    { server: SERVER, restraint: 'paused', pauseMs: 1_500, limit: undefined },
+  ]);
+  clock.advance(1_500);
+  restraints.record(successor, NONE, 'answer');
+  expect(restraints.restrained).toEqual([]);
+});
+
+// Guards against a decision that cannot be traced to the response that caused it.
+test('a change names the request whose answer told of it, also if it cannot be used', () => {
+  const changes: restraintTypes.ISignalChange[] = [];
+  restraints.onChanged((change) => changes.push(change));
+  restraints.record(SERVER, { ...NONE, disregarded: ['a: b'] }, 'answer', 'r-1');
+  expect(changes).toMatchObject([{ requestId: 'r-1', signals: { disregarded: ['a: b'] } }]);
+});
--- a/src/common/restraint/ServerRestraints.ts
+++ b/src/common/restraint/ServerRestraints.ts
@@ -84,6 +84,19 @@
     return [...this.entries.values()].filter(({ limit }) => limit !== undefined).length;
   }
 
+  /** Servers that get no new requests now, or that name a limit. */
+  public get restrained(): readonly restraintTypes.IRestrainedServer[] {
+    return [...this.entries.values()]
+      .map(({ server, pausedUntilMs, limit }) => ({
+        server,
+        restraint: this.restraintOf(server),
+        pauseMs: Math.max(0, pausedUntilMs - this.clock.monotonicMs()),
+        limit: limit?.value,
+        sharePerSecond: limit?.share.perSecond,
+      }))
+      .filter(({ restraint, limit }) => restraint !== undefined || limit !== undefined);
+  }
+
   /** Sets the daemons that share the limits of servers; undefined if they are not known yet. */
   public setDaemons(daemons: readonly string[] | undefined): void {
     const sorted = daemons === undefined ? undefined : [...daemons].sort();
@@ -92,23 +105,33 @@
     this.entries.forEach(({ limit }) => limit?.share.setView(this.view));
   }
 
-  /** Records what a server states in a response. */
+  /**
+   * Records what a server states in a response.
+   * @param requestId Identifier of the request that was answered.
+   */
   public record(
     server: restraintTypes.IServerProcess,
     signals: restraintTypes.IServerSignals,
     source: restraintTypes.SignalSource,
+    requestId?: string,
   ): void {
-    const states = typeof signals.limit === 'number' || signals.isLeaving || signals.pauseMs > 0;
+    const isDisregarded = signals.disregarded !== undefined;
+    const states =
+      typeof signals.limit === 'number' ||
+      signals.isLeaving ||
+      signals.pauseMs > 0 ||
+      isDisregarded;
     const entry = this.entries.get(keyOf(server)) ?? (states ? this.add(server) : undefined);
     if (entry === undefined) return;
     const hasLimit = this.recordLimit(entry, signals.limit, source);
     const isLeaving = signals.isLeaving && !entry.isLeaving;
     const isPaused = this.recordPause(entry, signals.pauseMs);
     entry.isLeaving ||= signals.isLeaving;
-    if (hasLimit || isLeaving || isPaused) {
+    if (hasLimit || isLeaving || isPaused || isDisregarded) {
       const sharePerSecond = entry.limit?.share.perSecond;
       const recentRequests = this.recentRequests(entry);
-      this.changedEmitter.fire({ server, source, signals, recentRequests, sharePerSecond });
+      const change = { server, source, requestId, signals, recentRequests, sharePerSecond };
+      this.changedEmitter.fire(change);
     }
     if (isLeaving) this.leavingEmitter.fire(entry.server);
   }
--- a/src/common/restraint/Types.ts
+++ b/src/common/restraint/Types.ts
@@ -11,6 +11,8 @@
   readonly isLeaving: boolean;
   /** Time for which the server wants no requests from this daemon, in milliseconds; 0 for none. */
   readonly pauseMs: number;
+  /** Statements that cannot be used, as `name: value`. */
+  readonly disregarded?: readonly string[] | undefined;
 }
 
 /** Why a server gets no new requests although it works. */
@@ -28,6 +30,8 @@
 export interface ISignalChange {
   readonly server: IServerProcess;
   readonly source: SignalSource;
+  /** Identifier of the request that was answered; undefined for a health check. */
+  readonly requestId: string | undefined;
   readonly signals: IServerSignals;
   /** Requests that this daemon sent to the server in the last 4 s, if they were counted. */
   readonly recentRequests: number;
@@ -35,6 +39,17 @@
   readonly sharePerSecond: number | undefined;
 }
 
+/** A server that gets no new requests, or that names a limit. */
+export interface IRestrainedServer {
+  readonly server: IServerProcess;
+  readonly restraint: Restraint | undefined;
+  /** Time until the end of the pause, in milliseconds; 0 for none. */
+  readonly pauseMs: number;
+  /** Requests a second that the server takes from all daemons together. */
+  readonly limit: number | undefined;
+  readonly sharePerSecond: number | undefined;
+}
+
 /** Daemons that share the limits which servers name. */
 export interface IDaemonView {
   /** Peer address of this daemon. */
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -44,6 +44,9 @@
 /** Path of the metrics page on the readiness address. */
 const METRICS_PATH = '/metrics';
 
+/** Path of the page that lists the servers which get no requests, or few, on the same address. */
+const RESTRAINTS_PATH = '/servers';
+
 /** Fraction of the grace period during which new connections are still served. */
 const DRAIN_FRACTION = 0.55;
 
@@ -148,8 +151,8 @@
     this.transport = new httpTransport.HttpTransport(clock, random, dependencies.backendProtocol);
     this.checkBudget = new checkBudget.CheckBudget(clock);
     this.restraints = new serverRestraints.ServerRestraints(options.peerAddress, clock, random);
-    this.transport.onSignals(({ server, signals, source }) =>
-      this.restraints.record(server, signals, source),
+    this.transport.onSignals(({ server, signals, source, requestId }) =>
+      this.restraints.record(server, signals, source, requestId),
     );
     this.restraints.onChanged((change) => this.decisionLog.recordSignal(change));
     this.reach = new serverReach.ServerReach(clock);
@@ -186,7 +189,10 @@
     this.readinessServer = new readinessServer.ReadinessServer(
       options.readinessPath,
       () => this.phase === 'ready',
-      new Map([[METRICS_PATH, () => this.decisionLog.metrics()]]),
+      new Map([
+        [METRICS_PATH, () => this.decisionLog.metrics()],
+        [RESTRAINTS_PATH, async () => JSON.stringify(this.restraints.restrained)],
+      ]),
     );
     this.directory.onChanged(() => this.applyDirectory());
     this.directory.onProblem((problem) =>
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -26,6 +26,8 @@
 export interface ISignalsEvent {
   readonly server: tableTypes.IServerRow;
   readonly source: restraintTypes.SignalSource;
+  /** Identifier of the request that was answered; undefined for a health check. */
+  readonly requestId: string | undefined;
   readonly signals: restraintTypes.IServerSignals;
 }
 
@@ -182,7 +184,7 @@
       idempotent: service.idempotent,
       maxAnswerBytes: service.maxAnswerBytes,
       allowsCloseDelimitedBody: protocol.allowsCloseDelimitedBody,
-      onHead: (status, list) => this.recordHead(server, 'answer', status, list),
+      onHead: (status, list) => this.recordHead(server, status, list, call.requestId),
       classify: (status, list, isReused) => protocol.classifyResponse(call, status, list, isReused),
       readLoad: (list) => protocol.readLoad(list),
     };
@@ -200,7 +202,7 @@
       idempotent: true,
       maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
       allowsCloseDelimitedBody: this.protocol.allowsCloseDelimitedBody,
-      onHead: (status, list) => this.recordHead(server, 'check', status, list),
+      onHead: (status, list) => this.recordHead(server, status, list),
       classify: (_status, list) =>
         this.protocol.isForeignCheckReply(list)
           ? { kind: 'invalid', detail: 'the reply to a check belongs to an earlier request' }
@@ -211,12 +213,13 @@
 
   private recordHead(
     server: tableTypes.IServerRow,
-    source: restraintTypes.SignalSource,
     status: number,
     list: readonly string[],
+    requestId?: string,
   ): void {
     const signals = this.protocol.readSignals(server, status, list);
-    if (signals !== undefined) this.signalsEmitter.fire({ server, source, signals });
+    const source = requestId === undefined ? 'check' : 'answer';
+    if (signals !== undefined) this.signalsEmitter.fire({ server, source, requestId, signals });
   }
 
   private toCheckReply(
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -170,9 +170,10 @@
 
   /** Logs and counts that a server states something new about the requests that it wants. */
   public recordSignal(change: restraintTypes.ISignalChange): void {
-    const { server, source, signals, recentRequests, sharePerSecond } = change;
+    const { server, source, requestId, signals, recentRequests, sharePerSecond } = change;
     this.signals.inc({ source });
     this.log(names.SERVER_SIGNAL, {
+      requestId,
       server: server.address,
       instance: server.instance,
       source,
--- a/src/platform/PlatformBackendProtocol.test.ts
+++ b/src/platform/PlatformBackendProtocol.test.ts
@@ -82,6 +82,15 @@
   expect(signals(200, [...SIGNED, 'server-limit', text])).toMatchObject({ limit });
 });
 
+// Guards against statements that are ignored without a trace for the operators.
+test('statements that cannot be used are reported', () => {
+  const list = [...SIGNED, 'server-limit', 'many', 'retry-after', 'soon'];
+  const limit = 'server-limit: many';
+  expect(signals(503, list)?.disregarded).toEqual([limit, 'retry-after: soon']);
+  expect(signals(200, list)?.disregarded).toEqual([limit]);
+  expect(signals(200, SIGNED)?.disregarded).toBeUndefined();
+});
+
 // Guards against a garbled response, or one of another server, that ends a limit.
 test('only a genuine response of the server tells that there is no limit', () => {
   expect(signals(200, SIGNED)).toMatchObject({ limit: 'none' });
--- a/src/platform/PlatformBackendProtocol.ts
+++ b/src/platform/PlatformBackendProtocol.ts
@@ -26,6 +26,9 @@
   wireNames.INSTANCE_ID,
 ];
 
+/** Characters of an unusable header that are logged. */
+const MAX_LOGGED_LENGTH = 40;
+
 const DECIMAL = /^\d+(\.\d+)?$/;
 
 function parseLimit(
@@ -41,6 +44,19 @@
     : 'unknown';
 }
 
+/** Returns the headers that state a limit or a pause which cannot be used, if there are any. */
+function unusableSignals(status: number, list: readonly string[]): readonly string[] | undefined {
+  const names =
+    status === STATUS_UNAVAILABLE
+      ? [wireNames.SERVER_LIMIT, wireNames.RETRY_AFTER]
+      : [wireNames.SERVER_LIMIT];
+  const unusable = names
+    .map((name) => ({ name, text: headers.find(list, name) }))
+    .filter(({ text }) => text !== undefined && !DECIMAL.test(text))
+    .map(({ name, text = '' }) => `${name}: ${text.slice(0, MAX_LOGGED_LENGTH)}`);
+  return unusable.length === 0 ? undefined : unusable;
+}
+
 /** Parses a load header: `running,queued,slots[,percent]`. */
 function parseLoad(text: string | undefined): policyTypes.ILoadReport | undefined {
   if (text === undefined) return undefined;
@@ -116,6 +132,7 @@
       limit: parseLimit(status, list),
       isLeaving: headers.find(list, wireNames.SERVER_LEAVING) === '1',
       pauseMs: isPause ? Number(retryAfter) * MS_PER_S : 0,
+      disregarded: unusableSignals(status, list),
     };
   }
 
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -366,6 +366,8 @@
   expect(reply.status).toBe(503);
   expect(Number(reply.headers['retry-after'])).toBeGreaterThan(50);
   expect(refusals()).toBe(2);
+  const page = JSON.parse((await send('/servers', {}, '', readinessPort)).body);
+  expect(page).toMatchObject([{ restraint: 'paused' }, { restraint: 'paused' }]);
 });
 
 // Guards against a store outage that interrupts traffic.
