Check a lost server again before its request is taken for one that crashes servers

The servers were well.

Cause: a cut that resets the connections of a daemon to all servers looks like the loss of several servers with the same request in flight. Such a loss is recorded once any server has replied, which was meant to wait for the end of a cut, but the check that had failed was the one from before. Three servers suffice to refuse a request everywhere for a minute, and reads of one path share one fingerprint.

A server that was unreachable is now checked once more when others reply. The new test of the selector failed before.

Ruled out: slow detection of the cut under load (refusals came at once), and the pool of connections (orders, which have distinct bodies, were answered all the while).

--- a/src/common/call/CheckedSelector.test.ts
+++ b/src/common/call/CheckedSelector.test.ts
@@ -9,7 +9,10 @@
 
 const SERVICE = { name: 's', retryFraction: 0.2, hedgeFraction: 0, healthPath: '/health' };
 
-function setUp(replyOf: (address: string) => policyTypes.CheckReply) {
+function setUp(
+  replyOf: (address: string) => policyTypes.CheckReply,
+  onceHeard?: (callback: () => void) => void,
+) {
   const clock = new manualClock.ManualClock();
   const random = new seededRandom.SeededRandom(1);
   const restraints = new serverRestraints.ServerRestraints('10.0.1.1:1', clock, random);
@@ -28,6 +31,7 @@
       random,
       failureDomain: 'a',
       rankOf: () => 0,
+      onceHeard,
     },
     restraints,
   );
@@ -95,3 +99,26 @@
   );
   expect(confirmed).toEqual(['0']);
 });
+
+// Guards against refusing a common request because a cut of the network reset its connections.
+test.each([
+  ['ready', []],
+  ['unreachable', ['lost']],
+] as const)('a server that is %s once others reply is taken as gone: %j', (kind, expected) => {
+  let reply: policyTypes.CheckReply = { kind: 'unreachable' };
+  let hear = () => {};
+  const { balancer } = setUp(
+    () => reply,
+    (callback) => {
+      hear = callback;
+    },
+  );
+  const confirmed: string[] = [];
+  balancer.confirmLoss(balancer.states[0] as (typeof balancer.states)[0], () =>
+    confirmed.push('lost'),
+  );
+  expect(confirmed).toEqual([]);
+  reply = kind === 'ready' ? readyReply(0) : { kind };
+  hear();
+  expect(confirmed).toEqual(expected);
+});
--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -70,16 +70,26 @@
   }
 
   /**
-   * Calls `onConfirmed` if a check shows that the server's process is gone, while others reply.
-   * Otherwise a daemon that is cut off would take its requests for ones that crash servers.
+   * Calls `onConfirmed` if a check shows that the server's process is gone. A server that is
+   * unreachable is checked again once others reply: after a cut of the network its requests would
+   * otherwise be taken for ones that crash servers.
    */
   public confirmLoss(server: serverState.ServerState, onConfirmed: () => void): void {
-    this.options.checker.check(server.row, this.healthPath, LOSS_CHECK_TIMEOUT_MS, (reply) => {
-      if (reply.kind === 'replaced') onConfirmed();
-      if (reply.kind !== 'unreachable') return;
-      const { onceHeard } = this.options;
+    const { onceHeard } = this.options;
+    this.checkLoss(server, onConfirmed, () => {
       if (onceHeard === undefined) onConfirmed();
-      else onceHeard(onConfirmed);
+      else onceHeard(() => this.checkLoss(server, onConfirmed, onConfirmed));
+    });
+  }
+
+  private checkLoss(
+    server: serverState.ServerState,
+    onReplaced: () => void,
+    onUnreachable: () => void,
+  ): void {
+    this.options.checker.check(server.row, this.healthPath, LOSS_CHECK_TIMEOUT_MS, (reply) => {
+      if (reply.kind === 'replaced') onReplaced();
+      if (reply.kind === 'unreachable') onUnreachable();
     });
   }
 
