Soak with servers that state limits, pauses and leaving, and network cuts

Servers state in all responses that they leave, refuse with a retry delay, or name a limit; the links to all servers are reset or silent.

Links between daemons are not cut, and no daemon is cut off alone: their addresses are the same for the relays.

--- a/src/platform/testing/PlatformServer.ts
+++ b/src/platform/testing/PlatformServer.ts
@@ -16,6 +16,11 @@
   /** Runs the request and never responds. */
   | 'mute';
 
+/** Headers in which a server states what it wants. */
+export const SERVER_LEAVING = 'Server-Leaving';
+export const SERVER_LIMIT = 'Server-Limit';
+export const RETRY_AFTER = 'Retry-After';
+
 const HEALTH_PATH = '/health';
 
 /** Stand-in for a backend server of the platform. Records the requests that it runs. */
@@ -39,6 +44,12 @@
   /** Called with the identifier of each request that is run. */
   public onRun: (requestId: string) => void = () => undefined;
 
+  /** Called with the identifier of each request, whether it is run or not. */
+  public onArrival: (requestId: string) => void = () => undefined;
+
+  /** Called with the identifier of each request whose response has been sent. */
+  public onResponse: (requestId: string) => void = () => undefined;
+
   /** Returns the response body for a request. */
   public bodyOf: (requestId: string) => string = () => `body of ${this.id}`;
 
@@ -83,6 +94,8 @@
       return;
     }
     const requestId = `${request.headers['request-id']}`;
+    this.onArrival(requestId);
+    response.once('finish', () => this.onResponse(requestId));
     const expected = request.headers['expected-instance'];
     if (expected !== undefined && expected !== this.id) {
       response
--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -1,11 +1,11 @@
-import type * as platformServer from '../platform/testing/PlatformServer';
+import * as platformServer from '../platform/testing/PlatformServer';
 import type * as platformStore from '../platform/testing/PlatformStore';
 import type * as soakFleet from './SoakFleet';
 import type * as soakTypes from './Types';
 import * as pauseModule from '../standin/pause';
 
 /** Kind of component that a fault affects. No two concurrent faults affect the same component. */
-export type Subject = 'daemon' | 'server' | 'store' | 'configuration';
+export type Subject = 'daemon' | 'server' | 'store' | 'configuration' | 'network';
 
 /** A fault that is injected by `begin` and removed by `end`. */
 export interface IFault {
@@ -21,6 +21,13 @@
 /** Time for which a draining server continues to serve, in milliseconds. */
 const LEAVING_MS = 3_500;
 
+/** Pause that a server asks for, in seconds. */
+const PAUSE_S = 1.5;
+
+/** Limit that a server names, in requests a second, and the least time for which it does. */
+const LIMIT_PER_SECOND = 4;
+const LIMIT_MS = 7_000;
+
 const DELAY_MS = 120;
 const SLOW_MS = 400;
 
@@ -38,7 +45,13 @@
     private readonly fleet: soakFleet.SoakFleet,
     private readonly balancerTargets: Set<number>,
   ) {
-    this.all = [...this.daemonFaults(), ...this.serverFaults(), ...this.storeFaults()];
+    this.all = [
+      ...this.daemonFaults(),
+      ...this.serverFaults(),
+      ...this.statementFaults(),
+      ...this.storeFaults(),
+      ...(['reset', 'silent'] as const).map((kind) => this.networkFault(kind)),
+    ];
   }
 
   private daemonFaults(): IFault[] {
@@ -135,18 +148,77 @@
           this.fleet.register(serverOf(index), 'draining');
           await pauseModule.pause(LEAVING_MS);
         },
+        end: (index) => this.replaceServer(index),
+      }),
+    ];
+  }
+
+  /** Servers that state that they leave, or that they want fewer requests. */
+  private statementFaults(): IFault[] {
+    const targetOf = (index: number) => (this.fleet.servers[index] as soakFleet.ISoakServer).target;
+    const openLimits = new Map<number, soakTypes.ILimitInterval>();
+    return [
+      this.withInterval('server', {
+        name: 'server states that it leaves, and another takes its address',
+        subject: 'server',
+        begin: async (index) => {
+          targetOf(index).signals = { [platformServer.SERVER_LEAVING]: '1' };
+          await pauseModule.pause(LEAVING_MS);
+        },
+        end: (index) => this.replaceServer(index),
+      }),
+      this.withInterval('server', {
+        name: 'server asks for pauses',
+        subject: 'server',
+        begin: async (index) => {
+          const signals = { [platformServer.RETRY_AFTER]: `${PAUSE_S}` };
+          Object.assign(targetOf(index), { answer: 'shed', signals });
+        },
+        end: async (index) => {
+          Object.assign(targetOf(index), { answer: 'signed', signals: {} });
+        },
+      }),
+      this.withInterval('server', {
+        name: 'server names a limit',
+        subject: 'server',
+        begin: async (index) => {
+          const { id } = targetOf(index);
+          const beginMs = performance.now();
+          const endMs = Number.POSITIVE_INFINITY;
+          const limit = { process: id, perSecond: LIMIT_PER_SECOND, beginMs, endMs };
+          openLimits.set(index, limit);
+          this.fleet.limits.push(limit);
+          targetOf(index).signals = { [platformServer.SERVER_LIMIT]: `${LIMIT_PER_SECOND}` };
+          await pauseModule.pause(LIMIT_MS);
+        },
         end: async (index) => {
-          const server = serverOf(index);
-          this.fleet.store.remove(`servers/${server.target.id}`);
-          await server.target.close();
-          server.target.id = `${server.target.id}-next`;
-          await server.target.listen(server.port);
-          this.fleet.register(server);
+          Object.assign(openLimits.get(index) ?? {}, { endMs: performance.now() });
+          targetOf(index).signals = {};
         },
       }),
     ];
   }
 
+  private networkFault(kind: 'reset' | 'silent'): IFault {
+    const { servers } = this.fleet;
+    return this.withInterval('network', {
+      name: `links to all servers cut (${kind})`,
+      subject: 'network',
+      begin: async () => servers.forEach(({ relay }) => relay.cut('*', kind)),
+      end: async () => servers.forEach(({ relay }) => relay.heal('*')),
+    });
+  }
+
+  /** Ends the process of a server, and starts another one at its address. */
+  private async replaceServer(index: number): Promise<void> {
+    const server = this.fleet.servers[index] as soakFleet.ISoakServer;
+    this.fleet.store.remove(`servers/${server.target.id}`);
+    await server.target.close();
+    Object.assign(server.target, { id: `${server.target.id}-next`, signals: {} });
+    await server.target.listen(server.port);
+    this.fleet.register(server);
+  }
+
   private storeFaults(): IFault[] {
     const { fleet } = this;
     const storeFault = (fault: platformStore.StoreFault): IFault =>
--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -77,6 +77,12 @@
 
   public readonly runs: soakTypes.IRunRecord[] = [];
 
+  public readonly arrivals: soakTypes.IArrivalRecord[] = [];
+
+  public readonly statements: soakTypes.IStatementRecord[] = [];
+
+  public readonly limits: soakTypes.ILimitInterval[] = [];
+
   public storeRelay: tcpRelay.TcpRelay | undefined;
 
   private storeUrl = '';
@@ -145,6 +151,9 @@
     const address = `${HOST}:${await relay.listen(0, HOST)}`;
     const server = { service, target, relay, port, address, leavingSinceMs: undefined };
     target.onRun = (requestId) => this.recordRun(server, requestId);
+    target.onArrival = (requestId) =>
+      this.arrivals.push({ requestId, process: target.id, atMs: performance.now() });
+    target.onResponse = (requestId) => this.recordStatement(target, requestId);
     this.servers.push(server);
     this.register(server);
     return server;
@@ -230,6 +239,19 @@
     }
   }
 
+  private recordStatement(target: platformServer.PlatformServer, requestId: string): void {
+    const atMs = performance.now();
+    const statement = { requestId, process: target.id, atMs };
+    const pauseS = target.signals[platformServer.RETRY_AFTER];
+    if (target.signals[platformServer.SERVER_LEAVING] !== undefined) {
+      this.statements.push({ ...statement, kind: 'leaving', untilMs: Number.POSITIVE_INFINITY });
+    }
+    if (pauseS !== undefined && target.answer === 'shed') {
+      const untilMs = atMs + 1_000 * Number(pauseS);
+      this.statements.push({ ...statement, kind: 'pause', untilMs });
+    }
+  }
+
   private recordRun(server: ISoakServer, requestId: string): void {
     const atMs = performance.now();
     const { service, leavingSinceMs } = server;
--- a/src/soak/Types.ts
+++ b/src/soak/Types.ts
@@ -24,16 +24,40 @@
   readonly leavingForMs: number | undefined;
 }
 
+/** A request that reached a server, whether it ran or was refused. */
+export interface IArrivalRecord {
+  readonly requestId: string;
+  /** Identifier of the server process. */
+  readonly process: string;
+  readonly atMs: number;
+}
+
+/** What a server process stated in its response to a request. */
+export interface IStatementRecord extends IArrivalRecord {
+  readonly kind: 'leaving' | 'pause';
+  /** End of what was stated; infinite for leaving. */
+  readonly untilMs: number;
+}
+
+/** Interval in which a server process named a limit. */
+export interface ILimitInterval {
+  readonly process: string;
+  /** Requests a second from all daemons together. */
+  readonly perSecond: number;
+  readonly beginMs: number;
+  endMs: number;
+}
+
 /** Interval in which a fault was active. */
 export interface IFaultInterval {
-  readonly kind: 'daemon-stop' | 'daemon-failure' | 'store' | 'server';
-  /** Index of the daemon or the server; 0 for the store. */
+  readonly kind: 'daemon-stop' | 'daemon-failure' | 'store' | 'server' | 'network';
+  /** Index of the daemon or the server; 0 for the store and the network. */
   readonly componentIndex: number;
   readonly beginMs: number;
   endMs: number;
 }
 
-/** Summary of a soak run. The last seven fields must be 0. */
+/** Summary of a soak run. The last ten fields must be 0. */
 export interface ISoakResult {
   readonly seed: number;
   readonly faults: number;
@@ -48,4 +72,10 @@
   readonly workOnLeaving: number;
   readonly tableReversions: number;
   readonly budgetOverruns: number;
+  /** Requests to servers that had stated to the same daemon that they leave. */
+  readonly requestsToLeaving: number;
+  /** Pauses that servers asked a daemon for, and in which they got more than two requests from it. */
+  readonly disturbedPauses: number;
+  /** Servers that got more requests than the limit that they named. */
+  readonly limitOverruns: number;
 }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -6,6 +6,7 @@
 
 import * as seededRandom from '../common/SeededRandom';
 import type * as types from '../common/Types';
+import * as restraintAudit from './RestraintAudit';
 import * as soakAudit from './SoakAudit';
 import * as soakFaults from './SoakFaults';
 import * as soakFleet from './SoakFleet';
@@ -77,7 +78,13 @@
   let injected = 0;
   while (performance.now() < endMs) {
     const fault = faults.all[random.nextInteger(faults.all.length)] as soakFaults.IFault;
-    const counts = { daemon: DAEMONS, server: fleet.servers.length, store: 1, configuration: 1 };
+    const counts = {
+      daemon: DAEMONS,
+      server: fleet.servers.length,
+      store: 1,
+      configuration: 1,
+      network: 1,
+    };
     const index = random.nextInteger(counts[fault.subject]);
     const durationMs = MIN_FAULT_MS + random.nextInteger(FAULT_DURATION_RANGE_MS);
     const key = `${fault.subject} ${index}`;
@@ -95,7 +102,7 @@
   return injected;
 }
 
-function logViolations(violations: soakAudit.IViolations): void {
+function logViolations(violations: object): void {
   Object.entries(violations).forEach(([kind, found]) => {
     if (!Array.isArray(found)) return;
     found.slice(0, MAX_PRINTED).forEach((one) => logLine(`${kind}: ${JSON.stringify(one)}`));
@@ -124,12 +131,16 @@
     versionMonitor.stop();
     await monitoring;
     const { calls } = load;
+    const { arrivals, statements, limits } = fleet;
+    const { faultIntervals } = faults;
     const violations = soakAudit.audit({
       calls,
       runs: fleet.runs,
-      faultIntervals: faults.faultIntervals,
+      faultIntervals,
     });
-    logViolations(violations);
+    const observed = { calls, arrivals, statements, limits, faultIntervals };
+    const restraintViolations = restraintAudit.auditRestraints(observed);
+    logViolations({ ...violations, ...restraintViolations });
     const countOf = (end: soakTypes.CallOutcome) => calls.filter((call) => call.end === end).length;
     return {
       seed,
@@ -145,6 +156,9 @@
       workOnLeaving: violations.workOnLeaving.length,
       tableReversions: versionMonitor.reversions,
       budgetOverruns: violations.budgetOverruns,
+      requestsToLeaving: restraintViolations.requestsToLeaving.length,
+      disturbedPauses: restraintViolations.disturbedPauses.length,
+      limitOverruns: restraintViolations.limitOverruns.length,
     };
   } finally {
     await fleet.stop();
@@ -152,6 +166,16 @@
   }
 }
 
+function countViolations(result: soakTypes.ISoakResult): number {
+  const { wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving } = result;
+  const { tableReversions, budgetOverruns } = result;
+  const { requestsToLeaving, disturbedPauses, limitOverruns } = result;
+  return [
+    ...[wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving],
+    ...[tableReversions, budgetOverruns, requestsToLeaving, disturbedPauses, limitOverruns],
+  ].reduce((sum, count) => sum + count, 0);
+}
+
 function parseNumber(text: string): number {
   const value = Number(text);
   if (!Number.isFinite(value) || value < 0) {
@@ -169,9 +193,7 @@
   const { seed, minutes } = program.opts<{ seed: number; minutes: number }>();
   const result = await run(seed, minutes);
   process.stdout.write(`${JSON.stringify(result)}\n`);
-  const { wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving } = result;
-  const violationCount = wrongAnswers + falseNotRun + doubledRuns + cutInFlight + workOnLeaving;
-  process.exitCode = violationCount + result.tableReversions + result.budgetOverruns > 0 ? 1 : 0;
+  process.exitCode = countViolations(result) > 0 ? 1 : 0;
 }
 
 main().catch((error: Error) => {
