--- a/src/standin/TcpRelay.test.ts
+++ b/src/standin/TcpRelay.test.ts
@@ -45,6 +45,35 @@
   echo.close();
 });
 
+// Guards against a cut of one source that ends early because that of another one is healed.
+test('healing one source leaves the silenced connections of others open', async () => {
+  const { echo, relay, connect } = await open();
+  relay.cut('*', 'silent');
+  const socket = connect();
+  socket.on('error', () => undefined);
+  // The relay has accepted a connection, and closed one, before it accepts the next but one.
+  const settle = async () => {
+    for (let count = 0; count < 2; count += 1) {
+      await events.once(
+        connect().on('error', () => undefined),
+        'connect',
+      );
+    }
+  };
+  await settle();
+  relay.heal('127.9.9.9');
+  let hasClosed = false;
+  socket.once('close', () => {
+    hasClosed = true;
+  });
+  await settle();
+  expect(hasClosed).toBe(false);
+  relay.heal('*');
+  if (!hasClosed) await events.once(socket, 'close');
+  await relay.close();
+  echo.close();
+});
+
 // Guards against soak faults that leave the traffic unaffected.
 test('a one-way cut delivers data to the target and returns none', async () => {
   const received: string[] = [];
--- a/src/standin/TcpRelay.ts
+++ b/src/standin/TcpRelay.ts
@@ -25,7 +25,8 @@
 
   private readonly cuts = new Map<string, CutKind>();
 
-  private readonly unansweredSockets = new Set<net.Socket>();
+  /** Connections that a silent cut leaves without an answer, with their sources. */
+  private readonly unansweredSockets = new Map<net.Socket, string>();
 
   private readonly server = net.createServer((socket) => this.accept(socket));
 
@@ -47,7 +48,7 @@
     return new Promise((resolve) => {
       this.server.close(() => resolve());
       this.links.forEach((link) => this.breakLink(link));
-      this.unansweredSockets.forEach((socket) => socket.destroy());
+      this.unansweredSockets.forEach((_source, socket) => socket.destroy());
     });
   }
 
@@ -61,12 +62,15 @@
     });
   }
 
-  /** Ends the cut of `source`. Closes the silenced connections of all sources. */
+  /** Ends the cut of `source`. Closes the silenced connections of sources without a cut. */
   public heal(source: string): void {
     this.cuts.delete(source);
-    this.unansweredSockets.forEach((socket) => socket.destroy());
+    this.unansweredSockets.forEach((from, socket) => {
+      if (this.cutKindFor(from) === undefined) socket.destroy();
+    });
     this.links.forEach((link) => {
-      if (link.upstream.isPaused()) this.breakLink(link);
+      const isHealed = this.cutKindFor(link.source) === undefined;
+      if (isHealed && link.upstream.isPaused()) this.breakLink(link);
     });
   }
 
@@ -91,7 +95,7 @@
       return;
     }
     if (cut === 'silent') {
-      this.unansweredSockets.add(socket);
+      this.unansweredSockets.set(socket, source);
       socket.once('close', () => this.unansweredSockets.delete(socket));
       return;
     }
