Apply the mutant for suspect requests again, and stop resending answered orders

MixedLoad.order sent an order again twice if the first response was unknown, even if the first resend was answered.

--- a/src/faults/MixedLoad.ts
+++ b/src/faults/MixedLoad.ts
@@ -56,10 +56,10 @@
     const request = { service: 'orders', identity: `order-${this.sequence}`, requestKey };
     const submit = () => this.fleet.caller.submit(this.url(), request);
     const isConcurrent = this.random.next() < 0.3;
-    const [first] = await Promise.all([submit(), ...(isConcurrent ? [submit()] : [])]);
+    let [last] = await Promise.all([submit(), ...(isConcurrent ? [submit()] : [])]);
     for (let resend = 0; resend < MAX_RESENDS; resend += 1) {
-      const shouldResend = first?.outcome === 'unknown' || this.random.next() < 0.1;
-      if (shouldResend) await submit();
+      const shouldResend = last?.outcome === 'unknown' || this.random.next() < 0.1;
+      if (shouldResend) last = await submit();
     }
   }
 }
--- a/src/faults/Mutants.ts
+++ b/src/faults/Mutants.ts
@@ -35,7 +35,7 @@
   {
     name: 'suspect requests are run',
     file: 'common/suspicion/RequestSuspicion.ts',
-    find: 'return this.serversLost(fingerprint).length >= SERVERS_TO_REFUSE;',
+    find: 'return this.serversLost(fingerprint).length >= this.serversToRefuse;',
     replace: 'return false;',
     test: 'NotRun.test.ts',
   },
