--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -14,7 +14,10 @@
 import type * as soakTypes from './Types';
 import * as pauseModule from '../standin/pause';
 
-const DAEMONS = 3;
+/** Default number of daemons, and the largest one, which take about 80 MB each. */
+const DEFAULT_DAEMONS = 3;
+const MAX_DAEMONS = 120;
+
 const VERSION_SAMPLE_INTERVAL_MS = 100;
 
 /** Maximum number of concurrent faults, and the duration of each, in milliseconds. */
@@ -79,7 +82,7 @@
   while (performance.now() < endMs) {
     const fault = faults.all[random.nextInteger(faults.all.length)] as soakFaults.IFault;
     const counts = {
-      daemon: DAEMONS,
+      daemon: fleet.daemons.length,
       server: fleet.servers.length,
       store: 1,
       configuration: 1,
@@ -109,10 +112,10 @@
   });
 }
 
-async function run(seed: number, minutes: number): Promise<soakTypes.ISoakResult> {
+async function run(seed: number, minutes: number, daemons: number): Promise<soakTypes.ISoakResult> {
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'soak-'));
   const fleet = new soakFleet.SoakFleet(path.join(__dirname, '..'), folder);
-  const balancerTargets = new Set(Array.from({ length: DAEMONS }, (_, index) => index));
+  const balancerTargets = new Set(Array.from({ length: daemons }, (_, index) => index));
   const load = new soakLoad.SoakLoad(
     fleet,
     balancerTargets,
@@ -121,7 +124,7 @@
   const faults = new soakFaults.SoakFaults(fleet, balancerTargets);
   const versionMonitor = new ConfigurationVersionMonitor(fleet);
   try {
-    await fleet.start(DAEMONS);
+    await fleet.start(daemons);
     load.start();
     const monitoring = versionMonitor.run();
     const endMs = performance.now() + minutes * 60_000;
@@ -184,14 +187,23 @@
   return value;
 }
 
+function parseDaemons(text: string): number {
+  const value = parseNumber(text);
+  if (!Number.isInteger(value) || value < 1 || value > MAX_DAEMONS) {
+    throw new commander.InvalidArgumentError(`expected an integer from 1 to ${MAX_DAEMONS}`);
+  }
+  return value;
+}
+
 async function main(): Promise<void> {
   const program = new commander.Command('soak')
     .description('run daemons of the platform under random faults, and check their guarantees')
     .option('--seed <number>', 'seed of the faults and of the load', parseNumber, 1)
     .option('--minutes <number>', 'time during which faults are injected', parseNumber, 1)
+    .option('--daemons <number>', 'number of daemon processes', parseDaemons, DEFAULT_DAEMONS)
     .parse();
-  const { seed, minutes } = program.opts<{ seed: number; minutes: number }>();
-  const result = await run(seed, minutes);
+  const options = program.opts<{ seed: number; minutes: number; daemons: number }>();
+  const result = await run(options.seed, options.minutes, options.daemons);
   process.stdout.write(`${JSON.stringify(result)}\n`);
   process.exitCode = countViolations(result) > 0 ? 1 : 0;
 }
