Send no request that its server has ceased to want once the connection is open

What a server states was asked when it was selected, but a request may wait up to a second for a new connection to it, and was sent then, whatever the server had stated meanwhile. docs/proofs.md named that gap.

The attempt asks once more when its connection is open, and ends as not sent, which costs no permit of the retry budget and does not count as a failure of the server.

'sends nothing that is no longer wanted once the connection is open' fails without the change.

The platform test of a retry delay compared requests within 4 s of real time with a pause of that length, which a busy machine may not keep.

--- a/src/common/call/CheckedSelector.test.ts
+++ b/src/common/call/CheckedSelector.test.ts
@@ -64,7 +64,9 @@
     const signals = { limit: 'none', isLeaving: false, pauseMs } as const;
     restraints.record({ address: 'x' }, signals, 'answer');
   };
-  return { balancer, clock, refuse, selectOne, pause };
+  const stateOf = (address: string) =>
+    balancer.states.find((state) => state.address === address) as (typeof balancer.states)[0];
+  return { balancer, clock, refuse, selectOne, pause, stateOf };
 }
 
 function readyReply(inFlight: number): policyTypes.CheckReply {
@@ -87,6 +89,18 @@
   expect(Array.from({ length: 30 }, selectOne)).toContain('x');
 });
 
+// Guards against requests that reach a server after it asked for a pause, since they were waiting for
+// a connection to it.
+test('a selected server that asks for a pause meanwhile wants no request', () => {
+  const { balancer, clock, pause, stateOf } = setUp(() => readyReply(0));
+  const server = stateOf('x');
+  expect(balancer.wantsRequests(server)).toBe(true);
+  pause(200);
+  expect(balancer.wantsRequests(server)).toBe(false);
+  clock.advance(200);
+  expect(balancer.wantsRequests(server)).toBe(true);
+});
+
 // Guards against suspecting a request after a lost connection while its server still runs.
 test('a loss is confirmed only if the server is gone', () => {
   const confirmed: string[] = [];
--- a/src/common/call/Failures.ts
+++ b/src/common/call/Failures.ts
@@ -26,6 +26,8 @@
       return isLocalFailure(outcome.answer) ? 'failed' : 'answered';
     case 'refused':
       return 'refused';
+    case 'not-sent':
+      return outcome.reason === 'unwanted' ? 'cancelled' : 'failed';
     default:
       return 'failed';
   }
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -158,6 +158,7 @@
     this.reportStart(server, cost);
     const call = this.retries > 0 ? this.withRetriesSpent() : this.call;
     attempt.handle = transport.send(call, server.row, {
+      mayStart: () => balancer.wantsRequests(server),
       onSent: () => {
         attempt.sent = true;
         this.sent += 1;
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -167,6 +167,11 @@
     return this.restraints?.retryDelayMs(this.states.map(({ row }) => row));
   }
 
+  /** Whether a server has not stated, since it was selected, that it leaves or wants a pause. */
+  public wantsRequests({ row }: serverState.ServerState): boolean {
+    return this.restraints?.wantsRequests(row) ?? true;
+  }
+
   /** Returns why a server gets no new work, or undefined if it is available. */
   public avoidanceOf(address: string): AvoidanceReason | undefined {
     const server = this.servers.get(address);
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -98,8 +98,11 @@
   /** No byte reached the server, or the server reports that it did not run the request. */
   | {
       readonly kind: 'not-sent';
-      /** Default: the server could not be reached. */
-      readonly reason?: 'connection-limit' | undefined;
+      /**
+       * Default: the server could not be reached. `unwanted`: the server has stated meanwhile that it
+       * wants no requests.
+       */
+      readonly reason?: 'connection-limit' | 'unwanted' | undefined;
       readonly detail: string;
     }
   | { readonly kind: 'refused'; readonly draining: boolean }
@@ -120,6 +123,8 @@
 
 /** Receives the events of one attempt. */
 export interface IAttemptListener {
+  /** Returns whether the request may still be sent. Asked once its connection is open. */
+  mayStart(): boolean;
   /** Called at most once, when the first byte may have been sent. */
   onSent(): void;
   /** Called whenever an answer carries a load report. */
--- a/src/common/reach/ObservedTransport.ts
+++ b/src/common/reach/ObservedTransport.ts
@@ -36,6 +36,7 @@
     listener: callTypes.IAttemptListener,
   ): callTypes.IAttempt {
     return this.transport.send(call, server, {
+      mayStart: () => listener.mayStart(),
       onSent: () => listener.onSent(),
       onLoadReport: (report) => {
         this.reach.recordReply(server);
--- a/src/common/restraint/ServerRestraints.ts
+++ b/src/common/restraint/ServerRestraints.ts
@@ -161,6 +161,13 @@
     return entry.limit !== undefined && entry.limit.share.waitMs > 0 ? 'limited' : undefined;
   }
 
+  /** Whether a server has stated neither that it leaves nor that it wants a pause now. */
+  public wantsRequests(server: restraintTypes.IServerProcess): boolean {
+    const entry = this.entries.get(keyOf(server));
+    if (entry === undefined) return true;
+    return !entry.isLeaving && this.clock.monotonicMs() >= entry.pausedUntilMs;
+  }
+
   /** Whether a server that gets no requests should be checked, since its limit may have ended. */
   public isRecheckDue(server: restraintTypes.IServerProcess): boolean {
     const limit = this.entries.get(keyOf(server))?.limit;
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -43,6 +43,13 @@
       controller.abort(new Error('the request may not be sent again'));
       return;
     }
+    if (!this.listener.mayStart()) {
+      this.ended = true;
+      const detail = 'the server wants no more requests';
+      controller.abort(new Error(detail));
+      this.listener.onEnd({ kind: 'not-sent', reason: 'unwanted', detail });
+      return;
+    }
     this.controller = controller;
     this.listener.onSent();
   }
--- a/src/node/dispatch/EndlessAnswers.test.ts
+++ b/src/node/dispatch/EndlessAnswers.test.ts
@@ -69,6 +69,7 @@
       call,
       { ...row, service: 'reads' },
       {
+        mayStart: () => true,
         onSent: () => undefined,
         onLoadReport: () => undefined,
         onEnd: resolve,
--- a/src/node/dispatch/HttpTransport.test.ts
+++ b/src/node/dispatch/HttpTransport.test.ts
@@ -78,11 +78,12 @@
   };
 }
 
-function start(call: callTypes.ICall) {
+function start(call: callTypes.ICall, mayStart: () => boolean = () => true) {
   const log: string[] = [];
   let attempt: callTypes.IAttempt | undefined;
   const outcome = new Promise<callTypes.AttemptOutcome>((resolve) => {
     attempt = transport.send(call, row, {
+      mayStart,
       onSent: () => log.push('sent'),
       onLoadReport: (report) => log.push(`load ${report.inFlight}`),
       onEnd: (ended) => {
@@ -216,6 +217,16 @@
   expect(running.events).toEqual(['end']);
 });
 
+// Guards against requests to a server that asked for a pause while they waited for a connection.
+test('sends nothing that is no longer wanted once the connection is open', async () => {
+  respond = respondWith(OK);
+  const running = start(callTo('writes'), () => false);
+  expect(await running.outcome).toMatchObject({ kind: 'not-sent', reason: 'unwanted' });
+  expect(running.events).toEqual(['end']);
+  expect(await send('writes')).toMatchObject({ kind: 'answered' });
+  expect(received).toHaveLength(1);
+});
+
 // Guards against the automatic retries of an HTTP client.
 test('sends no request twice when a server closes connections as they are reused', async () => {
   respond = (socket) => {
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -97,6 +97,7 @@
       request,
       MAX_CHECK_CONNECTIONS,
       {
+        mayStart: () => true,
         onSent: () => undefined,
         onLoadReport: () => undefined,
         onEnd: (outcome) => end(this.toCheckReply(server, outcome)),
--- a/src/node/dispatch/PartialHeads.test.ts
+++ b/src/node/dispatch/PartialHeads.test.ts
@@ -62,7 +62,12 @@
     transport.send(
       call,
       { ...row, service: 'reads' },
-      { onSent: () => undefined, onLoadReport: () => undefined, onEnd: resolve },
+      {
+        mayStart: () => true,
+        onSent: () => undefined,
+        onLoadReport: () => undefined,
+        onEnd: resolve,
+      },
     );
   });
 }
--- a/src/node/dispatch/PooledAttempt.ts
+++ b/src/node/dispatch/PooledAttempt.ts
@@ -52,6 +52,7 @@
     this.connection = connection;
     const reused = connection.exchangeCount > 0;
     this.handler = new attemptHandler.AttemptHandler(this.request, connection, {
+      mayStart: () => this.listener.mayStart(),
       onSent: () => {
         this.sent = true;
         this.listener.onSent();
@@ -84,7 +85,7 @@
     } else {
       this.pool.abandon(connection, true);
     }
-    if (outcome.kind === 'not-sent' && reused) {
+    if (outcome.kind === 'not-sent' && outcome.reason === undefined && reused) {
       // The server closed the idle connection as it was reused. Nothing was sent, so retry is safe.
       this.dispatchOn(this.pool.acquireNew(this.connectionLimit, () => this.abandonSilent()));
       return;
--- a/src/node/dispatch/Types.ts
+++ b/src/node/dispatch/Types.ts
@@ -27,6 +27,8 @@
 
 /** Receives the events of one exchange. */
 export interface IExchangeListener {
+  /** Returns whether the request may still be sent. Asked once its connection is open. */
+  mayStart(): boolean;
   /** Called at most once, before the first byte may be sent. */
   onSent(): void;
   /** Called when a part of the response arrived. */
--- a/src/node/telemetry/InstrumentedTransport.ts
+++ b/src/node/telemetry/InstrumentedTransport.ts
@@ -39,6 +39,7 @@
     };
     const outgoingCall = traced === undefined ? call : withTraceParent(call, traced.traceParent);
     const attempt = this.inner.send(outgoingCall, server, {
+      mayStart: () => listener.mayStart(),
       onSent: () => listener.onSent(),
       onLoadReport: (report) => listener.onLoadReport(report),
       onEnd: (outcome) => {
--- a/src/node/telemetry/Telemetry.test.ts
+++ b/src/node/telemetry/Telemetry.test.ts
@@ -49,7 +49,12 @@
   return { requestId, service: 'a', kind, outcome, detail: '', dispatched: false, tableVersion: 1 };
 }
 
-const LISTENER = { onSent: () => undefined, onLoadReport: () => undefined, onEnd: () => undefined };
+const LISTENER = {
+  mayStart: () => true,
+  onSent: () => undefined,
+  onLoadReport: () => undefined,
+  onEnd: () => undefined,
+};
 
 // Guards against a trace that breaks at the daemon.
 test('the trace of the caller continues through the call to each attempt', () => {
--- a/src/platform/LateCopies.test.ts
+++ b/src/platform/LateCopies.test.ts
@@ -62,6 +62,7 @@
   } as unknown as callTypes.ICall;
   return new Promise((resolve) => {
     transport.send(call, row, {
+      mayStart: () => true,
       onSent: () => undefined,
       onLoadReport: () => undefined,
       onEnd: resolve,
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -339,15 +339,24 @@
 );
 
 // Guards against requests and checks that disturb a server which has asked for a pause.
-test('a server that refuses with a retry delay gets nothing until it has passed', async () => {
+test('a server that refuses with a retry delay gets nothing meanwhile', async () => {
   await publish(1, READS);
   const [paused] = servers as [platformServer.PlatformServer];
-  Object.assign(paused, { answer: 'shed', signals: { 'Retry-After': '0.2' } });
+  Object.assign(paused, { answer: 'shed', signals: { 'Retry-After': '60' } });
   for (let count = 0; count < 50 && paused.refusals === 0; count += 1) await send('/x/1');
   const before = { refusals: paused.refusals, checks: paused.checks };
   Object.assign(paused, { answer: 'signed', signals: {} });
   for (let count = 0; count < 30; count += 1) expect((await send('/x/1')).status).toBe(200);
   expect({ refusals: paused.refusals, checks: paused.checks }).toEqual(before);
+  expect(paused.runs).toHaveLength(0);
+});
+
+test('a server is used again after the retry delay with which it refused', async () => {
+  await publish(1, READS);
+  const [paused] = servers as [platformServer.PlatformServer];
+  Object.assign(paused, { answer: 'shed', signals: { 'Retry-After': '0.2' } });
+  for (let count = 0; count < 50 && paused.refusals === 0; count += 1) await send('/x/1');
+  Object.assign(paused, { answer: 'signed', signals: {} });
   await eventually(async () => {
     await send('/x/1');
     return paused.runs.length > 0;
