Let one request in after a pause before the others follow

A pause ended for all waiting requests of a daemon at once, each of which found the server idle.

After a pause the first request has to end before the daemon sends others; the server is listed as 'returning' until then. Callers who find all servers so are told to return after 50 to 100 ms.

'the first request after a pause ends before others follow' fails without the change.

--- a/src/common/call/CheckedSelector.test.ts
+++ b/src/common/call/CheckedSelector.test.ts
@@ -101,6 +101,18 @@
   expect(balancer.wantsRequests(server)).toBe(true);
 });
 
+// Guards against all the requests that were waiting for the end of a pause arriving at once.
+test('the first request after a pause ends before others follow', () => {
+  const { balancer, clock, selectOne, pause, stateOf } = setUp(() => readyReply(0));
+  pause(200);
+  clock.advance(200);
+  const first = balancer.recordStart(stateOf('x'));
+  expect(balancer.avoidanceOf('x')).toBe('returning');
+  expect(Array.from({ length: 30 }, selectOne)).not.toContain('x');
+  balancer.recordEnd(first, 'answered');
+  expect(balancer.avoidanceOf('x')).toBeUndefined();
+});
+
 // Guards against suspecting a request after a lost connection while its server still runs.
 test('a loss is confirmed only if the server is gone', () => {
   const confirmed: string[] = [];
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -264,6 +264,7 @@
   public recordEnd(attempt: IStartedAttempt, result: policyTypes.AttemptResult): void {
     const nowMs = this.clock.monotonicMs();
     const state = attempt.server;
+    this.restraints?.recordRequestEnd(state.row);
     // A server that asks for a pause has not failed, and works again after it.
     const isPause = result === 'refused' && this.restraintOf(state) === 'paused';
     state.recordEnd(attempt.number, isPause ? 'cancelled' : result, nowMs);
--- a/src/common/restraint/ServerRestraints.ts
+++ b/src/common/restraint/ServerRestraints.ts
@@ -26,6 +26,12 @@
 /** Longest delay after which callers may return because of a limit, in milliseconds. */
 const MAX_LIMIT_DELAY_MS = 2_000;
 
+/**
+ * Delay after which callers may return while the first request after a pause is in progress, in
+ * milliseconds.
+ */
+const RETURNING_DELAY_MS = 50;
+
 /** Range of the random factor on the delay after which callers may return. */
 const MAX_RETRY_SPREAD = 2;
 
@@ -44,6 +50,8 @@
   isLeaving: boolean;
   /** Monotonic time. */
   pausedUntilMs: number;
+  /** State of the single request that is let in first after a pause. */
+  firstRequest: 'none' | 'due' | 'in-progress';
   limit: ILimit | undefined;
 }
 
@@ -144,7 +152,10 @@
 
   /** Records that a request was sent to a server. */
   public recordRequest(server: restraintTypes.IServerProcess): void {
-    const limit = this.entries.get(keyOf(server))?.limit;
+    const entry = this.entries.get(keyOf(server));
+    if (entry === undefined) return;
+    if (entry.firstRequest === 'due') entry.firstRequest = 'in-progress';
+    const { limit } = entry;
     if (limit === undefined) return;
     limit.share.recordRequest();
     const nowMs = this.clock.monotonicMs();
@@ -152,12 +163,19 @@
     limit.requestsMs.push(nowMs);
   }
 
+  /** Records that a request to a server has ended. */
+  public recordRequestEnd(server: restraintTypes.IServerProcess): void {
+    const entry = this.entries.get(keyOf(server));
+    if (entry?.firstRequest === 'in-progress') entry.firstRequest = 'none';
+  }
+
   /** Returns why a server gets no new requests now, or undefined. */
   public restraintOf(server: restraintTypes.IServerProcess): restraintTypes.Restraint | undefined {
     const entry = this.entries.get(keyOf(server));
     if (entry === undefined) return undefined;
     if (entry.isLeaving) return 'leaving';
     if (this.clock.monotonicMs() < entry.pausedUntilMs) return 'paused';
+    if (entry.firstRequest === 'in-progress') return 'returning';
     return entry.limit !== undefined && entry.limit.share.waitMs > 0 ? 'limited' : undefined;
   }
 
@@ -194,18 +212,21 @@
     const entry = this.entries.get(keyOf(server));
     if (entry === undefined) return 0;
     const pauseMs = Math.max(0, entry.pausedUntilMs - this.clock.monotonicMs());
+    const returningMs = entry.firstRequest === 'in-progress' ? RETURNING_DELAY_MS : 0;
     // Another daemon may serve a caller that returns, so what counts is the rate of the server.
     const { limit } = entry;
     const isLimited = limit !== undefined && limit.share.waitMs > 0;
-    return Math.max(pauseMs, isLimited ? Math.min(MAX_LIMIT_DELAY_MS, 1_000 / limit.value) : 0);
+    const limitMs = isLimited ? Math.min(MAX_LIMIT_DELAY_MS, 1_000 / limit.value) : 0;
+    return Math.max(pauseMs, returningMs, limitMs);
   }
 
   private add(server: restraintTypes.IServerProcess): IEntry {
     const { address, instance, startedAtMs } = server;
-    const entry = {
+    const entry: IEntry = {
       server: { address, instance, startedAtMs },
       isLeaving: false,
       pausedUntilMs: Number.NEGATIVE_INFINITY,
+      firstRequest: 'none',
       limit: undefined,
     };
     this.entries.set(keyOf(server), entry);
@@ -245,7 +266,7 @@
     if (pauseMs <= 0) return false;
     const untilMs = this.clock.monotonicMs() + Math.min(pauseMs, MAX_PAUSE_MS);
     if (untilMs <= entry.pausedUntilMs) return false;
-    Object.assign(entry, { pausedUntilMs: untilMs });
+    Object.assign(entry, { pausedUntilMs: untilMs, firstRequest: 'due' });
     return true;
   }
 
--- a/src/common/restraint/Types.ts
+++ b/src/common/restraint/Types.ts
@@ -15,8 +15,11 @@
   readonly disregarded?: readonly string[] | undefined;
 }
 
-/** Why a server gets no new requests although it works. */
-export type Restraint = 'leaving' | 'paused' | 'limited';
+/**
+ * Why a server gets no new requests although it works. `returning`: the first request after a pause
+ * is in progress.
+ */
+export type Restraint = 'leaving' | 'paused' | 'returning' | 'limited';
 
 /** A backend server process. A later process at the same address is another one. */
 export interface IServerProcess {
--- a/src/node/server/Diagnostics.ts
+++ b/src/node/server/Diagnostics.ts
@@ -30,6 +30,7 @@
   leaving: 'the VM list, the server itself or a peer says that it is leaving',
   ejected: 'it failed several times in a row and is left out for a while',
   paused: 'the server asked for no requests for a while',
+  returning: 'the first request after a pause that the server asked for is in progress',
   limited: 'this daemon has used its share of the requests that the server takes',
   'connection-limit': 'this daemon holds its full share of connections to it',
 };
