Let only the first source confirm that the directory has not changed

Each daemon follows two sources, and both notified it of each advance of their confirmation, although one confirmation is as good as two.

A daemon now asks its second source for notices of changes alone (new optional field wants_confirmations; earlier versions send both, and are sent both). From two thirds of the maximum age of its confirmation on it asks all sources, and takes confirmations of both until one arrives.

Ruled out: a confirmation that travels less often, since a change of readers would then let followers read the store.

--- a/src/common/directory/RelayAgent.test.ts
+++ b/src/common/directory/RelayAgent.test.ts
@@ -36,6 +36,27 @@
   expect(Math.max(...fleet.notices.values()) / 10).toBeLessThanOrEqual(2 * 64);
 });
 
+// Guards against processor time that the fleet spends on telling each other that nothing changed:
+// one confirmation for each watch of 750 ms, and one renewal in 3 s, come to 1.7 messages a second.
+test.each([19, 133, 312])('while nothing changes, %i daemons send few notices', (size) => {
+  const fleet = fleetOf(size);
+  fleet.notices.clear();
+  fleet.advance(10_000);
+  const sent = [...fleet.notices.values()].reduce((sum, count) => sum + count, 0);
+  expect(sent / size / 10).toBeLessThanOrEqual(1.8);
+});
+
+// Guards against followers that all read because the source that confirms their directory has failed.
+test.each([19, 312])('the loss of one reader of %i daemons causes few reads', (size) => {
+  const fleet = fleetOf(size);
+  const reader = fleet.daemons.find(({ agent }) => agent.readRole === 'reader');
+  Object.assign(reader as relayFleet.IRelayDaemon, { isUp: false });
+  const before = fleet.reads;
+  fleet.advance(5_000);
+  const readers = Math.max(2, Math.ceil(size / 100));
+  expect(fleet.reads - before).toBeLessThanOrEqual(5 * 1.4 * readers);
+});
+
 // Guards against a change that takes effect too late at some daemons.
 test('a change reaches every daemon within a second of its publication', () => {
   const fleet = fleetOf(312);
--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -16,6 +16,12 @@
 /** Advance of the confirmation that followers are notified of, as a share of its maximum age. */
 const NOTICE_ADVANCE_SHARE = 0.3;
 
+/**
+ * Share of the maximum age of a confirmation after which the next one is late, so that this daemon
+ * asks all its sources.
+ */
+const LATE_SHARE = 2 / 3;
+
 /**
  * Time after the start, in milliseconds, in which the member list is incomplete, so that many
  * daemons take themselves for readers.
@@ -40,7 +46,8 @@
 /**
  * Passes changes of the directory, and confirmations that it is up to date, from the few daemons
  * that read it to all others. Each daemon asks two sources of its choice for notices, so that the
- * daemons need not agree on the members of the fleet.
+ * daemons need not agree on the members of the fleet. Both notify it of changes, and the first one
+ * also confirms that there are none.
  */
 export class RelayAgent implements types.IDisposable {
   private readonly tree: relayTree.RelayTree;
@@ -55,6 +62,11 @@
 
   private noticeTimer: types.IDisposable | undefined;
 
+  private lateTimer: types.IDisposable | undefined;
+
+  /** Whether the pending notice is of a change, which all subscribers want. */
+  private hasChanged = false;
+
   /** Confirmation that the subscribers were last notified of, as monotonic time. */
   private noticedTimeMs = Number.NEGATIVE_INFINITY;
 
@@ -83,18 +95,19 @@
   public start(): void {
     const live = this.fleet.statuses.filter(({ state }) => state === 'live');
     this.tree.update(live.map(({ record }) => record));
-    this.fleet.notify(this.subscriptions.takeDue(this.tree.sources));
+    this.askSources();
     this.renewTimer = this.clock.setTimer(SUBSCRIBE_INTERVAL_MS, () => this.start());
   }
 
-  /** Whether this daemon wants notices of the peer. */
-  public follows(address: string): boolean {
-    return this.subscriptions.follows(address);
+  /** Returns which notices this daemon wants of the peer. */
+  public noticeInterestIn(address: string): membershipTypes.NoticeInterest {
+    if (!this.subscriptions.follows(address)) return 'none';
+    return this.subscriptions.isFirst(address) || this.isLate ? 'all' : 'changes';
   }
 
   /** Processes the state that a peer reported. */
-  public handleReport({ address, table, wantsNotices }: gossipAgent.IPeerReport): void {
-    if (wantsNotices !== undefined) this.subscribers.update(address, wantsNotices);
+  public handleReport({ address, table, noticeInterest }: gossipAgent.IPeerReport): void {
+    if (noticeInterest !== undefined) this.subscribers.update(address, noticeInterest);
     const isCurrent = table.ageMs !== undefined && table.ageMs < this.confirmation.maxAgeMs;
     // A source without a current directory is passed over like one that does not answer.
     if (isCurrent) this.subscriptions.recordMessage(address);
@@ -102,16 +115,18 @@
 
   /** Notifies the subscribers of a change of the directory. */
   public notifySubscribers(): void {
-    this.noticeTimer ??= this.clock.setTimer(NOTICE_DELAY_MS, () => {
-      this.noticeTimer = undefined;
-      this.noticedTimeMs = this.confirmation.timeMs;
-      this.fleet.notify(this.subscribers.addresses);
-    });
+    this.hasChanged = true;
+    this.scheduleNotice();
   }
 
   public dispose(): void {
     this.renewTimer?.dispose();
     this.noticeTimer?.dispose();
+    this.lateTimer?.dispose();
+  }
+
+  private get isLate(): boolean {
+    return this.confirmation.ageMs >= LATE_SHARE * this.confirmation.maxAgeMs;
   }
 
   private get isDiscovering(): boolean {
@@ -119,8 +134,27 @@
     return this.fleet.expectsPeers && elapsedMs < DISCOVERY_MS;
   }
 
+  private askSources(): void {
+    this.fleet.notify(this.subscriptions.takeDue(this.tree.sources, this.isLate));
+  }
+
+  private scheduleNotice(): void {
+    this.noticeTimer ??= this.clock.setTimer(NOTICE_DELAY_MS, () => {
+      const { addresses, confirmedAddresses } = this.subscribers;
+      const recipients = this.hasChanged ? addresses : confirmedAddresses;
+      this.noticeTimer = undefined;
+      this.hasChanged = false;
+      this.noticedTimeMs = this.confirmation.timeMs;
+      this.fleet.notify(recipients);
+    });
+  }
+
   private handleConfirmation(): void {
-    const { timeMs, maxAgeMs } = this.confirmation;
-    if (timeMs - this.noticedTimeMs >= NOTICE_ADVANCE_SHARE * maxAgeMs) this.notifySubscribers();
+    const { timeMs, maxAgeMs, ageMs } = this.confirmation;
+    if (timeMs - this.noticedTimeMs >= NOTICE_ADVANCE_SHARE * maxAgeMs) this.scheduleNotice();
+    this.lateTimer?.dispose();
+    this.lateTimer = this.clock.setTimer(Math.max(0, LATE_SHARE * maxAgeMs - ageMs), () =>
+      this.askSources(),
+    );
   }
 }
--- a/src/common/membership/GossipAgent.ts
+++ b/src/common/membership/GossipAgent.ts
@@ -39,18 +39,15 @@
   readonly urgent: boolean;
   /** Whether the sender received heartbeats of members whose records it lacks. */
   readonly wantsMembers: boolean;
-  /**
-   * Whether the sender asks the recipient to notify it of changes of the directory; undefined if
-   * the message changes nothing about that.
-   */
-  readonly wantsNotices?: boolean | undefined;
+  /** Notices that the sender asks for; undefined if the message changes nothing about that. */
+  readonly noticeInterest?: membershipTypes.NoticeInterest | undefined;
 }
 
 /** State that a peer reported in a message or a reply. */
 export interface IPeerReport {
   readonly address: string;
   readonly table: ITableState;
-  readonly wantsNotices: boolean | undefined;
+  readonly noticeInterest: membershipTypes.NoticeInterest | undefined;
   /** Whether the message showed that this daemon lacks the records of some members. */
   readonly lacksMembers: boolean;
 }
@@ -68,8 +65,8 @@
   /** Returns the encoded size of a message. */
   readonly sizeOf: (message: IExchangeMessage) => number;
   readonly tableState: () => ITableState;
-  /** Returns whether this daemon wants notices of a peer. */
-  readonly wantsNoticesOf?: (address: string) => boolean;
+  /** Returns which notices this daemon wants of a peer. */
+  readonly noticeInterestIn?: (address: string) => membershipTypes.NoticeInterest;
 }
 
 /** Chooses the target and content of gossip messages and merges received ones. Does no I/O. */
@@ -193,7 +190,7 @@
   }
 
   private emptyMessageTo(target: string): IExchangeMessage {
-    return { ...this.emptyMessage, wantsNotices: this.options.wantsNoticesOf?.(target) };
+    return { ...this.emptyMessage, noticeInterest: this.options.noticeInterestIn?.(target) };
   }
 
   /** Merges the records of a message or a reply. */
@@ -203,9 +200,9 @@
     this.updateWantsMembers(message);
     message.heartbeats.forEach(({ id, heartbeat }) => this.members.mergeHeartbeat(id, heartbeat));
     message.facts.forEach((fact) => this.facts.merge(fact));
-    const { sender, table, wantsNotices } = message;
+    const { sender, table, noticeInterest } = message;
     const { wantsMembers: lacksMembers } = this;
-    this.reportEmitter.fire({ address: sender.address, table, wantsNotices, lacksMembers });
+    this.reportEmitter.fire({ address: sender.address, table, noticeInterest, lacksMembers });
   }
 
   private updateWantsMembers({ heartbeats }: IExchangeMessage): void {
--- a/src/common/membership/Types.ts
+++ b/src/common/membership/Types.ts
@@ -83,3 +83,9 @@
   readonly revision: number;
   readonly vms: readonly IListedVm[];
 }
+
+/**
+ * Notices that a daemon wants of a peer. `changes`: of changes of the directory. `all`: also those
+ * that only confirm that nothing has changed.
+ */
+export type NoticeInterest = 'none' | 'changes' | 'all';
--- a/src/common/testing/RelayFleet.ts
+++ b/src/common/testing/RelayFleet.ts
@@ -122,11 +122,11 @@
     if (sender?.isUp !== true) return;
     const { ageMs } = sender.confirmation;
     const table = { version: sender.revision, hash: '', ageMs };
-    const wantsNotices = sender.agent.follows(to);
+    const noticeInterest = sender.agent.noticeInterestIn(to);
     this.clock.setTimer(LATENCY_MS, () => {
       const receiver = this.byAddress.get(to);
       if (receiver?.isUp !== true) return;
-      receiver.agent.handleReport({ address: from, table, wantsNotices, lacksMembers: false });
+      receiver.agent.handleReport({ address: from, table, noticeInterest, lacksMembers: false });
       this.adopt(receiver, table.version);
       if (receiver.revision <= table.version) receiver.confirmation.confirm(ageMs + LATENCY_MS);
       onDelivered();
--- a/src/node/fleet/ExchangeMessages.ts
+++ b/src/node/fleet/ExchangeMessages.ts
@@ -13,6 +13,19 @@
   Object.entries(TO_WIRE).map(([kind, wire]) => [wire, kind as membershipTypes.FactKind]),
 );
 
+type WireInterest = Pick<peer.ExchangeRequest, 'wantsNotices' | 'wantsConfirmations'>;
+
+function toWireInterest(interest: membershipTypes.NoticeInterest | undefined): WireInterest {
+  if (interest === undefined) return {};
+  return { wantsNotices: interest !== 'none', wantsConfirmations: interest === 'all' };
+}
+
+function fromWireInterest(received: WireInterest): membershipTypes.NoticeInterest | undefined {
+  if (received.wantsNotices === undefined) return undefined;
+  if (!received.wantsNotices) return 'none';
+  return (received.wantsConfirmations ?? true) ? 'all' : 'changes';
+}
+
 /** Converts a message to its wire format. */
 export function toWire(message: gossipAgent.IExchangeMessage): peer.ExchangeRequest {
   return {
@@ -29,7 +42,7 @@
     heartbeats: message.heartbeats.map(({ heartbeat }) => heartbeat),
     urgent: message.urgent,
     wantsMembers: message.wantsMembers,
-    wantsNotices: message.wantsNotices,
+    ...toWireInterest(message.noticeInterest),
     tableAgeMs: message.table.ageMs,
   };
 }
@@ -62,7 +75,7 @@
     facts: decodeFacts(received.facts),
     urgent: received.urgent ?? false,
     wantsMembers: received.wantsMembers,
-    wantsNotices: received.wantsNotices,
+    noticeInterest: fromWireInterest(received),
   };
 }
 
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -65,7 +65,7 @@
           hash: '',
           ageMs: Number.isFinite(confirmation.ageMs) ? Math.ceil(confirmation.ageMs) : undefined,
         }),
-        wantsNoticesOf: (address) => this.relay.follows(address),
+        noticeInterestIn: (address) => this.relay.noticeInterestIn(address),
       },
       clock,
       random,
