Decide in one place which servers get new work

ServerEligibility holds it now, with a table of the reasons: who states each, who knows it, when it ends, and what a restart keeps. ServiceBalancer, the checks and the forwarding ask it. No behaviour changes; the tests are as before but for the new property of the balancer.

--- a/src/bench/virtual/Simulation.ts
+++ b/src/bench/virtual/Simulation.ts
@@ -136,11 +136,11 @@
       broadcast((peer) => peer.suspicion.merge(loss, FACT_PROPAGATION_MS)),
     );
     daemon.balancers.forEach((balancer, position) => {
-      balancer.onDraining((address) =>
-        broadcast((peer) => peer.balancers[position]?.mergeDraining(address)),
+      balancer.eligibility.onDraining((address) =>
+        broadcast((peer) => peer.balancers[position]?.eligibility.mergeDraining(address)),
       );
-      balancer.onEjected(({ address }) =>
-        broadcast((peer) => peer.balancers[position]?.mergeRefusing(address)),
+      balancer.eligibility.onEjected(({ address }) =>
+        broadcast((peer) => peer.balancers[position]?.eligibility.mergeRefusing(address)),
       );
     });
     return daemon;
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -158,7 +158,7 @@
     this.reportStart(server, cost);
     const call = this.retries > 0 ? this.withRetriesSpent() : this.call;
     attempt.handle = transport.send(call, server.row, {
-      mayStart: () => balancer.wantsRequests(server),
+      mayStart: () => balancer.eligibility.wantsRequests(server),
       onSent: () => {
         attempt.sent = true;
         this.sent += 1;
@@ -234,7 +234,7 @@
         this.handleAnswer(outcome.answer, server.address);
         break;
       case 'refused':
-        if (outcome.draining) this.context.balancer.recordDraining(server.address);
+        if (outcome.draining) this.context.balancer.eligibility.recordDraining(server.address);
         this.failures.recordRefused();
         this.retry();
         break;
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,19 +1,17 @@
 import * as emitter from '../Emitter';
-import * as ejector from '../policy/Ejector';
 import type * as checkedSelection from '../policy/CheckedSelection';
 import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
 import * as serverState from '../policy/ServerState';
 import type * as policyTypes from '../policy/Types';
 import type * as serverRestraints from '../restraint/ServerRestraints';
-import type * as restraintTypes from '../restraint/Types';
 import type * as tableTypes from '../table/Types';
 import type * as types from '../Types';
 import * as admissionQueue from './AdmissionQueue';
 import * as concurrencyLimit from './ConcurrencyLimit';
 import * as checkedSelector from './CheckedSelector';
 import * as hedgeDelay from './HedgeDelay';
-import * as serverAvailability from './ServerAvailability';
+import * as serverEligibility from './ServerEligibility';
 import type * as callTypes from './Types';
 
 /**
@@ -25,10 +23,6 @@
 /** Additional permits that a failed retry costs, so that a failing service gets fewer retries. */
 const FAILED_RETRY_SURCHARGE = 2;
 
-/** Why a server gets no new work. */
-export type AvoidanceReason =
-  'weight-zero' | 'ejected' | 'connection-limit' | restraintTypes.Restraint;
-
 function isSameProcess(known: tableTypes.IServerRow, row: tableTypes.IServerRow): boolean {
   return known.instance === row.instance && known.startedAtMs === row.startedAtMs;
 }
@@ -44,31 +38,25 @@
   readonly cost: number;
 }
 
-interface IServer {
-  readonly state: serverState.ServerState;
-  readonly availability: serverAvailability.ServerAvailability;
-}
-
 /** Balances the calls of one service at this daemon: state, selection and budgets. */
 export class ServiceBalancer {
   public readonly admission: admissionQueue.AdmissionQueue;
 
   public readonly hedgeDelay = new hedgeDelay.HedgeDelay();
 
+  /** Which servers get new work. */
+  public readonly eligibility: serverEligibility.ServerEligibility;
+
   /** Limits all extra attempts, retries and hedges, to a fraction of first attempts. */
   private readonly retryBudget: ratioBudget.RatioBudget;
 
   /** Limits hedges to a smaller fraction of first attempts. */
   private readonly hedgeBudget: ratioBudget.RatioBudget;
 
-  private readonly servers = new Map<string, IServer>();
-
-  private readonly ejector: ejector.Ejector;
+  private readonly servers = new Map<string, serverState.ServerState>();
 
   private readonly limit = new concurrencyLimit.ConcurrencyLimit();
 
-  private readonly drainingEmitter = new emitter.Emitter<string>();
-
   private readonly addedEmitter = new emitter.Emitter<string>();
 
   private table: tableTypes.ITable | undefined;
@@ -85,12 +73,6 @@
   /** Fires with the address of each server that a table adds. */
   public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
 
-  /** Fires with the address of a server that this daemon finds draining; shared with peers. */
-  public readonly onDraining: types.Event<string> = this.drainingEmitter.event;
-
-  /** Fires when this daemon ejects a server for failures that it observed; shared with peers. */
-  public readonly onEjected: types.Event<ejector.IEjection>;
-
   /**
    * @param ejectsServers Whether failing servers are ejected. False for benchmark baselines.
    * @param checkOptions Used for services that have a health path.
@@ -99,12 +81,11 @@
   public constructor(
     private readonly policy: selectionPolicy.SelectionPolicy,
     private readonly clock: types.IClock,
-    private readonly ejectsServers = true,
+    ejectsServers = true,
     private readonly checkOptions?: checkedSelector.ICheckedSelectorOptions,
-    private readonly restraints?: serverRestraints.ServerRestraints,
+    restraints?: serverRestraints.ServerRestraints,
   ) {
-    this.ejector = new ejector.Ejector(clock);
-    this.onEjected = this.ejector.onEjected;
+    this.eligibility = new serverEligibility.ServerEligibility(clock, ejectsServers, restraints);
     this.retryBudget = new ratioBudget.RatioBudget(0, clock);
     this.hedgeBudget = new ratioBudget.RatioBudget(0, clock);
     this.admission = new admissionQueue.AdmissionQueue(this.limit, clock);
@@ -112,7 +93,7 @@
 
   /** States of the servers of the active table that this daemon uses. */
   public get states(): readonly serverState.ServerState[] {
-    return [...this.servers.values()].map(({ state }) => state);
+    return [...this.servers.values()];
   }
 
   /**
@@ -127,7 +108,7 @@
     const candidates = this.candidates(excluded, table);
     if (candidates.length === 0) return undefined;
     const chosen = this.policy.choose(candidates, this.clock.monotonicMs());
-    return this.servers.get(chosen.address)?.state;
+    return this.servers.get(chosen.address);
   }
 
   /**
@@ -148,7 +129,9 @@
     const candidates = this.candidates(excluded, call.table, true);
     let selection: types.IDisposable | undefined;
     const first = this.checkedSelector.select(candidates, call.objectiveAtMs, (selected) => {
-      if (selected.kind !== 'server' || this.restraintOf(selected.server) === undefined) {
+      const isRestrained =
+        selected.kind === 'server' && this.eligibility.restraintOf(selected.server) !== undefined;
+      if (!isRestrained) {
         onSelected(selected);
         return;
       }
@@ -164,24 +147,14 @@
    * milliseconds, or undefined if one of them has not.
    */
   public retryDelayMs(): number | undefined {
-    return this.restraints?.retryDelayMs(this.states.map(({ row }) => row));
-  }
-
-  /** Whether a server has not stated, since it was selected, that it leaves or wants a pause. */
-  public wantsRequests({ row }: serverState.ServerState): boolean {
-    return this.restraints?.wantsRequests(row) ?? true;
+    return this.eligibility.retryDelayMs(this.states);
   }
 
   /** Returns why a server gets no new work, or undefined if it is available. */
-  public avoidanceOf(address: string): AvoidanceReason | undefined {
+  public avoidanceOf(address: string): serverEligibility.AvoidanceReason | undefined {
     const server = this.servers.get(address);
-    if (server === undefined || server.state.weight === 0) return 'weight-zero';
-    if (server.availability.isLeaving) return 'leaving';
-    const restraint = this.restraintOf(server.state);
-    if (restraint !== undefined) return restraint;
-    if (this.ejector.isEjected(address)) return 'ejected';
-    if (server.state.inFlight >= this.connectionShare(server.state)) return 'connection-limit';
-    return undefined;
+    if (server === undefined) return 'weight-zero';
+    return this.eligibility.avoidanceOf(server, this.connectionShare(server));
   }
 
   /**
@@ -256,31 +229,23 @@
   public recordStart(server: serverState.ServerState, cost = 1): IStartedAttempt {
     const startMs = this.clock.monotonicMs();
     const state = server;
-    state.warmth = this.ejector.warmthOf(server.address);
-    this.restraints?.recordRequest(server.row);
+    state.warmth = this.eligibility.warmthOf(server.address);
+    this.eligibility.recordStart(server);
     return { server, number: state.recordStart(startMs), startMs, cost };
   }
 
   public recordEnd(attempt: IStartedAttempt, result: policyTypes.AttemptResult): void {
     const nowMs = this.clock.monotonicMs();
     const state = attempt.server;
-    this.restraints?.recordRequestEnd(state.row);
-    // A server that asks for a pause has not failed, and works again after it.
-    const isPause = result === 'refused' && this.restraintOf(state) === 'paused';
-    state.recordEnd(attempt.number, isPause ? 'cancelled' : result, nowMs);
+    const isChecked = this.checkedSelector !== undefined;
+    state.recordEnd(attempt.number, this.eligibility.recordEnd(state, result, isChecked), nowMs);
     if (result === 'answered') {
       this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
       this.checkedSelector?.recordServiceTime((nowMs - attempt.startMs) / attempt.cost);
-      this.ejector.recordSuccess(state.address);
-    } else if (result === 'failed' || result === 'refused') {
-      // A server that is checked before each dispatch reports when it is full, so its refusals are
-      // not counted as failures.
-      const isCheckedRefusal = result === 'refused' && this.checkedSelector !== undefined;
-      if (this.ejectsServers && !isCheckedRefusal) this.ejector.recordFailure(state.address);
     } else if (result === 'timed-out') {
       this.limit.recordTimeout();
     }
-    state.warmth = this.ejector.warmthOf(state.address);
+    state.warmth = this.eligibility.warmthOf(state.address);
   }
 
   /** Sets this daemon's share of the fleet's retry allowance. */
@@ -301,35 +266,13 @@
   public recordReport(address: string, report: policyTypes.ILoadReport): void {
     const server = this.servers.get(address);
     if (server === undefined) return;
-    server.state.recordReport(report, this.clock.monotonicMs());
+    server.recordReport(report, this.clock.monotonicMs());
     if (report.draining) {
-      this.recordDraining(address);
+      this.eligibility.recordDraining(address);
       return;
     }
-    if (server.availability.recordReady()) this.ejector.startWarmUp(address);
-    this.limit.recordReport(report, server.state.slots, this.admission.inFlight);
-  }
-
-  /** Records a drain signal that this daemon observed itself. */
-  public recordDraining(address: string): void {
-    if (this.servers.get(address)?.availability.recordDraining() === true) {
-      this.drainingEmitter.fire(address);
-    }
-  }
-
-  /** Records a drain signal that a peer observed. */
-  public mergeDraining(address: string): void {
-    this.servers.get(address)?.availability.recordDraining();
-  }
-
-  /** Records a peer's report that a server refuses work. */
-  public mergeRefusing(address: string): void {
-    if (this.servers.has(address)) this.ejector.recordPeerReport(address);
-  }
-
-  /** Sets the state of a server in the platform's list of VMs. */
-  public setListed(address: string, state: 'live' | 'leaving'): void {
-    this.servers.get(address)?.availability.setListed(state);
+    this.eligibility.recordReady(address);
+    this.limit.recordReport(report, server.slots, this.admission.inFlight);
   }
 
   /** Discards all load reports, since they predate a pause of the process. */
@@ -342,27 +285,21 @@
     [...this.servers.keys()]
       .filter((address) => !listed.has(address))
       .forEach((address) => this.servers.delete(address));
-    this.ejector.setServers([...listed]);
+    this.eligibility.retain(listed);
     rows.forEach((row) => {
       const known = this.servers.get(row.address);
-      if (known !== undefined && isSameProcess(known.state.row, row)) {
-        known.state.row = row;
+      if (known !== undefined && isSameProcess(known.row, row)) {
+        known.row = row;
         return;
       }
-      this.servers.set(row.address, {
-        state: new serverState.ServerState(row, this.checkOptions?.rankOf(row.address)),
-        availability: new serverAvailability.ServerAvailability(this.clock),
-      });
+      const rank = this.checkOptions?.rankOf(row.address);
+      this.servers.set(row.address, new serverState.ServerState(row, rank));
       // When the daemon starts, servers are new to it but not newly started.
-      if (!isFirst) this.ejector.startWarmUp(row.address);
+      this.eligibility.add(row.address, !isFirst);
       this.addedEmitter.fire(row.address);
     });
   }
 
-  private restraintOf({ row }: serverState.ServerState): restraintTypes.Restraint | undefined {
-    return this.restraints?.restraintOf(row);
-  }
-
   /** @param checked Whether the servers are checked, which also tells whether a limit has ended. */
   private candidates(
     excluded: ReadonlySet<string>,
@@ -371,11 +308,10 @@
   ): serverState.ServerState[] {
     const tableAddresses = table === this.table ? undefined : this.addressesIn(table);
     const candidates: serverState.ServerState[] = [];
-    this.servers.forEach(({ state }, address) => {
+    this.servers.forEach((state, address) => {
       if (excluded.has(address) || tableAddresses?.has(address) === false) return;
       const reason = this.avoidanceOf(address);
-      const isRechecked =
-        checked && reason === 'limited' && this.restraints?.isRecheckDue(state.row) === true;
+      const isRechecked = checked && reason === 'limited' && this.eligibility.isRecheckDue(state);
       if (reason === undefined || isRechecked) candidates.push(state);
     });
     return candidates;
--- a/src/node/FactExchange.test.ts
+++ b/src/node/FactExchange.test.ts
@@ -50,7 +50,7 @@
 
 test('announces a draining server to peers, and avoids one that a peer reported', () => {
   const { facts, services, avoidance } = build();
-  services.balancerOf('status')?.recordDraining(SERVER);
+  services.balancerOf('status')?.eligibility.recordDraining(SERVER);
   expect(facts.about('draining', SERVER)).toHaveLength(1);
   facts.merge(factOfPeer('draining', '10.0.0.2:80', []));
   expect(avoidance()).toBe('leaving');
--- a/src/node/ServiceSet.ts
+++ b/src/node/ServiceSet.ts
@@ -83,19 +83,19 @@
 
   /** Applies a drain signal that a peer observed. */
   public mergeDraining(address: string): void {
-    this.services.forEach(({ balancer }) => balancer.mergeDraining(address));
+    this.services.forEach(({ balancer }) => balancer.eligibility.mergeDraining(address));
   }
 
   /** Applies a peer's report that a server refuses work. */
   public mergeRefusing(address: string): void {
-    this.services.forEach(({ balancer }) => balancer.mergeRefusing(address));
+    this.services.forEach(({ balancer }) => balancer.eligibility.mergeRefusing(address));
   }
 
   /** Sets which backend servers the platform's list reports as leaving. */
   public setLeaving(leaving: ReadonlySet<string>): void {
     this.services.forEach(({ balancer }) => {
       balancer.states.forEach(({ address }) => {
-        balancer.setListed(address, leaving.has(address) ? 'leaving' : 'live');
+        balancer.eligibility.setListed(address, leaving.has(address) ? 'leaving' : 'live');
       });
     });
   }
@@ -120,8 +120,8 @@
       this.checkOptions,
       this.restraints,
     );
-    balancer.onDraining((address) => this.drainingEmitter.fire(address));
-    balancer.onEjected((ejection) => this.ejectedEmitter.fire(ejection));
+    balancer.eligibility.onDraining((address) => this.drainingEmitter.fire(address));
+    balancer.eligibility.onEjected((ejection) => this.ejectedEmitter.fire(ejection));
     balancer.onServerAdded((address) => this.serverAddedEmitter.fire(address));
     const reserve = this.retryReserve;
     if (reserve !== undefined) balancer.setRetryReserve(reserve.maxTokens, reserve.tokensPerSecond);
--- a/src/node/server/Diagnostics.ts
+++ b/src/node/server/Diagnostics.ts
@@ -1,3 +1,4 @@
+import type * as serverEligibility from '../../common/call/ServerEligibility';
 import type * as serviceBalancer from '../../common/call/ServiceBalancer';
 import type * as probingTypes from '../../common/probing/Types';
 import type * as tableTypes from '../../common/table/Types';
@@ -25,7 +26,7 @@
   connectionsOf(address: string): { readonly open: number; readonly idle: number };
 }
 
-const AVOIDANCE_EXPLANATIONS: Record<serviceBalancer.AvoidanceReason, string> = {
+const AVOIDANCE_EXPLANATIONS: Record<serverEligibility.AvoidanceReason, string> = {
   'weight-zero': 'its weight in the table is 0',
   leaving: 'the VM list, the server itself or a peer says that it is leaving',
   ejected: 'it failed several times in a row and is left out for a while',
