Leave out what a peer sends that would end the process

From the users' list: one malformed message took a whole process down. It can happen here: a member record with an address such as '' or a line break was adopted from any message. gRPC throws for such a target. Exchanges with it were logged as failed, but a call that is handed on to it threw in the handler of the caller's request, which ends the process.

--- a/src/node/fleet/ExchangeLoop.ts
+++ b/src/node/fleet/ExchangeLoop.ts
@@ -138,6 +138,10 @@
   ): gossipAgent.IExchangeMessage | undefined {
     const message = exchangeMessages.fromWire(received);
     if (message !== undefined) this.receivedByteCount += exchangeMessages.encodedSize(message);
+    if (message?.members.length !== received.members.length) {
+      const { sender } = received;
+      this.logger.warn({ sender }, 'addresses in a message of a peer cannot be used');
+    }
     return message;
   }
 
--- /dev/null
+++ b/src/node/fleet/ExchangeMessages.test.ts
@@ -0,0 +1,40 @@
+import type * as peer from '../peer/generated/peer';
+import * as exchangeMessages from './ExchangeMessages';
+
+function recordOf(address: string): peer.MemberRecord {
+  return {
+    ...{ address, incarnation: 1, heartbeat: 1 },
+    ...{ failureDomain: 'a', leaving: false, tableVersion: 1 },
+  };
+}
+
+function messageOf(sender: string, members: readonly string[]): peer.ExchangeRequest {
+  return {
+    ...{ sender: recordOf(sender), tableVersion: 1, tableHash: '', facts: [], heartbeatIds: [] },
+    ...{ heartbeats: [], urgent: false, wantsMembers: false, members: members.map(recordOf) },
+  };
+}
+
+// Guards against a process that ends because a connection to such an address cannot be created.
+test('members whose address cannot be used are left out', () => {
+  const members = ['', '\n', 'name', '10.0.0.2', '10.0.0.2:x', '10.0.0.2:1', '[::1]:1'];
+  const message = exchangeMessages.fromWire(messageOf('10.0.0.1:1', members));
+  expect(message?.members.map(({ address }) => address)).toEqual(['10.0.0.2:1', '[::1]:1']);
+});
+
+test('a message whose sender cannot be reached is ignored', () => {
+  expect(exchangeMessages.fromWire(messageOf('\n', []))).toBeUndefined();
+});
+
+// Guards against followers of an earlier version that get no confirmations.
+test.each([
+  [true, undefined, 'all'],
+  [true, true, 'all'],
+  [true, false, 'changes'],
+  [false, true, 'none'],
+  [undefined, undefined, undefined],
+])('notices %s and confirmations %s are an interest in %s', (notices, confirmations, expected) => {
+  const message = messageOf('10.0.0.1:1', []);
+  const interest = { wantsNotices: notices, wantsConfirmations: confirmations };
+  expect(exchangeMessages.fromWire({ ...message, ...interest })?.noticeInterest).toBe(expected);
+});
--- a/src/node/fleet/ExchangeMessages.ts
+++ b/src/node/fleet/ExchangeMessages.ts
@@ -1,6 +1,7 @@
 import type * as gossipAgent from '../../common/membership/GossipAgent';
 import type * as membershipTypes from '../../common/membership/Types';
 import * as peer from '../peer/generated/peer';
+import * as addresses from '../settings/Addresses';
 
 const TO_WIRE: Record<membershipTypes.FactKind, peer.FactKind> = {
   draining: peer.FactKind.FACT_KIND_DRAINING,
@@ -55,11 +56,19 @@
   });
 }
 
-/** Converts a message or a reply from its wire format. Returns undefined if it has no sender. */
+/** Whether a record names an address that can be connected to. */
+export function isUsable({ address }: peer.MemberRecord): boolean {
+  return addresses.isAddress(address);
+}
+
+/**
+ * Converts a message or a reply from its wire format, without the members whose address cannot be
+ * used. Returns undefined if that of the sender cannot.
+ */
 export function fromWire(
   received: Omit<peer.ExchangeRequest, 'urgent'> & { readonly urgent?: boolean },
 ): gossipAgent.IExchangeMessage | undefined {
-  if (received.sender === undefined || received.sender.address === '') return undefined;
+  if (received.sender === undefined || !isUsable(received.sender)) return undefined;
   return {
     sender: received.sender,
     table: {
@@ -67,7 +76,7 @@
       hash: received.tableHash,
       ageMs: received.tableAgeMs,
     },
-    members: received.members,
+    members: received.members.filter(isUsable),
     heartbeats: received.heartbeatIds.map((id, index) => ({
       id,
       heartbeat: received.heartbeats[index] ?? 0,
--- a/src/node/fleet/MemberSync.ts
+++ b/src/node/fleet/MemberSync.ts
@@ -6,6 +6,7 @@
 import type * as gossipAgent from '../../common/membership/GossipAgent';
 import type * as types from '../../common/Types';
 import * as peer from '../peer/generated/peer';
+import * as exchangeMessages from './ExchangeMessages';
 import type * as fleetTypes from './Types';
 
 const gzip = util.promisify(zlib.gzip);
@@ -95,7 +96,7 @@
       const limits = { maxOutputLength: MAX_LIST_BYTES };
       const list = peer.MemberList.decode(await gunzip(fetched.value.compressedMembers, limits));
       list.members
-        .filter((member) => member.address !== '')
+        .filter(exchangeMessages.isUsable)
         .forEach((member) => this.members.merge(member));
     } catch (error) {
       this.logger.warn({ err: error, address }, 'failed to decode members from peer');
