Notice a peer that falls silent during a forwarded call

But a forwarded call was still waiting after 15 s, also after the exchange beside it had timed out: closing a gRPC client lets its calls in progress go on.

Forwarded calls use channels of their own, with a ping after 500 ms that has to be answered within 500 ms. On the shared channel gRPC would send a ping with nearly each exchange, since it makes up for those that were due while no call was active.

The new test of PeerClient does not end without the change.

--- a/src/node/peer/PeerClient.test.ts
+++ b/src/node/peer/PeerClient.test.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 
+import * as tcpRelay from '../../standin/TcpRelay';
 import * as peer from './generated/peer';
 import * as peerClient from './PeerClient';
 import * as peerServer from './PeerServer';
@@ -12,6 +13,13 @@
   });
 }
 
+function forward(client: peerClient.PeerClient, address: string): Promise<string> {
+  const request = peer.ForwardRequest.fromPartial({ requestId: '1', remainingMs: 60_000 });
+  return new Promise((resolve) => {
+    client.forward(address, request, ({ kind }) => resolve(kind));
+  });
+}
+
 test('a connection that stopped responding is replaced after one failed exchange', async () => {
   const portReservation = net.createServer();
   const port = await listen(portReservation);
@@ -43,3 +51,42 @@
   sockets.forEach((socket) => socket.destroy());
   relay.close();
 });
+
+// Guards against calls that wait until their deadline for a peer that has fallen silent.
+test('a forwarded call is lost when the peer falls silent, and the next one is not', async () => {
+  let isSilent = true;
+  const server = net.createServer();
+  const peerPort = await listen(server);
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  const running = new peerServer.PeerServer(
+    {
+      exchange: () => peer.ExchangeReply.fromPartial({}),
+      fetchTable: () => Promise.reject(new Error('not part of the test')),
+    },
+    undefined,
+    {
+      forward: (_request, onReply) => {
+        if (!isSilent) onReply(peer.ForwardReply.fromPartial({}));
+        return { cancel: () => undefined };
+      },
+    },
+  );
+  await running.listen(`127.0.0.1:${peerPort}`);
+  const relay = new tcpRelay.TcpRelay('127.0.0.1', peerPort);
+  const address = `127.0.0.1:${await relay.listen(0, '127.0.0.1')}`;
+  const client = new peerClient.PeerClient();
+  const first = forward(client, address);
+  setTimeout(() => relay.cut('*', 'silent'), 200);
+  expect(await first).toBe('lost');
+  relay.heal('*');
+  isSilent = false;
+  let next = 'not-sent';
+  // gRPC waits for a while before it connects again.
+  while (next === 'not-sent') next = await forward(client, address);
+  expect(next).toBe('reply');
+  client.dispose();
+  running.dispose();
+  await relay.close();
+});
--- a/src/node/peer/PeerClient.ts
+++ b/src/node/peer/PeerClient.ts
@@ -23,6 +23,17 @@
   'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
 };
 
+/**
+ * Forwarded calls last for as long as their servers need, so that only a ping tells a peer that has
+ * fallen silent. They have connections of their own, since gRPC would send a ping with most
+ * exchanges.
+ */
+const FORWARD_CHANNEL_OPTIONS: grpc.ChannelOptions = {
+  ...CHANNEL_OPTIONS,
+  'grpc.keepalive_time_ms': 500,
+  'grpc.keepalive_timeout_ms': 500,
+};
+
 type Reply<T> = types.Result<T, grpc.ServiceError>;
 type Method<TRequest, TReply> = (
   request: TRequest,
@@ -35,6 +46,8 @@
 export class PeerClient implements types.IDisposable, forwardTypes.IForwardPeers {
   private readonly clients = new Map<string, peer.PeerClient>();
 
+  private readonly forwardClients = new Map<string, peer.PeerClient>();
+
   /** @param timeoutMs Deadline of each call, in milliseconds. */
   public constructor(private readonly timeoutMs = CALL_TIMEOUT_MS) {}
 
@@ -89,14 +102,14 @@
 
   /**
    * Sends a forwarded call. It has no timeout of its own, since its sender cancels it at the deadline
-   * of the call.
+   * of the call, but it is lost if the peer answers no ping.
    */
   public forward(
     address: string,
     request: peer.ForwardRequest,
     onReply: (reply: forwardTypes.ForwardTransmission) => void,
   ): callTypes.IAttempt {
-    const client = this.clientOf(address);
+    const client = PeerClient.clientIn(this.forwardClients, address, FORWARD_CHANNEL_OPTIONS);
     let message: grpc.ClientUnaryCall | undefined;
     let isCancelled = false;
     client.waitForReady(Date.now() + FORWARD_CONNECT_TIMEOUT_MS, (notReady) => {
@@ -122,22 +135,34 @@
     };
   }
 
-  /** Closes the connection to a peer. A later message opens a new one. */
+  /** Closes the connections to a peer. A later message opens a new one. */
   public disconnect(address: string): void {
-    this.clients.get(address)?.close();
-    this.clients.delete(address);
+    [this.clients, this.forwardClients].forEach((clients) => {
+      clients.get(address)?.close();
+      clients.delete(address);
+    });
   }
 
   public dispose(): void {
-    this.clients.forEach((client) => client.close());
-    this.clients.clear();
+    [this.clients, this.forwardClients].forEach((clients) => {
+      clients.forEach((client) => client.close());
+      clients.clear();
+    });
   }
 
   private clientOf(address: string): peer.PeerClient {
-    const known = this.clients.get(address);
+    return PeerClient.clientIn(this.clients, address, CHANNEL_OPTIONS);
+  }
+
+  private static clientIn(
+    clients: Map<string, peer.PeerClient>,
+    address: string,
+    options: grpc.ChannelOptions,
+  ): peer.PeerClient {
+    const known = clients.get(address);
     if (known !== undefined) return known;
-    const client = new peer.PeerClient(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
-    this.clients.set(address, client);
+    const client = new peer.PeerClient(address, grpc.credentials.createInsecure(), options);
+    clients.set(address, client);
     return client;
   }
 
