--- a/src/platform/CutOff.test.ts
+++ b/src/platform/CutOff.test.ts
@@ -1,17 +1,11 @@
 import * as net from 'node:net';
 
-import * as bunyan from 'bunyan';
 import * as undici from 'undici';
 
-import * as seededRandom from '../common/SeededRandom';
 import * as routedDaemon from '../node/RoutedDaemon';
-import * as routedSettings from '../node/settings/RoutedSettings';
-import * as systemClock from '../node/SystemClock';
 import * as freePorts from '../standin/FreePorts';
 import * as tcpRelay from '../standin/TcpRelay';
-import * as platformBackendProtocol from './PlatformBackendProtocol';
-import * as platformCallerProtocol from './PlatformCallerProtocol';
-import * as storeClient from './StoreClient';
+import * as platformDaemon from './testing/PlatformDaemon';
 import * as platformRecords from './testing/PlatformRecords';
 import * as platformServer from './testing/PlatformServer';
 import * as platformStore from './testing/PlatformStore';
@@ -57,34 +51,10 @@
   );
   const directoryUrl = await store.listen();
   const [callerPort, readinessPort] = (await freePorts.freePorts(2)) as [number, number];
-  const parsed = routedSettings.parseRoutedSettings(
-    JSON.stringify({
-      callerAddress: `127.0.0.1:${callerPort}`,
-      readinessAddress: `127.0.0.1:${readinessPort}`,
-      readinessPath: '/v1/readyz',
-      peerAddress: `127.0.0.1:${peerPort}`,
-      failureDomain: 'a',
-      directoryUrl,
-      seedPeers: [`127.0.0.1:${seedPort}`],
-      stopGrace: '100ms',
-      retryFraction: 0.2,
-      retryAllowance: 200,
-      retryWindow: '10s',
-      checksPerSecond: 600,
-    }),
-  );
-  if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
-  const daemon = new routedDaemon.RoutedDaemon(
-    parsed.value,
-    {
-      source: new storeClient.StoreClient(directoryUrl),
-      callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
-      backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
-    },
-    bunyan.createLogger({ name: 'test', streams: [] }),
-    new systemClock.SystemClock(),
-    new seededRandom.SeededRandom(1),
-  );
+  const { daemon } = platformDaemon.makePlatformDaemon({
+    ...{ callerPort, readinessPort, peerPort, directoryUrl },
+    seedPorts: [seedPort],
+  });
   await daemon.start();
   const rules = [
     { prefix: '/x/', service: 'reads', timeout: '60s' },
--- a/src/platform/MalformedBytes.test.ts
+++ b/src/platform/MalformedBytes.test.ts
@@ -1,20 +1,14 @@
 import * as nodeEvents from 'node:events';
 import * as net from 'node:net';
 
-import * as bunyan from 'bunyan';
 import * as fastCheck from 'fast-check';
 import * as undici from 'undici';
 
-import * as seededRandom from '../common/SeededRandom';
 import * as peer from '../node/peer/generated/peer';
 import * as peerClient from '../node/peer/PeerClient';
 import * as routedDaemon from '../node/RoutedDaemon';
-import * as routedSettings from '../node/settings/RoutedSettings';
-import * as systemClock from '../node/SystemClock';
 import * as freePorts from '../standin/FreePorts';
-import * as platformBackendProtocol from './PlatformBackendProtocol';
-import * as platformCallerProtocol from './PlatformCallerProtocol';
-import * as storeClient from './StoreClient';
+import * as platformDaemon from './testing/PlatformDaemon';
 import * as platformRecords from './testing/PlatformRecords';
 import * as platformServer from './testing/PlatformServer';
 import * as platformStore from './testing/PlatformStore';
@@ -73,36 +67,15 @@
   store.put('servers/i-2', platformRecords.makeServerEntry('broken', brokenAddress));
   store.put('op/config', platformRecords.makeConfiguration(1, [SOUND, BROKEN]));
   const directoryUrl = await store.listen();
-  const ports = (await freePorts.freePorts(3)) as [number, number, number];
-  [callerPort, , peerPort] = ports;
-  const parsed = routedSettings.parseRoutedSettings(
-    JSON.stringify({
-      callerAddress: `127.0.0.1:${ports[0]}`,
-      readinessAddress: `127.0.0.1:${ports[1]}`,
-      readinessPath: '/v1/readyz',
-      peerAddress: `127.0.0.1:${ports[2]}`,
-      failureDomain: 'a',
-      directoryUrl,
-      seedPeers: [],
-      stopGrace: '100ms',
-      retryFraction: 0.2,
-      retryAllowance: 200,
-      retryWindow: '10s',
-      checksPerSecond: 600,
-    }),
-  );
-  if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
-  daemon = new routedDaemon.RoutedDaemon(
-    parsed.value,
-    {
-      source: new storeClient.StoreClient(directoryUrl),
-      callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
-      backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
-    },
-    bunyan.createLogger({ name: 'test', streams: [] }),
-    new systemClock.SystemClock(),
-    new seededRandom.SeededRandom(1),
-  );
+  let readinessPort: number;
+  [callerPort, readinessPort, peerPort] = (await freePorts.freePorts(3)) as [
+    number,
+    number,
+    number,
+  ];
+  ({ daemon } = platformDaemon.makePlatformDaemon({
+    ...{ callerPort, readinessPort, peerPort, directoryUrl },
+  }));
   await daemon.start();
   await expectService();
 });
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -11,6 +11,7 @@
 import * as freePorts from '../standin/FreePorts';
 import * as platformStore from './testing/PlatformStore';
 import * as platformServer from './testing/PlatformServer';
+import * as platformDaemon from './testing/PlatformDaemon';
 import * as platformRecords from './testing/PlatformRecords';
 import * as routedDaemon from '../node/RoutedDaemon';
 import * as routedSettings from '../node/settings/RoutedSettings';
@@ -54,38 +55,16 @@
 let readinessPort: number;
 
 async function startDaemon(url: string): Promise<void> {
-  const [caller, readiness, peer] = await freePorts.freePorts(3);
-  callerPort = caller as number;
-  readinessPort = readiness as number;
-  const parsed = routedSettings.parseRoutedSettings(
-    JSON.stringify({
-      callerAddress: `127.0.0.1:${caller}`,
-      readinessAddress: `127.0.0.1:${readiness}`,
-      readinessPath: '/v1/readyz',
-      peerAddress: `127.0.0.1:${peer}`,
-      failureDomain: 'a',
-      directoryUrl: url,
-      seedPeers: [],
-      stopGrace: '100ms',
-      retryFraction: 0.2,
-      retryAllowance: 200,
-      retryWindow: '10s',
-      checksPerSecond: 60,
-    }),
-  );
-  if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
-  settings = parsed.value;
-  daemon = new routedDaemon.RoutedDaemon(
-    settings,
-    {
-      source: new storeClient.StoreClient(url),
-      callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
-      backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
-    },
-    bunyan.createLogger({ name: 'test', streams: [] }),
-    new SlowClock(),
-    new seededRandom.SeededRandom(1),
-  );
+  let peerPort: number;
+  [callerPort, readinessPort, peerPort] = (await freePorts.freePorts(3)) as [
+    number,
+    number,
+    number,
+  ];
+  ({ settings, daemon } = platformDaemon.makePlatformDaemon({
+    ...{ callerPort, readinessPort, peerPort, directoryUrl: url },
+    ...{ checksPerSecond: 60, clock: new SlowClock() },
+  }));
   await daemon.start();
 }
 
