Assume the known number of daemons while their list is incomplete

The new test of ServerRestraints does not compile without the change; with the earlier signature the share stays at 13 where 1 is due.

--- a/src/common/restraint/RequestShare.ts
+++ b/src/common/restraint/RequestShare.ts
@@ -2,9 +2,6 @@
 import type * as types from '../Types';
 import type * as restraintTypes from './Types';
 
-/** Daemons assumed to share a limit before the members of the fleet are known. */
-const ASSUMED_DAEMON_COUNT = 24;
-
 /**
  * Requests that a server with a limit of one a second, and with any limit, may get at once beside its
  * limit. In 4 s it thus gets less than one and a half times its limit and 5 requests, also where
@@ -87,9 +84,9 @@
   private divide(): void {
     this.refill();
     const { limit, position } = this;
-    const { daemons } = this.view;
+    const { daemons, assumedCount } = this.view;
     if (daemons === undefined) {
-      this.rate = limit / ASSUMED_DAEMON_COUNT;
+      this.rate = limit / assumedCount;
       this.burst = 1;
       return;
     }
--- a/src/common/restraint/ServerRestraints.test.ts
+++ b/src/common/restraint/ServerRestraints.test.ts
@@ -90,6 +90,15 @@
   expect(changes[0]?.sharePerSecond).toBe(0.5);
 });
 
+// Guards against hundreds of daemons that start at once and each take a share of a small fleet.
+test('a daemon that knows many others, but not all yet, takes a smaller share', () => {
+  restraints.setDaemons(undefined);
+  state({ limit: 312 });
+  expect(restraints.restrained).toMatchObject([{ sharePerSecond: 13 }]);
+  restraints.setDaemons(undefined, 312);
+  expect(restraints.restrained).toMatchObject([{ sharePerSecond: 1 }]);
+});
+
 // Guards against a server that is used again because the directory still lists it.
 test('a server that said it leaves gets no more requests', () => {
   state({ isLeaving: true });
--- a/src/common/restraint/ServerRestraints.ts
+++ b/src/common/restraint/ServerRestraints.ts
@@ -5,6 +5,9 @@
 import * as requestShare from './RequestShare';
 import type * as restraintTypes from './Types';
 
+/** Daemons assumed to share a limit before anything is known about the fleet. */
+const ASSUMED_DAEMON_COUNT = 24;
+
 /** Server processes whose statements are remembered, also after they left the directory. */
 const MAX_SERVERS = 4_000;
 
@@ -84,7 +87,7 @@
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
   ) {
-    this.view = { own, daemons: undefined };
+    this.view = { own, daemons: undefined, assumedCount: ASSUMED_DAEMON_COUNT };
   }
 
   /** Number of servers that name a limit. */
@@ -105,11 +108,19 @@
       .filter(({ restraint, limit }) => restraint !== undefined || limit !== undefined);
   }
 
-  /** Sets the daemons that share the limits of servers; undefined if they are not known yet. */
-  public setDaemons(daemons: readonly string[] | undefined): void {
+  /**
+   * Sets the daemons that share the limits of servers.
+   * @param daemons Undefined if they are not all known yet.
+   * @param assumedCount Number of daemons to assume then.
+   */
+  public setDaemons(
+    daemons: readonly string[] | undefined,
+    assumedCount = ASSUMED_DAEMON_COUNT,
+  ): void {
     const sorted = daemons === undefined ? undefined : [...daemons].sort();
-    if (sorted?.join() === this.view.daemons?.join()) return;
-    this.view = { own: this.view.own, daemons: sorted };
+    const { view } = this;
+    if (sorted?.join() === view.daemons?.join() && assumedCount === view.assumedCount) return;
+    this.view = { own: view.own, daemons: sorted, assumedCount };
     this.entries.forEach(({ limit }) => limit?.share.setView(this.view));
   }
 
--- a/src/common/restraint/Types.ts
+++ b/src/common/restraint/Types.ts
@@ -59,4 +59,6 @@
   readonly own: string;
   /** Peer addresses of the running daemons, this one included; undefined if not known yet. */
   readonly daemons: readonly string[] | undefined;
+  /** Number of daemons to assume meanwhile. */
+  readonly assumedCount: number;
 }
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -379,7 +379,10 @@
         return readTable()?.maxDaemons;
       },
       divideServerLimits: (areMembersKnown) =>
-        this.restraints.setDaemons(areMembersKnown ? this.fleet?.runningDaemons : undefined),
+        this.restraints.setDaemons(
+          areMembersKnown ? this.fleet?.runningDaemons : undefined,
+          this.fleetShares.daemonCount,
+        ),
       setRetryReserve: (maxTokens, tokensPerSecond) =>
         this.services.setRetryReserve(maxTokens, tokensPerSecond),
       redistributeServers: () => this.applyDirectory(),
