--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,7 @@
 module.exports = {
   testEnvironment: 'node',
   reporters: ['default', '<rootDir>/jest.summary.js'],
-  roots: ['<rootDir>/src', '<rootDir>/spec'],
+  roots: ['<rootDir>/src', '<rootDir>/spec', '<rootDir>/bench'],
   testMatch: ['**/*.test.ts'],
   // Dynamic imports name the compiled file.
   moduleNameMapper: { '^(\\.{1,2}/.*)\\.js$': '$1' },
--- a/src/common/testing/RelayFleet.ts
+++ b/src/common/testing/RelayFleet.ts
@@ -39,6 +39,9 @@
   /** Notices by sender. */
   public readonly notices = new Map<string, number>();
 
+  /** Notices and replies that each daemon sent or received. */
+  public readonly handled = new Map<string, number>();
+
   /** Revision of the directory service. */
   private publishedRevision = 1;
 
@@ -120,6 +123,9 @@
   private deliver(from: string, to: string, onDelivered: () => void): void {
     const sender = this.byAddress.get(from);
     if (sender?.isUp !== true) return;
+    [from, to].forEach((address) =>
+      this.handled.set(address, (this.handled.get(address) ?? 0) + 1),
+    );
     const { ageMs } = sender.confirmation;
     const table = { version: sender.revision, hash: '', ageMs };
     const noticeInterest = sender.agent.noticeInterestIn(to);
