Rank the daemons of a limit once

'a change of the members ranks only those that are new' counts 626 hashes without the change, where 2 are allowed.

--- a/src/common/restraint/RequestShare.ts
+++ b/src/common/restraint/RequestShare.ts
@@ -13,15 +13,6 @@
 /** Least burst of one daemon. With 1, permits expire between the calls that could use them. */
 const MIN_BURST_PER_DAEMON = 2;
 
-/**
- * Number of daemons that come before this one among those that use a server. The daemons that rank
- * a server first are those that have it in their subset of servers.
- */
-function positionOf(server: string, { own, daemons = [] }: restraintTypes.IDaemonView): number {
-  const ownRank = subset.rendezvousRank(own, server);
-  return daemons.filter((daemon) => subset.rendezvousRank(daemon, server) < ownRank).length;
-}
-
 /** Share of one daemon in the requests that a server takes from all daemons together. */
 export class RequestShare {
   private permits: number;
@@ -35,15 +26,19 @@
 
   private limit = 0;
 
+  /** Number of daemons that come before this one among those that use the server. */
   private position: number;
 
+  /** Ranks of the server for the daemons that share its limit. A hash takes microseconds. */
+  private ranks: ReadonlyMap<string, number> = new Map();
+
   public constructor(
     private readonly server: string,
     private readonly clock: types.IClock,
     private view: restraintTypes.IDaemonView,
   ) {
     this.refilledAtMs = clock.monotonicMs();
-    this.position = positionOf(server, view);
+    this.position = this.findPosition();
     // All daemons learn of a limit at about the same time. Different amounts at the start keep them
     // from sending their requests at the same moment.
     this.permits = subset.rendezvousRank(`${view.own} share`, server);
@@ -65,7 +60,7 @@
   public setView(view: restraintTypes.IDaemonView): void {
     if (view === this.view) return;
     this.view = view;
-    this.position = positionOf(this.server, view);
+    this.position = this.findPosition();
     this.divide();
   }
 
@@ -81,6 +76,19 @@
     this.permits -= 1;
   }
 
+  /** The daemons that rank a server first are those that have it in their subset of servers. */
+  private findPosition(): number {
+    const { own, daemons = [] } = this.view;
+    this.ranks = new Map(
+      [own, ...daemons].map((daemon) => [
+        daemon,
+        this.ranks.get(daemon) ?? subset.rendezvousRank(daemon, this.server),
+      ]),
+    );
+    const ownRank = this.ranks.get(own) ?? 0;
+    return daemons.filter((daemon) => (this.ranks.get(daemon) ?? 0) < ownRank).length;
+  }
+
   private divide(): void {
     this.refill();
     const { limit, position } = this;
--- a/src/common/restraint/ServerRestraints.test.ts
+++ b/src/common/restraint/ServerRestraints.test.ts
@@ -1,3 +1,5 @@
+import * as crypto from 'node:crypto';
+
 import * as manualClock from '../ManualClock';
 import * as seededRandom from '../SeededRandom';
 import * as serverRestraints from './ServerRestraints';
@@ -99,6 +101,18 @@
   expect(restraints.restrained).toMatchObject([{ sharePerSecond: 1 }]);
 });
 
+// Guards against control that takes more than its share of the processor while daemons restart.
+test('a change of the members ranks only those that are new', () => {
+  const daemons = Array.from({ length: 312 }, (_, index) => `10.0.1.${index}:1`);
+  restraints.setDaemons(daemons);
+  state({ limit: 7 });
+  const hash = jest.spyOn(crypto, 'createHash');
+  restraints.setDaemons(daemons.slice(1));
+  restraints.setDaemons([...daemons, '10.0.2.1:1']);
+  expect(hash.mock.calls.length).toBeLessThanOrEqual(2);
+  hash.mockRestore();
+});
+
 // Guards against a server that is used again because the directory still lists it.
 test('a server that said it leaves gets no more requests', () => {
   state({ isLeaving: true });
