--- a/src/soak/SoakLoad.ts
+++ b/src/soak/SoakLoad.ts
@@ -2,6 +2,7 @@
 
 import type * as types from '../common/Types';
 import * as platformRecords from '../platform/testing/PlatformRecords';
+import * as wireNames from '../platform/WireNames';
 import * as soakFleet from './SoakFleet';
 import type * as soakTypes from './Types';
 
@@ -87,8 +88,8 @@
         path: `/${service}/item`,
         headers: {
           host: platformRecords.HOST,
-          'request-id': requestId,
-          'request-deadline': `${DEADLINE_MS}`,
+          [wireNames.REQUEST_ID]: requestId,
+          [wireNames.REQUEST_DEADLINE]: `${DEADLINE_MS}`,
         },
         body: idempotent ? null : `order ${requestId}`,
         headersTimeout: DEADLINE_MS + TIMEOUT_SLACK_MS,
@@ -112,8 +113,11 @@
   ): soakTypes.CallOutcome {
     if (NOT_RUN_STATUSES.has(status)) return 'refused-not-run';
     if (status !== 200) return 'unknown';
-    const isOwn = headers['request-id'] === requestId && text === soakFleet.bodyOf(requestId);
-    return isOwn && headers['response-signature'] !== undefined ? 'answered' : 'wrong-answer';
+    const isOwn =
+      headers[wireNames.REQUEST_ID] === requestId && text === soakFleet.bodyOf(requestId);
+    return isOwn && headers[wireNames.RESPONSE_SIGNATURE] !== undefined
+      ? 'answered'
+      : 'wrong-answer';
   }
 
   private poolOf(daemon: number): undici.Pool {
