Give up no request that a server works on while nothing can take its place

After its SIGTERM a daemon closed the connection of a request at which a server had been at work for 0.7 s, and answered 502. Callers saw an error in place of an answer that was on its way.

A call whose service gets out of reach was abandoned in the same way.

Health checks overtake no request now, and an attempt or a call is given up only if another attempt may follow. Two of the new tests of HttpTransport fail without the change.

Ruled out: the end of the grace period, which was 4 s away.

--- a/src/common/call/CallCoordinator.test.ts
+++ b/src/common/call/CallCoordinator.test.ts
@@ -233,3 +233,24 @@
   endAttempt(rig, 0, LOST);
   expect(rig.transport.attempts).toHaveLength(1);
 });
+
+// Guards against an error in place of an answer that is on its way.
+test('an attempt may be given up only if another one may follow', () => {
+  const withoutPermit = fixtures.makeRig({ retryFraction: 0 });
+  withoutPermit.start();
+  expect(attemptAt(withoutPermit, 0).listener.mayAbandon()).toBe(false);
+  const limited = fixtures.makeRig();
+  limited.start({ maxAttempts: 1 });
+  expect(attemptAt(limited, 0).listener.mayAbandon()).toBe(false);
+  const rig = fixtures.makeRig();
+  rig.start();
+  expect(attemptAt(rig, 0).listener.mayAbandon()).toBe(true);
+});
+
+test('a call that was sent and may not be sent again is not abandoned', () => {
+  const rig = fixtures.makeRig({ retryFraction: 0 });
+  rig.start().abandon();
+  expect(rig.outcomes).toEqual([]);
+  endAttempt(rig, 0, { kind: 'answered', answer: ANSWER });
+  expect(rig.outcomes).toMatchObject([{ kind: 'answered' }]);
+});
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -94,10 +94,15 @@
     this.finish(undefined);
   }
 
-  /** Ends the call because its servers are out of reach. */
+  /**
+   * Ends the call because its servers are out of reach. A call that was sent goes on waiting for its
+   * answer if it may not be sent again.
+   */
   public abandon(): void {
     if (this.ended) return;
-    if ([...this.active].some(({ sent }) => sent)) {
+    const isSent = [...this.active].some(({ sent }) => sent);
+    if (isSent && !this.mayRetry) return;
+    if (isSent) {
       const detail = 'no backend server of the service answers this daemon';
       this.failures.recordLost({ kind: 'lost', reason: 'connection-lost', detail });
     }
@@ -159,6 +164,7 @@
     const call = this.retries > 0 ? this.withRetriesSpent() : this.call;
     attempt.handle = transport.send(call, server.row, {
       mayStart: () => balancer.eligibility.wantsRequests(server),
+      mayAbandon: () => this.active.size > 1 || this.mayRetry,
       onSent: () => {
         attempt.sent = true;
         this.sent += 1;
@@ -297,12 +303,23 @@
     this.sendNext();
   }
 
+  private get isSuspect(): boolean {
+    return this.context.suspicion.isSuspect(this.call.fingerprint);
+  }
+
+  private get isWithinLimits(): boolean {
+    const spent = this.call.retriesSpent + this.retries;
+    return spent < MAX_RETRIES_SPENT && this.hasAttemptsLeft;
+  }
+
+  private get mayRetry(): boolean {
+    return this.isWithinLimits && !this.isSuspect && this.context.balancer.hasRetryPermit;
+  }
+
   private retry(): void {
     if (this.ended || this.active.size > 0) return;
-    const spent = this.call.retriesSpent + this.retries;
     const { maxAttempts } = this.call;
-    const isSuspect = this.context.suspicion.isSuspect(this.call.fingerprint);
-    const isWithinLimits = spent < MAX_RETRIES_SPENT && this.hasAttemptsLeft;
+    const { isSuspect, isWithinLimits } = this;
     const hasPermit =
       isWithinLimits && !isSuspect ? this.context.balancer.takeRetryPermit() : undefined;
     const isAllowed = hasPermit === true;
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -209,6 +209,11 @@
     );
   }
 
+  /** Whether a permit for a retry is left. */
+  public get hasRetryPermit(): boolean {
+    return this.retryBudget.available;
+  }
+
   /** Takes a permit for a retry. Returns false if the budget is exhausted. */
   public takeRetryPermit(): boolean {
     return this.retryBudget.take();
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -125,6 +125,8 @@
 export interface IAttemptListener {
   /** Returns whether the request may still be sent. Asked once its connection is open. */
   mayStart(): boolean;
+  /** Returns whether another attempt could follow if this one is given up for its silence. */
+  mayAbandon(): boolean;
   /** Called at most once, when the first byte may have been sent. */
   onSent(): void;
   /** Called whenever an answer carries a load report. */
--- a/src/common/connections/ConnectionHealth.test.ts
+++ b/src/common/connections/ConnectionHealth.test.ts
@@ -96,3 +96,17 @@
   health.retireAll();
   expect(health.canCarry(connection, true)).toBe(false);
 });
+
+test('health checks overtake no request', () => {
+  const { clock, health } = build();
+  const working = health.add();
+  const checked = health.add();
+  health.recordStart(working);
+  clock.advance(1_000);
+  for (let count = 0; count < 40; count += 1) {
+    health.recordStart(checked);
+    health.recordEnd(checked, 'checked');
+  }
+  expect(health.overtaken()).toEqual([]);
+  expect(health.canCarry(checked, false)).toBe(true);
+});
--- a/src/common/connections/ConnectionHealth.ts
+++ b/src/common/connections/ConnectionHealth.ts
@@ -17,7 +17,7 @@
   completedMs: number;
   progressMs: number;
   exchangeStartMs: number | undefined;
-  /** Number of completed exchanges that started after the current one of this connection. */
+  /** Number of answered requests that were sent after the current one of this connection. */
   overtaken: number;
   retired: boolean;
 }
@@ -97,8 +97,9 @@
     if (record?.exchangeStartMs === undefined) return;
     const startMs = record.exchangeStartMs;
     record.exchangeStartMs = undefined;
-    if (end === 'completed') this.recordCompletion(record, startMs);
+    if (end === 'completed' || end === 'checked') this.recordCompletion(record);
     else record.retired = true;
+    if (end === 'completed') this.recordOvertaken(startMs);
     if (end === 'silent') this.retireStaleSiblings(record, startMs);
   }
 
@@ -140,10 +141,13 @@
     return nowMs < record.expiresMs && nowMs - usedMs < this.limits.maxIdleMs;
   }
 
-  private recordCompletion(completed: IConnectionRecord, startMs: number): void {
-    const nowMs = this.clock.monotonicMs();
-    completed.completedMs = nowMs;
-    completed.progressMs = nowMs;
+  private recordCompletion(completed: IConnectionRecord): void {
+    const record = completed;
+    record.completedMs = this.clock.monotonicMs();
+    record.progressMs = record.completedMs;
+  }
+
+  private recordOvertaken(startMs: number): void {
     this.records.forEach((record) => {
       const isOvertaken = record.exchangeStartMs !== undefined && record.exchangeStartMs < startMs;
       if (isOvertaken) record.overtaken += 1;
--- a/src/common/connections/Types.ts
+++ b/src/common/connections/Types.ts
@@ -2,6 +2,8 @@
 export type ExchangeEnd =
   /** A complete answer arrived. */
   | 'completed'
+  /** The complete answer to a health check arrived, which servers give while they work on requests. */
+  | 'checked'
   /** The connection broke, or the exchange was abandoned early or after bytes had arrived. */
   | 'failed'
   /** The exchange was abandoned after `silenceMs` or longer, and no byte had arrived. */
--- a/src/common/reach/ObservedTransport.ts
+++ b/src/common/reach/ObservedTransport.ts
@@ -37,6 +37,7 @@
   ): callTypes.IAttempt {
     return this.transport.send(call, server, {
       mayStart: () => listener.mayStart(),
+      mayAbandon: () => listener.mayAbandon(),
       onSent: () => listener.onSent(),
       onLoadReport: (report) => {
         this.reach.recordReply(server);
--- a/src/node/dispatch/ConnectionPool.ts
+++ b/src/node/dispatch/ConnectionPool.ts
@@ -58,9 +58,16 @@
     this.health.recordProgress(connection.id);
   }
 
-  /** Returns a connection to the pool after a complete response. */
-  public release(connection: connections.Connection, reusable: boolean): void {
-    this.health.recordEnd(connection.id, 'completed');
+  /**
+   * Returns a connection to the pool after a complete response.
+   * @param end Whether it was the response to a request or to a health check.
+   */
+  public release(
+    connection: connections.Connection,
+    reusable: boolean,
+    end: 'completed' | 'checked',
+  ): void {
+    this.health.recordEnd(connection.id, end);
     this.busy.delete(connection.id);
     if (reusable && !this.health.isRetired(connection.id)) this.idle.push(connection);
     else this.discard(connection);
--- a/src/node/dispatch/EndlessAnswers.test.ts
+++ b/src/node/dispatch/EndlessAnswers.test.ts
@@ -70,6 +70,7 @@
       { ...row, service: 'reads' },
       {
         mayStart: () => true,
+        mayAbandon: () => true,
         onSent: () => undefined,
         onLoadReport: () => undefined,
         onEnd: resolve,
--- a/src/node/dispatch/HttpTransport.test.ts
+++ b/src/node/dispatch/HttpTransport.test.ts
@@ -37,12 +37,15 @@
 let received: string[];
 let sockets: net.Socket[];
 let onReceived: () => void;
+/** Whether another attempt could follow one that is given up. */
+let mayAbandon: boolean;
 
 /** Starts a server that writes raw bytes, so that tests can send malformed responses. */
 beforeEach(async () => {
   received = [];
   sockets = [];
   onReceived = () => undefined;
+  mayAbandon = true;
   server = net.createServer((socket) => {
     sockets.push(socket);
     socket.on('error', () => undefined);
@@ -84,6 +87,7 @@
   const outcome = new Promise<callTypes.AttemptOutcome>((resolve) => {
     attempt = transport.send(call, row, {
       mayStart,
+      mayAbandon: () => mayAbandon,
       onSent: () => log.push('sent'),
       onLoadReport: (report) => log.push(`load ${report.inFlight}`),
       onEnd: (ended) => {
@@ -99,6 +103,16 @@
   return start(callTo(service, overrides)).outcome;
 }
 
+function check(): Promise<unknown> {
+  return new Promise((resolve) => {
+    transport.check(row, '/health', 1_000, resolve);
+  });
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(setImmediate);
+}
+
 /** Responds with `text`, then closes the connection if `close` is set. */
 function respondWith(text: string, close = false): Respond {
   return (socket) => {
@@ -312,6 +326,39 @@
   stuckWrite.attempt.cancel();
 });
 
+// Guards against a request at which a server works, and that is broken off because the server answers
+// health checks at once (ogsl-gate, LOST after SIGTERM).
+test('health checks beside a long request do not end it', async () => {
+  const waiting: net.Socket[] = [];
+  respond = (socket, request) => {
+    if (request.includes('/slow')) waiting.push(socket);
+    else socket.write(OK);
+  };
+  const slow = start(callTo('reads', { path: '/slow' }));
+  await until(() => waiting.length === 1);
+  clock.advance(1_000);
+  for (let count = 0; count < 40; count += 1) await check();
+  expect(slow.events).toEqual(['sent']);
+  waiting.forEach((socket) => socket.write(OK));
+  expect(await slow.outcome).toMatchObject({ kind: 'answered' });
+});
+
+// Guards against a caller that gets an error instead of an answer which is on its way.
+test('an attempt that no other one could follow is not ended for its silence', async () => {
+  mayAbandon = false;
+  const waiting: net.Socket[] = [];
+  respond = (socket, request) => {
+    if (request.includes('/slow')) waiting.push(socket);
+    else socket.write(OK);
+  };
+  const slow = start(callTo('reads', { path: '/slow' }));
+  await until(() => waiting.length === 1);
+  clock.advance(1_000);
+  for (let count = 0; count < 20; count += 1) await send();
+  waiting.forEach((socket) => socket.write(OK));
+  expect(await slow.outcome).toMatchObject({ kind: 'answered' });
+});
+
 test('reuses no idle connection after a pause', async () => {
   respond = respondWith(OK);
   await send();
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -98,6 +98,7 @@
       MAX_CHECK_CONNECTIONS,
       {
         mayStart: () => true,
+        mayAbandon: () => true,
         onSent: () => undefined,
         onLoadReport: () => undefined,
         onEnd: (outcome) => end(this.toCheckReply(server, outcome)),
@@ -183,6 +184,7 @@
       body,
       headers: protocol.requestHeaders(call, server, remainingMs),
       idempotent: service.idempotent,
+      isCheck: false,
       maxAnswerBytes: service.maxAnswerBytes,
       allowsCloseDelimitedBody: protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, status, list, call.requestId),
@@ -201,6 +203,7 @@
       body: new Uint8Array(),
       headers: ['host', server.address],
       idempotent: true,
+      isCheck: true,
       maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
       allowsCloseDelimitedBody: this.protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, status, list),
--- a/src/node/dispatch/PartialHeads.test.ts
+++ b/src/node/dispatch/PartialHeads.test.ts
@@ -64,6 +64,7 @@
       { ...row, service: 'reads' },
       {
         mayStart: () => true,
+        mayAbandon: () => true,
         onSent: () => undefined,
         onLoadReport: () => undefined,
         onEnd: resolve,
--- a/src/node/dispatch/PooledAttempt.ts
+++ b/src/node/dispatch/PooledAttempt.ts
@@ -35,9 +35,12 @@
     if (this.connection !== undefined) this.pool.abandon(this.connection, !this.sent);
   }
 
-  /** Ends an idempotent attempt on a silent connection. Others continue until their deadline. */
+  /**
+   * Ends an attempt on a silent connection if another one can take its place. Others continue until
+   * their deadline, since the server may be at work.
+   */
   private abandonSilent(): void {
-    if (this.ended || !this.request.idempotent) return;
+    if (this.ended || !this.request.idempotent || !this.listener.mayAbandon()) return;
     this.cancel();
     const detail = 'the connection is silent while newer exchanges with the server complete';
     this.listener.onEnd({ kind: 'lost', reason: 'silent', detail });
@@ -81,7 +84,8 @@
   ): void {
     if (outcome.kind === 'answered' || outcome.kind === 'refused') {
       // If the response came before the whole request was sent, the rest of it is still buffered.
-      this.pool.release(connection, !connection.isSending && !connection.endedGracefully);
+      const isReusable = !connection.isSending && !connection.endedGracefully;
+      this.pool.release(connection, isReusable, this.request.isCheck ? 'checked' : 'completed');
     } else {
       this.pool.abandon(connection, true);
     }
--- a/src/node/dispatch/Types.ts
+++ b/src/node/dispatch/Types.ts
@@ -11,6 +11,8 @@
   readonly headers: readonly string[];
   readonly body: Uint8Array;
   readonly idempotent: boolean;
+  /** Whether it is a health check. */
+  readonly isCheck: boolean;
   readonly maxAnswerBytes: number;
   /** Whether a response that only the close of its connection delimits is accepted. */
   readonly allowsCloseDelimitedBody: boolean;
--- a/src/node/telemetry/InstrumentedTransport.ts
+++ b/src/node/telemetry/InstrumentedTransport.ts
@@ -40,6 +40,7 @@
     const outgoingCall = traced === undefined ? call : withTraceParent(call, traced.traceParent);
     const attempt = this.inner.send(outgoingCall, server, {
       mayStart: () => listener.mayStart(),
+      mayAbandon: () => listener.mayAbandon(),
       onSent: () => listener.onSent(),
       onLoadReport: (report) => listener.onLoadReport(report),
       onEnd: (outcome) => {
--- a/src/node/telemetry/Telemetry.test.ts
+++ b/src/node/telemetry/Telemetry.test.ts
@@ -51,6 +51,7 @@
 
 const LISTENER = {
   mayStart: () => true,
+  mayAbandon: () => true,
   onSent: () => undefined,
   onLoadReport: () => undefined,
   onEnd: () => undefined,
--- a/src/platform/LateCopies.test.ts
+++ b/src/platform/LateCopies.test.ts
@@ -63,6 +63,7 @@
   return new Promise((resolve) => {
     transport.send(call, row, {
       mayStart: () => true,
+      mayAbandon: () => true,
       onSent: () => undefined,
       onLoadReport: () => undefined,
       onEnd: resolve,
