--- a/src/faults/Mutants.ts
+++ b/src/faults/Mutants.ts
@@ -41,8 +41,8 @@
   },
   {
     name: 'leaving servers are used',
-    file: 'common/call/ServiceBalancer.ts',
-    find: "if (server.availability.isLeaving) return 'leaving';",
+    file: 'common/call/ServerEligibility.ts',
+    find: "if (availability.isLeaving) return 'leaving';",
     replace: '',
     test: 'Leaving.test.ts',
   },
