Leave out members whose numbers cannot be sent on

Heartbeats also travel without their records, as uint32, and encoding it threw in the timer of the exchanges, which ends the process; other daemons that were told of the record would have ended as well. An incarnation of 2^53 - 1 could not be raised in the same way.

Such records are left out and logged. Two new cases of ExchangeMessages.test fail without the change.

--- a/src/node/fleet/ExchangeLoop.ts
+++ b/src/node/fleet/ExchangeLoop.ts
@@ -140,7 +140,7 @@
     if (message !== undefined) this.receivedByteCount += exchangeMessages.encodedSize(message);
     if (message?.members.length !== received.members.length) {
       const { sender } = received;
-      this.logger.warn({ sender }, 'addresses in a message of a peer cannot be used');
+      this.logger.warn({ sender }, 'records in a message of a peer cannot be used');
     }
     return message;
   }
--- a/src/node/fleet/ExchangeMessages.test.ts
+++ b/src/node/fleet/ExchangeMessages.test.ts
@@ -22,6 +22,17 @@
   expect(message?.members.map(({ address }) => address)).toEqual(['10.0.0.2:1', '[::1]:1']);
 });
 
+// Guards against a process that ends when it sends on what it was told.
+test.each([
+  ['heartbeat', 2 ** 32],
+  ['incarnation', Number.MAX_SAFE_INTEGER],
+])('a member whose %s cannot be sent on is left out: %i', (name, value) => {
+  const message = messageOf('10.0.0.1:1', []);
+  const members = [{ ...recordOf('10.0.0.2:1'), [name]: value }, recordOf('10.0.0.3:1')];
+  const decoded = exchangeMessages.fromWire({ ...message, members });
+  expect(decoded?.members.map(({ address }) => address)).toEqual(['10.0.0.3:1']);
+});
+
 test('a message whose sender cannot be reached is ignored', () => {
   expect(exchangeMessages.fromWire(messageOf('\n', []))).toBeUndefined();
 });
--- a/src/node/fleet/ExchangeMessages.ts
+++ b/src/node/fleet/ExchangeMessages.ts
@@ -3,6 +3,9 @@
 import * as peer from '../peer/generated/peer';
 import * as addresses from '../settings/Addresses';
 
+/** Largest heartbeat that can be sent without the record of its member. */
+const MAX_HEARTBEAT = 2 ** 32 - 1;
+
 const TO_WIRE: Record<membershipTypes.FactKind, peer.FactKind> = {
   draining: peer.FactKind.FACT_KIND_DRAINING,
   refusing: peer.FactKind.FACT_KIND_REFUSING,
@@ -56,13 +59,17 @@
   });
 }
 
-/** Whether a record names an address that can be connected to. */
-export function isUsable({ address }: peer.MemberRecord): boolean {
-  return addresses.isAddress(address);
+/**
+ * Whether a record names an address that can be connected to, and numbers that can be sent on: a
+ * heartbeat also travels without its record, as a shorter number, and an incarnation may be raised.
+ */
+export function isUsable({ address, heartbeat, incarnation }: peer.MemberRecord): boolean {
+  const isInRange = heartbeat <= MAX_HEARTBEAT && incarnation < Number.MAX_SAFE_INTEGER;
+  return isInRange && addresses.isAddress(address);
 }
 
 /**
- * Converts a message or a reply from its wire format, without the members whose address cannot be
+ * Converts a message or a reply from its wire format, without the members whose record cannot be
  * used. Returns undefined if that of the sender cannot.
  */
 export function fromWire(
--- a/src/platform/MalformedBytes.test.ts
+++ b/src/platform/MalformedBytes.test.ts
@@ -4,6 +4,7 @@
 import * as fastCheck from 'fast-check';
 import * as undici from 'undici';
 
+import * as gossipAgent from '../common/membership/GossipAgent';
 import * as peer from '../node/peer/generated/peer';
 import * as peerClient from '../node/peer/PeerClient';
 import * as routedDaemon from '../node/RoutedDaemon';
@@ -216,6 +217,10 @@
   await check(EXCHANGE, 150, async (message) => {
     await client.exchange(address, message);
   });
+  // Lets the daemon send on what it was told.
+  await new Promise((resolve) => {
+    setTimeout(resolve, 3 * gossipAgent.EXCHANGE_INTERVAL_MS);
+  });
   await expectService();
   client.dispose();
 });
