--- a/src/common/call/CheckedSelector.test.ts
+++ b/src/common/call/CheckedSelector.test.ts
@@ -119,9 +119,9 @@
   const gone = setUp(() => ({ kind: 'unreachable' })).balancer;
   const running = setUp(() => readyReply(0)).balancer;
   [gone, running].forEach((balancer, index) =>
-    balancer.confirmLoss(balancer.states[0] as (typeof balancer.states)[0], () =>
-      confirmed.push(`${index}`),
-    ),
+    balancer.checkLoss(balancer.states[0] as (typeof balancer.states)[0], (verdict) => {
+      if (verdict === 'ended') confirmed.push(`${index}`);
+    }),
   );
   expect(confirmed).toEqual(['0']);
 });
@@ -140,9 +140,9 @@
     },
   );
   const confirmed: string[] = [];
-  balancer.confirmLoss(balancer.states[0] as (typeof balancer.states)[0], () =>
-    confirmed.push('lost'),
-  );
+  balancer.checkLoss(balancer.states[0] as (typeof balancer.states)[0], (verdict) => {
+    if (verdict === 'ended') confirmed.push('lost');
+  });
   expect(confirmed).toEqual([]);
   reply = kind === 'ready' ? readyReply(0) : { kind };
   hear();
--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -70,26 +70,30 @@
   }
 
   /**
-   * Calls `onConfirmed` if a check shows that the server's process is gone. A server that is
-   * unreachable is checked again once others reply: after a cut of the network its requests would
-   * otherwise be taken for ones that crash servers.
+   * Finds out with a check whether a server has ended. One that is unreachable is checked again once
+   * others reply: after a cut of the network its requests would otherwise be taken for ones that
+   * crash servers.
+   * @param onVerdict Called at most once.
    */
-  public confirmLoss(server: serverState.ServerState, onConfirmed: () => void): void {
+  public checkLoss(
+    server: serverState.ServerState,
+    onVerdict: (verdict: callTypes.LossVerdict) => void,
+  ): void {
     const { onceHeard } = this.options;
-    this.checkLoss(server, onConfirmed, () => {
-      if (onceHeard === undefined) onConfirmed();
-      else onceHeard(() => this.checkLoss(server, onConfirmed, onConfirmed));
+    this.checkOnce(server, (verdict, isUnreachable) => {
+      if (!isUnreachable || onceHeard === undefined) onVerdict(verdict);
+      else onceHeard(() => this.checkOnce(server, onVerdict));
     });
   }
 
-  private checkLoss(
+  private checkOnce(
     server: serverState.ServerState,
-    onReplaced: () => void,
-    onUnreachable: () => void,
+    onVerdict: (verdict: callTypes.LossVerdict, isUnreachable: boolean) => void,
   ): void {
-    this.options.checker.check(server.row, this.healthPath, LOSS_CHECK_TIMEOUT_MS, (reply) => {
-      if (reply.kind === 'replaced') onReplaced();
-      if (reply.kind === 'unreachable') onUnreachable();
+    this.options.checker.check(server.row, this.healthPath, LOSS_CHECK_TIMEOUT_MS, ({ kind }) => {
+      const isUnreachable = kind === 'unreachable';
+      if (isUnreachable || kind === 'replaced') onVerdict('ended', isUnreachable);
+      else onVerdict(kind === 'silent' ? 'undecided' : 'running', false);
     });
   }
 
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -283,15 +283,22 @@
   ): void {
     this.failures.recordLost(outcome);
     if (outcome.reason === 'connection-lost' || outcome.reason === 'answer-truncated') {
-      const { balancer, suspicion } = this.context;
-      const { fingerprint } = this.call;
-      balancer.confirmLoss(server, () => suspicion.recordLoss(fingerprint, server.address));
+      this.checkLoss(server);
     }
     const isTooLarge = outcome.reason === 'answer-too-large';
     if (this.call.service.idempotent && !isTooLarge) this.retry();
     else if (this.active.size === 0) this.finish(this.failures.toOutcome());
   }
 
+  /** Records the loss of a server that has ended while it ran the request. */
+  private checkLoss(server: serverState.ServerState): void {
+    const { balancer, suspicion, observer } = this.context;
+    balancer.checkLoss(server, (verdict) => {
+      observer?.onLossDecided(this.call, server.address, verdict);
+      if (verdict === 'ended') suspicion.recordLoss(this.call.fingerprint, server.address);
+    });
+  }
+
   /** Tries another server after an attempt that sent no byte and thus put no load on its server. */
   private reroute(): void {
     if (this.ended || this.active.size > 0) return;
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -259,12 +259,16 @@
   }
 
   /**
-   * Calls `onConfirmed` if the process of a server is gone, or in any case if servers are not
-   * checked. A lost connection alone is not conclusive, since the network may have failed.
+   * Finds out whether the process of a server has ended. A lost connection alone is not conclusive,
+   * since the network may have failed, unless servers are not checked.
+   * @param onVerdict Called at most once.
    */
-  public confirmLoss(server: serverState.ServerState, onConfirmed: () => void): void {
-    if (this.checkedSelector === undefined) onConfirmed();
-    else this.checkedSelector.confirmLoss(server, onConfirmed);
+  public checkLoss(
+    server: serverState.ServerState,
+    onVerdict: (verdict: callTypes.LossVerdict) => void,
+  ): void {
+    if (this.checkedSelector === undefined) onVerdict('ended');
+    else this.checkedSelector.checkLoss(server, onVerdict);
   }
 
   /** Records a load report from an answer or a probe reply. */
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -199,6 +199,12 @@
   readonly hasPermit: boolean | undefined;
 }
 
+/**
+ * Whether a server of which a connection was lost has ended. `undecided`: it did not answer a check,
+ * or none of the servers answered this daemon.
+ */
+export type LossVerdict = 'ended' | 'running' | 'undecided';
+
 /** Receives the decisions made during calls. */
 export interface ICallObserver {
   onAttemptStarted(call: ICall, choice: IAttemptChoice): void;
@@ -210,4 +216,6 @@
     latencyMs: number,
   ): void;
   onRetryDecided(call: ICall, decision: IRetryDecision): void;
+  /** Called when it is known whether a server ended while it ran the request of the call. */
+  onLossDecided(call: ICall, server: string, verdict: LossVerdict): void;
 }
--- a/src/common/suspicion/RequestSuspicion.ts
+++ b/src/common/suspicion/RequestSuspicion.ts
@@ -24,6 +24,12 @@
   /** Fires when this daemon loses a server with a request in flight; shared with peers. */
   public readonly onLoss: types.Event<suspicionTypes.ISuspicion> = this.lossEmitter.event;
 
+  private readonly changedEmitter = new emitter.Emitter<suspicionTypes.ISuspicionChange>();
+
+  /** Fires when this daemon learns of the loss of a further server. */
+  public readonly onChanged: types.Event<suspicionTypes.ISuspicionChange> =
+    this.changedEmitter.event;
+
   /** @param serversToRefuse Number of distinct lost servers at which a request is refused. */
   public constructor(
     private readonly clock: types.IClock,
@@ -35,6 +41,11 @@
     return this.losses.size === 0;
   }
 
+  /** Number of requests that are refused. */
+  public get suspectCount(): number {
+    return [...this.losses.keys()].filter((fingerprint) => this.isSuspect(fingerprint)).length;
+  }
+
   /** Whether the request must be refused. */
   public isSuspect(fingerprint: string): boolean {
     return this.serversLost(fingerprint).length >= this.serversToRefuse;
@@ -50,14 +61,14 @@
 
   /** Records that the connection to `server` broke while the request was in flight on it. */
   public recordLoss(fingerprint: string, server: string): void {
-    this.add(fingerprint, server, this.clock.monotonicMs());
+    this.add(fingerprint, [server], this.clock.monotonicMs(), 'own');
     this.lossEmitter.fire({ fingerprint, servers: this.serversLost(fingerprint) });
   }
 
   /** Merges losses that a peer observed `ageMs` milliseconds ago. */
   public merge(suspicion: suspicionTypes.ISuspicion, ageMs: number): void {
     const lostAtMs = this.clock.monotonicMs() - ageMs;
-    suspicion.servers.forEach((server) => this.add(suspicion.fingerprint, server, lostAtMs));
+    this.add(suspicion.fingerprint, suspicion.servers, lostAtMs, 'peer');
   }
 
   /** Clears a request that was answered: it was in flight by chance when a server was lost. */
@@ -65,9 +76,21 @@
     this.losses.delete(fingerprint);
   }
 
-  private add(fingerprint: string, server: string, lostAtMs: number): void {
-    const servers = this.losses.get(fingerprint) ?? new Map<string, number>();
-    servers.set(server, Math.max(servers.get(server) ?? Number.NEGATIVE_INFINITY, lostAtMs));
-    this.losses.set(fingerprint, servers);
+  private add(
+    fingerprint: string,
+    servers: readonly string[],
+    lostAtMs: number,
+    source: suspicionTypes.ISuspicionChange['source'],
+  ): void {
+    const knownCount = this.serversLost(fingerprint).length;
+    const losses = this.losses.get(fingerprint) ?? new Map<string, number>();
+    servers.forEach((server) =>
+      losses.set(server, Math.max(losses.get(server) ?? Number.NEGATIVE_INFINITY, lostAtMs)),
+    );
+    this.losses.set(fingerprint, losses);
+    const lost = this.serversLost(fingerprint);
+    if (lost.length <= knownCount) return;
+    const isSuspect = this.isSuspect(fingerprint);
+    this.changedEmitter.fire({ fingerprint, servers: lost, source, isSuspect });
   }
 }
--- a/src/common/suspicion/Types.ts
+++ b/src/common/suspicion/Types.ts
@@ -4,3 +4,11 @@
   /** Addresses of the lost servers. */
   readonly servers: readonly string[];
 }
+
+/** What this daemon learned about a request that may crash servers. */
+export interface ISuspicionChange extends ISuspicion {
+  /** Whether this daemon or a peer saw the loss. */
+  readonly source: 'own' | 'peer';
+  /** Whether the request is refused from now on. */
+  readonly isSuspect: boolean;
+}
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -175,6 +175,7 @@
       this.restraints,
     );
     this.suspicion = new requestSuspicion.RequestSuspicion(clock, SUSPICION_THRESHOLD);
+    this.suspicion.onChanged((change) => this.decisionLog.recordSuspicion(change));
     this.coordinator = new callCoordinator.CallCoordinator(
       observed,
       this.suspicion,
@@ -211,6 +212,7 @@
       countDaemons: () => this.fleetShares.daemonCount,
       countLimitedServers: () => this.restraints.limitedCount,
       countUnreachableServices: () => this.reach.lostServices.length,
+      countSuspectRequests: () => this.suspicion.suspectCount,
     });
   }
 
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -4,6 +4,7 @@
 import type * as callTypes from '../../common/call/Types';
 import type * as reachTypes from '../../common/reach/Types';
 import type * as restraintTypes from '../../common/restraint/Types';
+import type * as suspicionTypes from '../../common/suspicion/Types';
 import type * as types from '../../common/Types';
 import type * as forwardTypes from '../forwarding/Types';
 import type * as serverTypes from '../server/Types';
@@ -56,6 +57,13 @@
     registers: [this.registry],
   });
 
+  private readonly losses = new promClient.Counter({
+    name: 'lavenderspar_server_losses_total',
+    help: 'Requests whose connection was lost, by whether their server had ended',
+    labelNames: ['service', 'verdict'],
+    registers: [this.registry],
+  });
+
   private readonly forwarded = new promClient.Counter({
     name: 'lavenderspar_forwarded_calls_total',
     help: 'Calls sent to a peer that reaches the servers of the service, by how that ended',
@@ -152,6 +160,21 @@
     this.log(names.RETRY_DECIDED, { requestId: call.requestId, ...decision });
   }
 
+  public onLossDecided(
+    call: callTypes.ICall,
+    server: string,
+    verdict: callTypes.LossVerdict,
+  ): void {
+    this.losses.inc({ service: call.service.name, verdict });
+    const { requestId, fingerprint } = call;
+    this.log(names.SERVER_LOSS, { requestId, fingerprint, server, verdict });
+  }
+
+  /** Logs that this daemon learned of a further server that was lost with a request in flight. */
+  public recordSuspicion(change: suspicionTypes.ISuspicionChange): void {
+    this.log(names.REQUEST_SUSPICION, { ...change });
+  }
+
   public onForwarded(
     call: callTypes.ICall,
     helper: string,
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -25,6 +25,8 @@
 export const CALL_FORWARDED = 'call.forwarded';
 export const SERVICE_OUT_OF_REACH = 'service.out_of_reach';
 export const SERVICE_IN_REACH = 'service.in_reach';
+export const SERVER_LOSS = 'server.loss';
+export const REQUEST_SUSPICION = 'request.suspicion';
 export const LOG_DROPPED = 'log.dropped';
 export const DIRECTORY_PROBLEM = 'directory.problem';
 
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -12,6 +12,7 @@
   readonly countDaemons: () => number;
   readonly countLimitedServers: () => number;
   readonly countUnreachableServices: () => number;
+  readonly countSuspectRequests: () => number;
 }
 
 /** Adds gauges for the state of a routed daemon to its metrics. */
@@ -36,4 +37,9 @@
     'Services whose servers do not answer this daemon',
     sources.countUnreachableServices,
   );
+  decisions.addGauge(
+    'suspect_requests',
+    'Requests that are refused because they crash servers',
+    sources.countSuspectRequests,
+  );
 }
