Tell peers at once of each further server that a request has crashed

Cause: a daemon refuses a request once it knows of three lost servers. Only the first fact about a request was pushed to peers; those of the second and third server waited for the regular exchanges, one random peer every 500 ms. Each daemon that knew too little crashed a further server and added a fact of its own, which the next ones waited for in turn. Facts that exceeded the budget of a push were dropped with all others of the same moment, as when a server ends with many requests in flight.

A fact is now pushed if no other one about its subject has all its details, and of the facts that do not fit those with most details go first.

Ruled out: restarts of daemons, which learned the facts in time. Still failing, each with a cause of its own: services with two or three servers, and servers that end silently.

--- a/src/common/membership/FactStore.test.ts
+++ b/src/common/membership/FactStore.test.ts
@@ -42,7 +42,7 @@
   store.merge(fact({ sequence: 5, details: ['copy'] }));
   store.merge(fact({ origin: 'other' }));
   expect(store.about('draining', SERVER).map(({ details }) => details)).toEqual([['new'], []]);
-  expect(added.map(({ isFirstForSubject }) => isFirstForSubject)).toEqual([true, false]);
+  expect(added.map(({ isNews }) => isNews)).toEqual([true, false]);
 });
 
 test('an observation is not recorded again in the first half of its lifetime', () => {
--- a/src/common/membership/FactStore.ts
+++ b/src/common/membership/FactStore.ts
@@ -32,6 +32,10 @@
   return `${topicOf(fact.kind, fact.subject)} ${fact.origin}`;
 }
 
+function includesDetails(fact: membershipTypes.IFact, details: readonly string[]): boolean {
+  return details.every((detail) => fact.details.includes(detail));
+}
+
 /** Returns an upper bound of the encoded size of a fact. */
 export function sizeOfFact(fact: membershipTypes.IFact): number {
   const detailBytes = fact.details.reduce(
@@ -111,9 +115,7 @@
   public record(observation: membershipTypes.IObservation): void {
     const { kind, subject, details } = observation;
     const isKnown = this.about(kind, subject).some(
-      (fact) =>
-        fact.ageMs < fact.lifetimeMs / 2 &&
-        details.every((detail) => fact.details.includes(detail)),
+      (fact) => fact.ageMs < fact.lifetimeMs / 2 && includesDetails(fact, details),
     );
     if (isKnown) return;
     this.sequence += 1;
@@ -126,16 +128,18 @@
     if (fact.ageMs >= fact.lifetimeMs || sizeOfFact(fact) > MAX_FACT_BYTES) return;
     this.removeExpired();
     const key = keyOf(fact);
-    const known = this.entries.get(key);
-    if (known !== undefined && known.fact.sequence >= fact.sequence) return;
+    const previous = this.entries.get(key);
+    if (previous !== undefined && previous.fact.sequence >= fact.sequence) return;
     // After a restart with the clock set back, peers may hold higher sequences of this daemon,
     // which its new facts must exceed.
     if (fact.origin === this.origin) this.sequence = Math.max(this.sequence, fact.sequence);
-    const isFirstForSubject = this.about(fact.kind, fact.subject).length === 0;
+    const isNews = !this.about(fact.kind, fact.subject).some((known) =>
+      includesDetails(known, fact.details),
+    );
     this.remove(key);
     this.insert(key, fact);
     if (this.entries.size > MAX_FACTS) this.evictOldest();
-    this.addedEmitter.fire({ key, fact, isFirstForSubject });
+    this.addedEmitter.fire({ key, fact, isNews });
   }
 
   private insert(key: string, fact: membershipTypes.IFact): void {
--- a/src/common/membership/GossipAgent.test.ts
+++ b/src/common/membership/GossipAgent.test.ts
@@ -106,6 +106,23 @@
   expect(agent.beginExchange()?.message.facts).toMatchObject([{ sequence: 2, ageMs: 0 }]);
 });
 
+// Guards against the report that convicts a request being dropped with those of a crashed server.
+test('of more urgent facts than fit, those with most details are sent', () => {
+  const { agent } = setUp(10);
+  const lifetimeMs = 60_000;
+  for (let index = 0; index < 100; index += 1) {
+    agent.facts.record({
+      kind: 'suspect-request',
+      subject: `${index}`,
+      lifetimeMs,
+      details: ['a'],
+    });
+  }
+  const details = ['a', 'b', 'c'];
+  agent.facts.record({ kind: 'suspect-request', subject: 'last', lifetimeMs, details });
+  expect(agent.takeUrgentMessage()?.message.facts[0]).toMatchObject({ subject: 'last' });
+});
+
 test('an urgent message announces that the daemon is leaving, even without facts', () => {
   const { agent } = setUp(10);
   agent.leave();
--- a/src/common/membership/GossipAgent.ts
+++ b/src/common/membership/GossipAgent.ts
@@ -109,8 +109,8 @@
     this.facts = new factStore.FactStore(options.address, clock, options.incarnation);
     this.budget = new gossipBudget.GossipBudget(clock);
     this.composer = new messageComposer.MessageComposer(this.members, this.facts);
-    this.facts.onAdded(({ key, isFirstForSubject }) => {
-      if (isFirstForSubject) this.addUrgent(key);
+    this.facts.onAdded(({ key, isNews }) => {
+      if (isNews) this.addUrgent(key);
     });
   }
 
@@ -155,20 +155,33 @@
 
   /** Removes the pending urgent facts and composes a message with them for a few peers. */
   public takeUrgentMessage(): IOutgoingMessage | undefined {
-    const facts = [...this.urgentFactKeys]
-      .map((key) => this.facts.get(key))
-      .filter((fact) => fact !== undefined);
-    this.urgentFactKeys.clear();
-    const message = this.createMessage({ members: [], heartbeats: [], facts }, true);
     const targets = this.choosePeers(URGENT_FANOUT);
+    const facts = this.takeUrgentFacts(this.budget.availableBytes / Math.max(1, targets.length));
+    const message = this.createMessage({ members: [], heartbeats: [], facts }, true);
     const bytes = this.options.sizeOf(message) * targets.length;
     const hasContent = facts.length > 0 || this.leaving;
-    // Facts that exceed the budget are sent with the next regular exchange.
     if (!hasContent || targets.length === 0 || bytes > this.budget.availableBytes) return undefined;
     this.budget.spend(bytes);
     return { targets, message };
   }
 
+  /**
+   * Returns the pending urgent facts that fit, those with most details first: of requests that crash
+   * servers these decide. The others are sent with the next regular exchanges.
+   */
+  private takeUrgentFacts(maxBytes: number): readonly membershipTypes.IFact[] {
+    const facts = [...this.urgentFactKeys]
+      .map((key) => this.facts.get(key))
+      .filter((fact) => fact !== undefined)
+      .sort((left, right) => right.details.length - left.details.length);
+    this.urgentFactKeys.clear();
+    let leftBytes = maxBytes - messageComposer.EMPTY_MESSAGE_BYTES;
+    return facts.filter((fact) => {
+      leftBytes -= factStore.sizeOfFact(fact);
+      return leftBytes >= 0;
+    });
+  }
+
   /**
    * Composes a message with only the state of this daemon for one peer. It is not charged to the
    * budget of the exchanges: notices to many followers would leave none for the daemon's own.
--- a/src/common/membership/Types.ts
+++ b/src/common/membership/Types.ts
@@ -65,8 +65,8 @@
   /** Key of the fact in the store. */
   readonly key: string;
   readonly fact: IFact;
-  /** Whether no other unexpired fact about the subject was known. If so, it is sent urgently. */
-  readonly isFirstForSubject: boolean;
+  /** Whether no other unexpired fact about the subject had all its details. It is sent urgently. */
+  readonly isNews: boolean;
 }
 
 /** Entry of the platform's VM list. */
--- a/src/common/reach/ObservedTransport.ts
+++ b/src/common/reach/ObservedTransport.ts
@@ -3,7 +3,8 @@
 import type * as tableTypes from '../table/Types';
 import type * as serverReach from './ServerReach';
 
-type Transport = callTypes.IBackendTransport & callTypes.IServerChecker;
+/** Sends requests to servers, and checks them. */
+export type Transport = callTypes.IBackendTransport & callTypes.IServerChecker;
 
 /** Reports to `ServerReach` which servers reply, and which do not. */
 export class ObservedTransport implements Transport {
--- /dev/null
+++ b/src/node/CrashingRequest.test.ts
@@ -0,0 +1,29 @@
+import * as crashFleet from './testing/CrashFleet';
+
+/** Retries that are allowed once a request has crashed three servers and time has passed since. */
+const MAX_LATE_SENDS = 3;
+
+const SCENARIO = {
+  ...{ daemons: 19, servers: 14, requestsPerSecond: 400 },
+  ...{ crashingIntervalMs: 150, restartMs: 2_000 },
+};
+
+jest.setTimeout(60_000);
+
+/** Starts a fleet and lets its daemons find each other. */
+function startFleet(scenario: Partial<crashFleet.ICrashScenario>): crashFleet.CrashFleet {
+  const fleet = new crashFleet.CrashFleet({ ...SCENARIO, ...scenario }, 1);
+  fleet.sendsCrashing = false;
+  fleet.play(10_000);
+  fleet.sendsCrashing = true;
+  return fleet;
+}
+
+// Guards against a request that goes on crashing servers because daemons learn of its losses late.
+test.each([19, 60])('%i daemons refuse a request that has crashed three servers', (daemons) => {
+  const fleet = startFleet({ daemons, servers: daemons - 5 });
+  fleet.play(12_000);
+  expect(fleet.crashesMs.length).toBeGreaterThanOrEqual(3);
+  expect(fleet.lateSends).toBeLessThanOrEqual(MAX_LATE_SENDS);
+  fleet.dispose();
+});
