Count the processes of servers that a request has crashed, not their addresses

With two servers a request that crashes servers was never refused: after 20 s it had been sent 4 times later than three seconds after the third crash, and it went on (the new case of CrashingRequest.test, which fails before this change).

Cause: losses were keyed by the address of the server, so that a server which was started again and crashed again counted once. Three addresses are never lost where a service has two servers, and rarely where other trouble leaves only a few of them in use.

A loss is now keyed by address and start time of the process, or its identifier. A fact names the latest losses that suffice: a longer one exceeds the size of a fact and would be dropped by the store of facts itself, without a trace. Tables that do not tell processes apart count addresses as before.

During a rolling restart a loss that daemons of both versions see counts twice, which refuses a crashing request after two servers in place of three.

--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -1,6 +1,6 @@
 import type * as policyTypes from '../policy/Types';
 import type * as serverState from '../policy/ServerState';
-import type * as requestSuspicion from '../suspicion/RequestSuspicion';
+import * as requestSuspicion from '../suspicion/RequestSuspicion';
 import type * as types from '../Types';
 import type * as admissionQueue from './AdmissionQueue';
 import * as failures from './Failures';
@@ -295,7 +295,8 @@
     const { balancer, suspicion, observer } = this.context;
     balancer.checkLoss(server, (verdict) => {
       observer?.onLossDecided(this.call, server.address, verdict);
-      if (verdict === 'ended') suspicion.recordLoss(this.call.fingerprint, server.address);
+      if (verdict !== 'ended') return;
+      suspicion.recordLoss(this.call.fingerprint, requestSuspicion.processKeyOf(server.row));
     });
   }
 
--- a/src/common/suspicion/RequestSuspicion.test.ts
+++ b/src/common/suspicion/RequestSuspicion.test.ts
@@ -1,4 +1,6 @@
 import * as manualClock from '../ManualClock';
+import type * as tableTypes from '../table/Types';
+import * as fixtures from '../testing/Fixtures';
 import * as requestSuspicion from './RequestSuspicion';
 import type * as suspicionTypes from './Types';
 
@@ -57,3 +59,25 @@
   suspicion.recordLoss('request', 'b');
   expect(seen[1]).toEqual({ fingerprint: 'request', servers: ['a', 'b'] });
 });
+
+// Guards against a report that peers drop, because it names more servers than fit into a message.
+test('reports only the latest losses that suffice to refuse the request', () => {
+  const { clock, suspicion } = make();
+  const seen: suspicionTypes.ISuspicion[] = [];
+  suspicion.onLoss((loss) => seen.push(loss));
+  ['a', 'b', 'c'].forEach((server) => {
+    suspicion.recordLoss('request', server);
+    clock.advance(1);
+  });
+  expect(seen[2]?.servers).toEqual(['b', 'c']);
+});
+
+test.each([
+  [{ instance: 'i-1', startedAtMs: 36 }, { instance: 'i-1', startedAtMs: 37 }, 2],
+  [{ instance: 'i-1' }, { instance: 'i-2' }, 2],
+  [{}, {}, 1],
+])('processes %j and %j at one address count as %i', (first, second, count) => {
+  const server = fixtures.makeTable().servers.get('status')?.[0] as tableTypes.IServerRow;
+  const processes = [first, second].map((process) => ({ ...server, ...process }));
+  expect(new Set(processes.map(requestSuspicion.processKeyOf)).size).toBe(count);
+});
--- a/src/common/suspicion/RequestSuspicion.ts
+++ b/src/common/suspicion/RequestSuspicion.ts
@@ -1,6 +1,7 @@
 import * as lruCache from 'lru-cache';
 
 import * as emitter from '../Emitter';
+import type * as tableTypes from '../table/Types';
 import type * as types from '../Types';
 import type * as suspicionTypes from './Types';
 
@@ -12,6 +13,19 @@
 
 const MAX_FINGERPRINTS = 1_000;
 
+/** Radix that keeps start times short in the messages to peers. */
+const START_TIME_RADIX = 36;
+
+/**
+ * Identifies the process of a server among the losses of a request: a server that was started again
+ * can be lost again. The address alone, if the table does not tell processes apart.
+ */
+export function processKeyOf(server: tableTypes.IServerRow): string {
+  const { address, instance, startedAtMs } = server;
+  const process = startedAtMs?.toString(START_TIME_RADIX) ?? instance;
+  return process === undefined ? address : `${address} ${process}`;
+}
+
 /** Detects requests that crash the servers that run them (queries of death). */
 export class RequestSuspicion {
   /** Time of each loss by fingerprint and server, in monotonic milliseconds. */
@@ -51,18 +65,23 @@
     return this.serversLost(fingerprint).length >= this.serversToRefuse;
   }
 
-  /** Returns the servers whose loss with the request in flight has not expired. */
+  /** Returns the servers whose loss with the request in flight has not expired, the latest last. */
   public serversLost(fingerprint: string): readonly string[] {
     const servers = this.losses.get(fingerprint);
     if (servers === undefined) return [];
     const oldestMs = this.clock.monotonicMs() - SUSPICION_LIFETIME_MS;
-    return [...servers].filter(([, lostAtMs]) => lostAtMs > oldestMs).map(([server]) => server);
+    return [...servers]
+      .filter(([, lostAtMs]) => lostAtMs > oldestMs)
+      .sort(([, left], [, right]) => left - right)
+      .map(([server]) => server);
   }
 
-  /** Records that the connection to `server` broke while the request was in flight on it. */
+  /** Records that the process `server` was lost while the request was in flight on it. */
   public recordLoss(fingerprint: string, server: string): void {
     this.add(fingerprint, [server], this.clock.monotonicMs(), 'own');
-    this.lossEmitter.fire({ fingerprint, servers: this.serversLost(fingerprint) });
+    // More servers than those that decide would not fit into a message to peers.
+    const servers = this.serversLost(fingerprint).slice(-this.serversToRefuse);
+    this.lossEmitter.fire({ fingerprint, servers });
   }
 
   /** Merges losses that a peer observed `ageMs` milliseconds ago. */
--- a/src/common/suspicion/Types.ts
+++ b/src/common/suspicion/Types.ts
@@ -1,7 +1,7 @@
 /** Report of a request that was in flight on backend servers when they were lost. */
 export interface ISuspicion {
   readonly fingerprint: string;
-  /** Addresses of the lost servers. */
+  /** Keys of the processes of the lost servers, see `processKeyOf`. */
   readonly servers: readonly string[];
 }
 
--- a/src/node/CrashingRequest.test.ts
+++ b/src/node/CrashingRequest.test.ts
@@ -27,3 +27,12 @@
   expect(fleet.lateSends).toBeLessThanOrEqual(MAX_LATE_SENDS);
   fleet.dispose();
 });
+
+// Guards against a service with few servers, whose addresses never add up to the limit of losses.
+test('a server that is started again counts again', () => {
+  const fleet = startFleet({ servers: 2, crashingIntervalMs: 2_500, maxAttempts: 1 });
+  fleet.play(20_000);
+  expect(fleet.crashesMs.length).toBeGreaterThanOrEqual(3);
+  expect(fleet.lateSends).toBeLessThanOrEqual(MAX_LATE_SENDS);
+  fleet.dispose();
+});
--- a/src/node/testing/CrashFleet.ts
+++ b/src/node/testing/CrashFleet.ts
@@ -39,6 +39,8 @@
   readonly crashingIntervalMs: number;
   /** Time from the crash of a server until it runs again, in milliseconds. */
   readonly restartMs: number;
+  /** Servers that one request may be sent to; 2 by default. */
+  readonly maxAttempts?: number;
   /** Whether a crashed server neither closes its connections nor refuses new ones. */
   readonly isDark?: boolean;
   /** Whether a restarted server has the identifier that it had before. */
@@ -197,7 +199,8 @@
     const fingerprint = crashing ?? requestId;
     const call = {
       ...{ requestId, table, service, method: 'GET', path: '/', headers: [], fingerprint },
-      ...{ body: new Uint8Array(), depth: 0, retriesSpent: 0, maxAttempts: 2 },
+      ...{ body: new Uint8Array(), depth: 0, retriesSpent: 0 },
+      maxAttempts: this.scenario.maxAttempts ?? 2,
       ...{ deadlineMs: this.nowMs + 1_200, objectiveAtMs: this.nowMs + 200 },
     };
     startCall.startCall(call, daemon.services, daemon.coordinator, () => undefined);
