Count servers that ended under a request when no check could tell

Cause: a loss counted only if a check decided it within a second. Dropped without a trace were a server that did not answer the check, or whose connections were at their limit; one that was unreachable while no other server replied; and requests that were given up for their silence, their deadline or their caller, for which no check was made.

Undecided losses now wait in LossChecks for the table: a process that is replaced or no longer listed, has not said that it leaves and has not replied since the loss, has ended. Servers of requests that are given up are checked if they have not replied to anything for half a second.

The cost is one check for a request that is given up on a silent server.

--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -70,9 +70,8 @@
   }
 
   /**
-   * Finds out with a check whether a server has ended. One that is unreachable is checked again once
-   * others reply: after a cut of the network its requests would otherwise be taken for ones that
-   * crash servers.
+   * Checks whether a server has ended. One that is unreachable is checked again once others reply:
+   * after a cut of the network its requests would otherwise be taken for ones that crash servers.
    * @param onVerdict Called at most once.
    */
   public checkLoss(
@@ -98,6 +97,7 @@
   }
 
   private recordReply(server: serverState.ServerState, reply: policyTypes.CheckReply): void {
+    if ('report' in reply) server.recordReply(this.clock.monotonicMs());
     const report = 'report' in reply ? reply.report : undefined;
     if (report !== undefined) server.recordReport(report, this.clock.monotonicMs());
     else if (reply.kind === 'ready') server.dropReport();
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -90,6 +90,7 @@
   /** Cancels the call because its caller has gone. No outcome follows. */
   public cancel(): void {
     if (this.ended) return;
+    this.checkSilentServers();
     this.cancelActive('cancelled');
     this.finish(undefined);
   }
@@ -106,6 +107,7 @@
       const detail = 'no backend server of the service answers this daemon';
       this.failures.recordLost({ kind: 'lost', reason: 'connection-lost', detail });
     }
+    this.checkSilentServers();
     this.cancelActive('cancelled');
     this.finish(this.failedOutcome());
   }
@@ -282,22 +284,32 @@
     server: serverState.ServerState,
   ): void {
     this.failures.recordLost(outcome);
+    const { balancer } = this.context;
     if (outcome.reason === 'connection-lost' || outcome.reason === 'answer-truncated') {
-      this.checkLoss(server);
-    }
+      balancer.checkLoss(server, (verdict) => this.recordLossVerdict(server, verdict));
+    } else if (outcome.reason === 'silent') this.checkSilence(server);
     const isTooLarge = outcome.reason === 'answer-too-large';
     if (this.call.service.idempotent && !isTooLarge) this.retry();
     else if (this.active.size === 0) this.finish(this.failures.toOutcome());
   }
 
-  /** Records the loss of a server that has ended while it ran the request. */
-  private checkLoss(server: serverState.ServerState): void {
-    const { balancer, suspicion, observer } = this.context;
-    balancer.checkLoss(server, (verdict) => {
-      observer?.onLossDecided(this.call, server.address, verdict);
-      if (verdict !== 'ended') return;
-      suspicion.recordLoss(this.call.fingerprint, requestSuspicion.processKeyOf(server.row));
-    });
+  /** Has the servers checked that were sent the request, and are given up without an answer. */
+  private checkSilentServers(): void {
+    [...this.active]
+      .filter(({ sent }) => sent)
+      .forEach(({ started }) => this.checkSilence(started.server));
+  }
+
+  private checkSilence(server: serverState.ServerState): void {
+    const { balancer } = this.context;
+    balancer.checkSilence(server, (verdict) => this.recordLossVerdict(server, verdict));
+  }
+
+  private recordLossVerdict(server: serverState.ServerState, verdict: callTypes.LossVerdict): void {
+    const { suspicion, observer } = this.context;
+    observer?.onLossDecided(this.call, server.address, verdict);
+    if (verdict !== 'ended') return;
+    suspicion.recordLoss(this.call.fingerprint, requestSuspicion.processKeyOf(server.row));
   }
 
   /** Tries another server after an attempt that sent no byte and thus put no load on its server. */
@@ -345,6 +357,7 @@
   private expire(): void {
     if (this.ended) return;
     const mayHaveRun = [...this.active].some((attempt) => attempt.sent);
+    this.checkSilentServers();
     this.cancelActive('timed-out');
     if (mayHaveRun) this.failures.recordTimeout();
     this.finish(this.failures.toOutcomeAtDeadline());
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -11,6 +11,7 @@
 import * as concurrencyLimit from './ConcurrencyLimit';
 import * as checkedSelector from './CheckedSelector';
 import * as hedgeDelay from './HedgeDelay';
+import * as lossChecks from './LossChecks';
 import * as serverEligibility from './ServerEligibility';
 import type * as callTypes from './Types';
 
@@ -20,6 +21,9 @@
  */
 const NESTED_HEDGE_SHARE = 1 / 16;
 
+/** Time without any reply of a server after which it may have ended, in milliseconds. */
+const SILENCE_MS = 500;
+
 /** Additional permits that a failed retry costs, so that a failing service gets fewer retries. */
 const FAILED_RETRY_SURCHARGE = 2;
 
@@ -57,6 +61,8 @@
 
   private readonly limit = new concurrencyLimit.ConcurrencyLimit();
 
+  private readonly lossChecks: lossChecks.LossChecks;
+
   private readonly addedEmitter = new emitter.Emitter<string>();
 
   private table: tableTypes.ITable | undefined;
@@ -86,6 +92,7 @@
     restraints?: serverRestraints.ServerRestraints,
   ) {
     this.eligibility = new serverEligibility.ServerEligibility(clock, ejectsServers, restraints);
+    this.lossChecks = new lossChecks.LossChecks(clock);
     this.retryBudget = new ratioBudget.RatioBudget(0, clock);
     this.hedgeBudget = new ratioBudget.RatioBudget(0, clock);
     this.admission = new admissionQueue.AdmissionQueue(this.limit, clock);
@@ -259,7 +266,7 @@
   }
 
   /**
-   * Finds out whether the process of a server has ended. A lost connection alone is not conclusive,
+   * Finds out whether a server has ended under a request. A lost connection alone is not conclusive,
    * since the network may have failed, unless servers are not checked.
    * @param onVerdict Called at most once.
    */
@@ -267,8 +274,21 @@
     server: serverState.ServerState,
     onVerdict: (verdict: callTypes.LossVerdict) => void,
   ): void {
-    if (this.checkedSelector === undefined) onVerdict('ended');
-    else this.checkedSelector.checkLoss(server, onVerdict);
+    if (this.checkedSelector === undefined) {
+      onVerdict('ended');
+      return;
+    }
+    const loss = this.lossChecks.add(server, onVerdict);
+    this.checkedSelector.checkLoss(server, (verdict) => this.lossChecks.recordCheck(loss, verdict));
+  }
+
+  /** Finds out the same of a server that was given up, unless it has just replied to others. */
+  public checkSilence(
+    server: serverState.ServerState,
+    onVerdict: (verdict: callTypes.LossVerdict) => void,
+  ): void {
+    const isSilent = this.clock.monotonicMs() - server.repliedAtMs >= SILENCE_MS;
+    if (isSilent && this.checkedSelector !== undefined) this.checkLoss(server, onVerdict);
   }
 
   /** Records a load report from an answer or a probe reply. */
@@ -290,6 +310,7 @@
   }
 
   private replaceServers(rows: readonly tableTypes.IServerRow[], isFirst: boolean): void {
+    this.recordUnlisted();
     const listed = new Set(rows.map((row) => row.address));
     [...this.servers.keys()]
       .filter((address) => !listed.has(address))
@@ -309,6 +330,21 @@
     });
   }
 
+  /** Decides the losses on servers whose process has left the table without saying that it leaves. */
+  private recordUnlisted(): void {
+    if (this.lossChecks.isEmpty) return;
+    const rows = this.table?.servers.get(this.service) ?? [];
+    const byAddress = new Map(rows.map((row) => [row.address, row]));
+    this.states
+      .filter(({ address, row }) => {
+        const current = byAddress.get(address);
+        if (current !== undefined && isSameProcess(row, current)) return false;
+        const reason = this.avoidanceOf(address);
+        return reason !== 'leaving' && reason !== 'weight-zero';
+      })
+      .forEach((state) => this.lossChecks.recordUnlisted(state));
+  }
+
   /** @param checked Whether the servers are checked, which also tells whether a limit has ended. */
   private candidates(
     excluded: ReadonlySet<string>,
--- a/src/common/policy/ServerState.ts
+++ b/src/common/policy/ServerState.ts
@@ -39,6 +39,9 @@
 
   public warmth = 1;
 
+  /** Monotonic time of the last reply to a request or a check. */
+  public repliedAtMs = Number.NEGATIVE_INFINITY;
+
   /** Moving average of the fraction of attempts that failed, timed out or were refused. */
   public failureRate = 0;
 
@@ -93,12 +96,18 @@
     if (startMs === undefined) return;
     this.startsMs.delete(attempt);
     const elapsedMs = nowMs - startMs;
+    if (result === 'answered' || result === 'refused') this.repliedAtMs = nowMs;
     if (result !== 'cancelled') this.recordFailure(result === 'answered' ? 0 : 1);
     if (result === 'answered') this.recordLatency(elapsedMs, nowMs);
     if (result === 'cancelled' || result === 'timed-out')
       this.recordLatencyLowerBound(elapsedMs, nowMs);
   }
 
+  /** Records a reply to a check. */
+  public recordReply(nowMs: number): void {
+    this.repliedAtMs = nowMs;
+  }
+
   /** Records a load report of the server. */
   public recordReport(report: policyTypes.ILoadReport, nowMs: number): void {
     this.report = report;
--- a/src/node/CrashingRequest.test.ts
+++ b/src/node/CrashingRequest.test.ts
@@ -36,3 +36,16 @@
   expect(fleet.lateSends).toBeLessThanOrEqual(MAX_LATE_SENDS);
   fleet.dispose();
 });
+
+// Guards against losses that no check can decide, so that the request is never refused.
+test.each([
+  ['when all servers have ended at once', { servers: 2 }],
+  ['when servers end silently', { isDark: true }],
+  ['when servers end silently and keep their identifier', { isDark: true, keepsInstance: true }],
+])('%s, their losses count once others are in their place', (_name, scenario) => {
+  const fleet = startFleet(scenario);
+  fleet.play(20_000);
+  expect(fleet.crashesMs.length).toBeGreaterThanOrEqual(3);
+  expect(fleet.lateSends).toBeLessThanOrEqual(MAX_LATE_SENDS);
+  fleet.dispose();
+});
