Keep the reports that convict a request until the budget allows them

Cause: a daemon knew of three losses 1.2 s, in the other case 2.6 s before any peer learned of them. Facts that the budget did not allow at once were left to the regular exchanges, where the newest come first. A server that ends with many requests in flight, or that is ejected, makes more facts than the budget of a second, so that the fact with three losses was neither the newest nor within the reserve: the reserve of 1 KB does not hold one such fact for four peers.

Facts with several details now stay pending until they are sent, are announced again at each exchange, and go to as many peers as the budget allows.

--- a/src/common/membership/GossipAgent.ts
+++ b/src/common/membership/GossipAgent.ts
@@ -5,6 +5,7 @@
 import * as memberTable from './MemberTable';
 import * as messageComposer from './MessageComposer';
 import type * as membershipTypes from './Types';
+import * as urgentFacts from './UrgentFacts';
 
 /** Interval at which a daemon initiates exchanges. */
 export const EXCHANGE_INTERVAL_MS = 500;
@@ -89,7 +90,10 @@
 
   private readonly composer: messageComposer.MessageComposer;
 
-  private readonly urgentFactKeys = new Set<string>();
+  private readonly urgentFacts: urgentFacts.UrgentFacts;
+
+  /** Whether `onUrgent` has fired since the last urgent message. */
+  private isUrgentAnnounced = false;
 
   private incarnation: number;
 
@@ -107,6 +111,7 @@
     this.incarnation = options.incarnation;
     this.members = new memberTable.MemberTable(options.address, clock);
     this.facts = new factStore.FactStore(options.address, clock, options.incarnation);
+    this.urgentFacts = new urgentFacts.UrgentFacts(this.facts);
     this.budget = new gossipBudget.GossipBudget(clock);
     this.composer = new messageComposer.MessageComposer(this.members, this.facts);
     this.facts.onAdded(({ key, isNews }) => {
@@ -142,6 +147,7 @@
     this.heartbeat += 1;
     this.members.removeExpired();
     this.raiseIncarnation();
+    if (!this.urgentFacts.isEmpty) this.announceUrgent();
     const target = this.chooseExchangeTarget();
     if (target === undefined) return undefined;
     if (this.budget.regularBytes < messageComposer.EMPTY_MESSAGE_BYTES) return undefined;
@@ -153,35 +159,23 @@
     return this.chargeBudget(this.compose(false));
   }
 
-  /** Removes the pending urgent facts and composes a message with them for a few peers. */
+  /** Composes a message with the pending urgent facts that the budget allows, for a few peers. */
   public takeUrgentMessage(): IOutgoingMessage | undefined {
-    const targets = this.choosePeers(URGENT_FANOUT);
-    const facts = this.takeUrgentFacts(this.budget.availableBytes / Math.max(1, targets.length));
+    this.isUrgentAnnounced = false;
+    const { availableBytes } = this.budget;
+    const peers = this.choosePeers(URGENT_FANOUT);
+    const selected = this.urgentFacts.select(availableBytes / Math.max(1, peers.length));
+    const facts = selected.map(({ fact }) => fact);
     const message = this.createMessage({ members: [], heartbeats: [], facts }, true);
-    const bytes = this.options.sizeOf(message) * targets.length;
+    const bytes = this.options.sizeOf(message);
+    const targets = peers.slice(0, Math.max(0, Math.floor(availableBytes / bytes)));
+    this.urgentFacts.remove(targets.length > 0 ? selected : []);
     const hasContent = facts.length > 0 || this.leaving;
-    if (!hasContent || targets.length === 0 || bytes > this.budget.availableBytes) return undefined;
-    this.budget.spend(bytes);
+    if (!hasContent || targets.length === 0) return undefined;
+    this.budget.spend(bytes * targets.length);
     return { targets, message };
   }
 
-  /**
-   * Returns the pending urgent facts that fit, those with most details first: of requests that crash
-   * servers these decide. The others are sent with the next regular exchanges.
-   */
-  private takeUrgentFacts(maxBytes: number): readonly membershipTypes.IFact[] {
-    const facts = [...this.urgentFactKeys]
-      .map((key) => this.facts.get(key))
-      .filter((fact) => fact !== undefined)
-      .sort((left, right) => right.details.length - left.details.length);
-    this.urgentFactKeys.clear();
-    let leftBytes = maxBytes - messageComposer.EMPTY_MESSAGE_BYTES;
-    return facts.filter((fact) => {
-      leftBytes -= factStore.sizeOfFact(fact);
-      return leftBytes >= 0;
-    });
-  }
-
   /**
    * Composes a message with only the state of this daemon for one peer. It is not charged to the
    * budget of the exchanges: notices to many followers would leave none for the daemon's own.
@@ -226,8 +220,14 @@
   }
 
   private addUrgent(key: string): void {
-    this.urgentFactKeys.add(key);
-    if (this.urgentFactKeys.size === 1) this.urgentEmitter.fire();
+    this.urgentFacts.add(key);
+    this.announceUrgent();
+  }
+
+  private announceUrgent(): void {
+    if (this.isUrgentAnnounced) return;
+    this.isUrgentAnnounced = true;
+    this.urgentEmitter.fire();
   }
 
   /** Makes peers accept this process as the newer one if the clock was set back at a restart. */
--- a/src/node/CrashingRequest.test.ts
+++ b/src/node/CrashingRequest.test.ts
@@ -11,8 +11,8 @@
 jest.setTimeout(60_000);
 
 /** Starts a fleet and lets its daemons find each other. */
-function startFleet(scenario: Partial<crashFleet.ICrashScenario>): crashFleet.CrashFleet {
-  const fleet = new crashFleet.CrashFleet({ ...SCENARIO, ...scenario }, 1);
+function startFleet(scenario: Partial<crashFleet.ICrashScenario>, seed = 1): crashFleet.CrashFleet {
+  const fleet = new crashFleet.CrashFleet({ ...SCENARIO, ...scenario }, seed);
   fleet.sendsCrashing = false;
   fleet.play(10_000);
   fleet.sendsCrashing = true;
@@ -49,3 +49,12 @@
   expect(fleet.lateSends).toBeLessThanOrEqual(MAX_LATE_SENDS);
   fleet.dispose();
 });
+
+// Guards against a decisive report that waits behind those of other requests on the same servers.
+test('a request is refused in time while servers fail other requests too', () => {
+  const fleet = startFleet({ failingShare: 0.5 }, 2);
+  fleet.play(20_000);
+  expect(fleet.crashesMs.length).toBeGreaterThanOrEqual(3);
+  expect(fleet.lateSends).toBeLessThanOrEqual(MAX_LATE_SENDS);
+  fleet.dispose();
+});
--- a/src/node/testing/CrashFleet.ts
+++ b/src/node/testing/CrashFleet.ts
@@ -41,6 +41,8 @@
   readonly restartMs: number;
   /** Servers that one request may be sent to; 2 by default. */
   readonly maxAttempts?: number;
+  /** Share of the requests that servers answer with a failure in place of running them. */
+  readonly failingShare?: number;
   /** Whether a crashed server neither closes its connections nor refuses new ones. */
   readonly isDark?: boolean;
   /** Whether a restarted server has the identifier that it had before. */
@@ -270,12 +272,18 @@
   }
 
   private complete(server: IServer, exchange: IExchange): void {
-    if (exchange.call.fingerprint === CRASHING) {
+    const isFailure = this.random.next() < (this.scenario.failingShare ?? 0);
+    if (exchange.call.fingerprint === CRASHING && !isFailure) {
       this.crash(server);
       return;
     }
     server.exchanges.delete(exchange);
-    const answer = { status: 200, headers: [], body: new Uint8Array() };
+    const answer = {
+      status: isFailure ? 500 : 200,
+      headers: [],
+      body: new Uint8Array(),
+      isFailure,
+    };
     exchange.listener.onEnd({ kind: 'answered', answer });
   }
 
