Do not clear a suspected request when a server answers with a failure

A failing server may answer before it begins to run the request. The new test of the coordinator fails before. An answer that is no failure clears the request as before.

--- a/src/common/call/CallCoordinator.test.ts
+++ b/src/common/call/CallCoordinator.test.ts
@@ -193,6 +193,16 @@
   expect(rig.balancer.avoidanceOf(attemptAt(rig, 0).server)).toBe('leaving');
 });
 
+// Guards against losses that are forgotten because a failing server did not run the request.
+test('an answer that reports a failure does not clear a request', () => {
+  const rig = fixtures.makeRig({ idempotent: false });
+  rig.suspicion.recordLoss('fingerprint', 'server');
+  rig.start();
+  const answer = { status: 500, headers: [], body: new Uint8Array(), isFailure: true };
+  endAttempt(rig, 0, { kind: 'answered', answer });
+  expect(rig.suspicion.serversLost('fingerprint')).toEqual(['server']);
+});
+
 test('does not suspect a request whose answers have no marked end', () => {
   const rig = fixtures.makeRig();
   rig.start();
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -269,8 +269,10 @@
   private handleAnswer(answer: callTypes.IAnswer, server: string): void {
     if (this.ended) return;
     const { suspicion } = this.context;
-    if (!suspicion.isEmpty) suspicion.recordAnswered(this.call.fingerprint);
-    if (this.call.service.idempotent && failures.isLocalFailure(answer)) {
+    const isFailure = failures.isLocalFailure(answer);
+    // A server that fails may not have begun to run the request.
+    if (!suspicion.isEmpty && !isFailure) suspicion.recordAnswered(this.call.fingerprint);
+    if (this.call.service.idempotent && isFailure) {
       this.failures.recordFailedAnswer(answer, server);
       this.retry();
       return;
