Order the revisions of the store by its era

Cause: a restored store gives out revisions again. Readers took its listing for an older one and went on to watch from their own revision; what was changed under lower ones never came, and followers and peers compare the same numbers. The log of all daemons shows that the change after the restore was skipped, and the next one, of a server, applied.

A watch that is answered in a later era ends like one whose history is lost; a listing across two eras fails.

Stores that tell no era are read as before.

Ruled out: an older configuration that replaces the newer one (no daemon activated one).

--- a/src/common/directory/Types.ts
+++ b/src/common/directory/Types.ts
@@ -39,6 +39,11 @@
   readonly records: readonly DirectoryRecord[];
   /** Revision of the snapshot; later changes have to be watched. */
   readonly revision: number;
+  /**
+   * Whether the directory service has been restored from an older copy since the last read of this
+   * daemon: it may lack newer items, and have items that were removed.
+   */
+  readonly isRestored?: boolean | undefined;
 }
 
 /** Changes of the directory after a revision. */
--- a/src/node/directory/DirectoryWatcher.ts
+++ b/src/node/directory/DirectoryWatcher.ts
@@ -166,6 +166,7 @@
     this.mustList = false;
     this.hasListed = true;
     this.handleRecovery();
+    if (result.value.isRestored === true) this.handleRestoredCopy(result.value.revision);
     this.directory.replace(result.value);
     if (!mayBeStale) this.recordSuccess(startMs);
     return 0;
@@ -195,6 +196,11 @@
     this.logger.info({ event: names.DIRECTORY_REGAINED, outageMs }, 'directory is available again');
   }
 
+  private handleRestoredCopy(revision: number): void {
+    const fields = { event: names.DIRECTORY_RESTORED, before: this.directory.revision, revision };
+    this.logger.warn(fields, 'directory service was restored from an older copy');
+  }
+
   /** @param completeAtMs Monotonic time up to which all changes are known. */
   private recordSuccess(completeAtMs: number): void {
     const nowMs = this.clock.monotonicMs();
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -21,6 +21,7 @@
 export const DIRECTORY_LOST = 'directory.lost';
 export const DIRECTORY_REGAINED = 'directory.regained';
 export const DIRECTORY_HISTORY_LOST = 'directory.history_lost';
+export const DIRECTORY_RESTORED = 'directory.restored';
 export const SERVER_SIGNAL = 'server.signal';
 export const CALL_FORWARDED = 'call.forwarded';
 export const SERVICE_OUT_OF_REACH = 'service.out_of_reach';
--- a/src/platform/RecordDecoder.test.ts
+++ b/src/platform/RecordDecoder.test.ts
@@ -7,7 +7,7 @@
 }
 
 function decode(key: string, value: unknown) {
-  return recordDecoder.decodeItems([itemOf(key, value)], 9)[0];
+  return recordDecoder.decodeItems([itemOf(key, value)], { era: 0, storeRevision: 9 })[0];
 }
 
 // Guards against parsing the version with the wrong radix or a duration in the wrong unit.
@@ -75,7 +75,7 @@
     { key: 'servers/i-2', revision: 9, deleted: true },
     itemOf('somebody/else', 'text'),
   ];
-  expect(recordDecoder.decodeItems(items, 9)).toEqual([
+  expect(recordDecoder.decodeItems(items, { era: 0, storeRevision: 9 })).toEqual([
     { kind: 'server-removed', revision: 9, id: 'i-2' },
   ]);
 });
--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -3,6 +3,7 @@
 import type * as directoryTypes from '../common/directory/Types';
 import * as durations from '../common/Durations';
 import type * as routingTypes from '../common/routing/Types';
+import * as storeRevisions from './StoreRevisions';
 import * as wireNames from './WireNames';
 
 const ITEM = zod.object({
@@ -181,19 +182,23 @@
 
 /**
  * Decodes items of the store. Ignores keys of other writers.
- * @param revision Revision under which a malformed item is reported.
+ * @param state State of the store that the items are from.
  */
 export function decodeItems(
   items: readonly unknown[],
-  revision: number,
+  state: storeRevisions.IStoreState,
 ): directoryTypes.DirectoryRecord[] {
+  const { era } = state;
   return items.flatMap((candidate): directoryTypes.DirectoryRecord[] => {
     const parsed = ITEM.safeParse(candidate);
-    if (!parsed.success) {
-      const problem = `malformed item: ${describeError(parsed.error)}`;
+    if (!parsed.success || !storeRevisions.isValid({ era, storeRevision: parsed.data.revision })) {
+      const detail = parsed.success ? 'its revision is out of range' : describeError(parsed.error);
+      const revision = storeRevisions.toRevision(state);
+      const problem = `malformed item: ${detail}`;
       return [{ kind: 'unusable', revision, key: '', id: undefined, problem }];
     }
-    const item = parsed.data;
+    const revision = storeRevisions.toRevision({ era, storeRevision: parsed.data.revision });
+    const item = { ...parsed.data, revision };
     if (item.key === wireNames.CONFIGURATION_KEY) return [decodeConfiguration(item)];
     return item.key.startsWith(wireNames.SERVER_KEY_PREFIX) ? [decodeServer(item)] : [];
   });
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -5,6 +5,8 @@
 import type * as types from '../common/Types';
 import type * as nodeTypes from '../node/directory/Types';
 import * as recordDecoder from './RecordDecoder';
+import * as storeRevisions from './StoreRevisions';
+import * as wireNames from './WireNames';
 
 const READ_TIMEOUT_MS = 1_500;
 
@@ -34,16 +36,31 @@
   storeRevision: zod.int(),
 });
 
-type IStoreReply = Readonly<zod.infer<typeof REPLY>>;
+/** A reply with the era of the store, which its header tells. */
+type IStoreReply = Readonly<zod.infer<typeof REPLY>> & storeRevisions.IStoreState;
+
+/** Era of a store that was never restored, and of one that does not tell. */
+const FIRST_ERA = 0;
 
 function unavailable(detail: string): { readonly ok: false; readonly error: Failure } {
   return { ok: false, error: { kind: 'unavailable', detail } };
 }
 
 /** Returns the newest revision in a page. `storeRevision` may be newer than a stale page. */
-function newestRevision({ items }: IStoreReply): number {
+function newestRevision({ era, items }: IStoreReply): number {
   const revisions = (items ?? []).map((item) => Number(Object(item).revision));
-  return Math.max(0, ...revisions.filter(Number.isSafeInteger));
+  return Math.max(
+    0,
+    ...revisions.filter((storeRevision) => storeRevisions.isValid({ era, storeRevision })),
+  );
+}
+
+/** Returns the era in the headers of a reply, or undefined if it is malformed. */
+function eraOf(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): number | undefined {
+  const text = headers[wireNames.STORE_ERA] ?? `${FIRST_ERA}`;
+  return typeof text === 'string' && /^\d+$/.test(text) ? Number(text) : undefined;
 }
 
 /** Returns the key of the last item in a page, or undefined if the page has none. */
@@ -56,6 +73,9 @@
 export class StoreClient implements nodeTypes.IDirectorySource {
   private agent = StoreClient.makeAgent();
 
+  /** Era of the latest listing. */
+  private listedEra: number | undefined;
+
   /** @param baseUrl Scheme, IP address and port. */
   public constructor(private baseUrl: string) {}
 
@@ -68,7 +88,7 @@
     mayBeStale: boolean,
   ): Promise<types.Result<directoryTypes.IDirectoryListing, Failure>> {
     const items: unknown[] = [];
-    let revision: number | undefined;
+    let state: storeRevisions.IStoreState | undefined;
     let after = '';
     for (let page = 0; page < MAX_PAGES; page += 1) {
       const query: Record<string, string> = { prefix: '', ...(mayBeStale && { staleOk: '1' }) };
@@ -76,15 +96,16 @@
       if (after !== '') query.after = after;
       const reply = await this.read('kv-range', query, READ_TIMEOUT_MS);
       if (!reply.ok) return reply;
+      const { era, storeRevision } = reply.value;
       items.push(...(reply.value.items ?? []));
       // Pages are read one by one. A watch from the first page's revision returns later changes.
-      revision ??= mayBeStale ? newestRevision(reply.value) : reply.value.storeRevision;
+      state ??= { era, storeRevision: mayBeStale ? newestRevision(reply.value) : storeRevision };
+      if (era !== state.era) return unavailable('the store was restored during the listing');
       const last = lastKeyOf(reply.value);
       if (reply.value.truncated !== true || last === undefined) {
-        return {
-          ok: true,
-          value: { records: recordDecoder.decodeItems(items, revision), revision },
-        };
+        const records = recordDecoder.decodeItems(items, state);
+        const revision = storeRevisions.toRevision(state);
+        return { ok: true, value: { records, revision, isRestored: this.advanceEra(era) } };
       }
       after = last;
     }
@@ -95,12 +116,17 @@
     revision: number,
     waitMs: number,
   ): Promise<types.Result<directoryTypes.IDirectoryChanges, Failure>> {
-    const query = { prefix: '', after: `${revision}`, waitMs: `${waitMs}` };
+    const known = storeRevisions.toStoreState(revision);
+    const query = { prefix: '', after: `${known.storeRevision}`, waitMs: `${waitMs}` };
     const reply = await this.read('kv-watch', query, waitMs + WATCH_TIMEOUT_MARGIN_MS);
     if (!reply.ok) return reply;
-    const { events, storeRevision } = reply.value;
-    const records = recordDecoder.decodeItems(events ?? [], storeRevision);
-    return { ok: true, value: { records, revision: storeRevision } };
+    const { era, storeRevision, events } = reply.value;
+    // The revisions of another era say nothing about the changes that this daemon lacks.
+    if (era > known.era) return { ok: false, error: { kind: 'history-lost' } };
+    if (era < known.era) return unavailable(`the reply is of era ${era}, before ${known.era}`);
+    const state = { era, storeRevision };
+    const records = recordDecoder.decodeItems(events ?? [], state);
+    return { ok: true, value: { records, revision: storeRevisions.toRevision(state) } };
   }
 
   public reset(): void {
@@ -109,6 +135,13 @@
     this.agent = StoreClient.makeAgent();
   }
 
+  /** Returns whether the era of a complete listing is later than that of the one before. */
+  private advanceEra(era: number): boolean {
+    const isRestored = this.listedEra !== undefined && era > this.listedEra;
+    this.listedEra = Math.max(era, this.listedEra ?? FIRST_ERA);
+    return isRestored;
+  }
+
   private static makeAgent(): undici.Agent {
     return new undici.Agent({ connections: 1, pipelining: 1, maxResponseSize: MAX_REPLY_BYTES });
   }
@@ -131,7 +164,11 @@
       const parsed = REPLY.safeParse(JSON.parse(text));
       if (!parsed.success)
         return unavailable(`malformed reply: ${parsed.error.issues[0]?.message}`);
-      return { ok: true, value: parsed.data };
+      const { storeRevision } = parsed.data;
+      const era = eraOf(reply.headers);
+      if (era === undefined || !storeRevisions.isValid({ era, storeRevision }))
+        return unavailable('malformed reply: its era or revision is no number in range');
+      return { ok: true, value: { ...parsed.data, era } };
     } catch (error) {
       return unavailable((error as Error).message);
     }
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -22,6 +22,9 @@
 /** Delay before a retry in seconds, with fractions. */
 export const RETRY_AFTER = 'retry-after';
 
+/** Number of times that the store was restored from a copy; in all its replies. */
+export const STORE_ERA = 'store-era';
+
 /** Key of the operators' configuration in the store. */
 export const CONFIGURATION_KEY = 'op/config';
 /** Key prefix of the registrations of backend servers, followed by the server's identifier. */
--- a/src/platform/testing/PlatformStore.ts
+++ b/src/platform/testing/PlatformStore.ts
@@ -25,6 +25,12 @@
   /** Leaves pending watches without a response, even after a change. */
   | 'deaf';
 
+/** Copy of the store. */
+export interface IStoreCopy {
+  readonly items: ReadonlyMap<string, IItem>;
+  readonly revision: number;
+}
+
 /** Stand-in for the platform's metadata store: paginated reads, watches and history compaction. */
 export class PlatformStore {
   public fault: StoreFault = 'none';
@@ -41,6 +47,9 @@
 
   private historyStart = 1;
 
+  /** Number of times that the store was restored from a copy. */
+  private era = 1;
+
   private revision = 1;
 
   private readonly pendingWatches = new Set<() => void>();
@@ -83,6 +92,22 @@
     this.server.closeAllConnections();
   }
 
+  /** Returns a copy of the store, for `restore`. */
+  public copy(): IStoreCopy {
+    return { items: new Map(this.items), revision: this.revision };
+  }
+
+  /** Loses all changes since the copy. Their revisions are given out again. */
+  public restore({ items, revision }: IStoreCopy): void {
+    this.era += 1;
+    this.items.clear();
+    items.forEach((item, key) => this.items.set(key, item));
+    this.revision = revision;
+    this.history = [];
+    this.historyStart = revision + 1;
+    this.server.closeAllConnections();
+  }
+
   private apply(item: IItem): void {
     this.revision = item.revision;
     if (item.deleted === true) this.items.delete(item.key);
@@ -94,6 +119,7 @@
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     const url = new URL(request.url ?? '', 'http://store');
     this.calls.push(url.pathname);
+    response.setHeader('Store-Era', this.era);
     if (this.fault === 'silent') return;
     if (this.fault === 'reset') {
       request.socket.destroy();
@@ -120,7 +146,7 @@
 
   private serveWatch(query: URLSearchParams, response: http.ServerResponse): void {
     const after = Number(query.get('after'));
-    if (after + 1 < this.historyStart) {
+    if (after + 1 < this.historyStart || after > this.revision) {
       response.writeHead(STATUS_GONE).end();
       return;
     }
