Make the era readable in revisions

Revisions of the directory stand in logs, metrics and messages. Twelve decimal digits for the store's own revision, in place of 40 bits, let operators read both numbers.

--- a/src/platform/StoreRevisions.ts
+++ b/src/platform/StoreRevisions.ts
@@ -5,11 +5,11 @@
  * by the store's own revision.
  */
 
-/** Bits of the store's own revision: at 400 changes a second it lasts for 87 years. */
-const REVISION_LIMIT = 2 ** 40;
+/** Limit of the store's own revision, which lasts for 79 years at 400 changes a second. */
+export const REVISION_LIMIT = 1e12;
 
-/** Number of eras for which the revisions stay exact integers. */
-const ERA_LIMIT = 2 ** 13;
+/** Limit of the era up to which the revisions are exact integers. */
+export const ERA_LIMIT = 9_000;
 
 /** A state of the store: the number of times that it was restored, and the revision since. */
 export interface IStoreState {
