Keep servers that have left out of use when the store comes back from a copy

A copy lists servers again that were draining or removed when it was lost, under revisions that are newer in order. Daemons would have sent them requests for the three heartbeats until the store removes them, or for as long as a draining one stays.

Departures keeps the last statement of each server that drains or was removed. After a restore a statement of the same process that is not newer, by the count that servers publish (seq), or of an earlier process, is disregarded and logged as outdated-server. What the server itself states later is applied.

--- a/src/common/directory/Directory.test.ts
+++ b/src/common/directory/Directory.test.ts
@@ -165,3 +165,42 @@
   expect(directory.changesSince(7)).toBeUndefined();
   expect(directory.changesSince(12)).toEqual({ records: [], revision: 12 });
 });
+
+/** A listing of a directory service that was restored from a copy. */
+function restored(
+  revision: number,
+  ...records: readonly directoryTypes.DirectoryRecord[]
+): directoryTypes.IDirectoryListing {
+  return { records, revision, isRestored: true };
+}
+
+// Guards against requests to a server that has left, because a copy of the service still lists it.
+test.each([
+  ['removed', () => directory.apply([removalOf('1', 11)], 11)],
+  ['draining', () => directory.apply([serverOf('1', 11, { state: 'draining', sequence: 5 })], 11)],
+])('a server that is %s does not come back with a restored copy', (_name, leave) => {
+  directory.apply([serverOf('1', 10, { sequence: 4 })], 10);
+  leave();
+  const before = directory.servers;
+  directory.replace(restored(101, serverOf('1', 100, { sequence: 4 })));
+  expect(directory.servers).toEqual(before);
+  expect(problems).toMatchObject([{ kind: 'outdated-server', subject: '1' }]);
+});
+
+// Guards against a process that was replaced under its identifier and comes back with the copy.
+test('an earlier process does not come back with a restored copy', () => {
+  directory.apply([serverOf('1', 10, { startedAtMs: 7 }), removalOf('1', 11)], 11);
+  directory.replace(restored(101, serverOf('1', 100, { startedAtMs: 6 })));
+  expect(ids()).toEqual([]);
+});
+
+// Guards against a living server that stays out of use after a restore.
+test.each([
+  ['states something new', { sequence: 5 }],
+  ['is a later process', { sequence: 1, startedAtMs: 2 }],
+])('a server that was removed before a restore is used once it %s', (_name, changes) => {
+  directory.apply([serverOf('1', 10, { sequence: 4 }), removalOf('1', 11)], 11);
+  directory.replace(restored(101, serverOf('1', 100, { sequence: 4 })));
+  directory.apply([serverOf('1', 102, changes)], 102);
+  expect(ids()).toEqual(['1']);
+});
--- a/src/common/directory/Directory.ts
+++ b/src/common/directory/Directory.ts
@@ -1,6 +1,7 @@
 import * as emitter from '../Emitter';
 import type * as routingTypes from '../routing/Types';
 import type * as types from '../Types';
+import * as departures from './Departures';
 import type * as directoryTypes from './Types';
 
 /**
@@ -32,6 +33,8 @@
 
   private readonly entries = new Map<string, IEntry>();
 
+  private readonly departures = new departures.Departures();
+
   /** Tombstones: revisions at which servers were removed, in the order of removal. */
   private readonly removals = new Map<string, number>();
 
@@ -98,6 +101,7 @@
   public replace(listing: directoryTypes.IDirectoryListing): void {
     const { records, revision } = listing;
     if (revision < this.knownRevision) return;
+    if (listing.isRestored === true) this.departures.recordRestored(revision);
     // A listing omits servers that were added and removed before it, so the history starts anew.
     if (revision > this.knownRevision) this.historyStartRevision = revision;
     const listed = new Set(records.map((record) => Directory.idOf(record)));
@@ -217,17 +221,29 @@
     const lastRevision = Math.max(known?.revision ?? 0, this.removals.get(server.id) ?? 0);
     const isReregistered = known?.isExpired === true && revision > known.revision;
     if (revision <= lastRevision && !isReregistered) return false;
+    if (this.departures.isOutdated(server)) return this.disregard(server, revision);
     this.removals.delete(server.id);
     this.entries.set(server.id, { server, revision, isExpired: false });
+    if (server.state === 'draining') this.departures.record(server, revision);
+    else this.departures.forget(server.id);
     return true;
   }
 
+  /** Leaves out a statement of a server that has left meanwhile. Returns that nothing changed. */
+  private disregard(server: directoryTypes.IRegistration, revision: number): false {
+    const { id: subject, startedAtMs, sequence } = server;
+    const detail = `process of ${startedAtMs} has left, statement ${sequence} is older`;
+    this.problemEmitter.fire({ kind: 'outdated-server', subject, detail, revision });
+    return false;
+  }
+
   /** Returns whether the set of servers changed. */
   private remove(id: string, revision: number, skipsGrace = false): boolean {
     const known = this.entries.get(id);
     if (revision <= (this.removals.get(id) ?? 0) || revision < (known?.revision ?? 0)) return false;
     this.recordRemoval(id, revision);
     if (known === undefined) return false;
+    this.departures.record(known.server, revision);
     const isInGrace = this.clock.monotonicMs() < this.graceEndMs;
     if (isInGrace && !skipsGrace && known.server.state === 'ready') {
       this.entries.set(id, { ...known, isExpired: true });
@@ -244,6 +260,7 @@
     const [oldest] = this.removals;
     if (oldest === undefined) return;
     this.removals.delete(oldest[0]);
+    this.departures.forget(oldest[0]);
     this.historyStartRevision = Math.max(this.historyStartRevision ?? 0, oldest[1]);
   }
 
--- a/src/common/directory/Types.ts
+++ b/src/common/directory/Types.ts
@@ -14,6 +14,8 @@
   readonly state: 'ready' | 'draining';
   /** Start of the server process, in Unix milliseconds; 0 if unknown. */
   readonly startedAtMs: number;
+  /** Counts what the process has stated about itself; undefined if it does not. */
+  readonly sequence?: number | undefined;
 }
 
 /** One published item of the directory, with the revision of its last change. */
@@ -62,7 +64,8 @@
 
 /** Reason why an item of the directory was not applied, for the log. */
 export interface IDirectoryProblem {
-  readonly kind: 'unusable-item' | 'older-configuration' | 'conflicting-configuration';
+  readonly kind:
+    'unusable-item' | 'older-configuration' | 'conflicting-configuration' | 'outdated-server';
   readonly subject: string;
   readonly detail: string;
   readonly revision: number;
--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -82,6 +82,7 @@
   state: zod.enum(['ready', 'draining']),
   // Start of the server process in Unix milliseconds.
   born: zod.number().optional(),
+  seq: zod.number().optional(),
 });
 
 type Rule = zod.infer<typeof RULE>;
@@ -164,7 +165,7 @@
   if (item.deleted === true) return { kind: 'server-removed', revision: item.revision, id };
   const parsed = SERVER.safeParse(parseValue(item));
   if (!parsed.success) return unusableRecord(item, describeError(parsed.error), id);
-  const { service, address, zone, slots, state, born = 0 } = parsed.data;
+  const { service, address, zone, slots, state, born = 0, seq } = parsed.data;
   return {
     kind: 'server',
     revision: item.revision,
@@ -176,6 +177,7 @@
       slots,
       state,
       startedAtMs: born,
+      sequence: seq,
     },
   };
 }
