Apply a newer configuration whatever the order in which it arrives

The version decides which configuration is active, but one under a lower revision than that of a rejected older one was ignored. After a restore a daemon that had read the older version from the copy could not learn the newer one from a peer that still had it. The new case of Directory.test fails before; versions never go back, as before.

--- a/src/common/directory/Directory.test.ts
+++ b/src/common/directory/Directory.test.ts
@@ -204,3 +204,11 @@
   directory.apply([serverOf('1', 102, changes)], 102);
   expect(ids()).toEqual(['1']);
 });
+
+// Guards against a configuration that is withheld because an older one came with a later revision.
+test('a newer configuration is applied even under a lower revision', () => {
+  directory.apply([configurationOf(4, 10)], 10);
+  directory.replace({ records: [configurationOf(3, 100)], revision: 100 });
+  directory.replace({ records: [configurationOf(5, 90)], revision: 101 });
+  expect(directory.configuration?.version).toBe(5);
+});
--- a/src/common/directory/Directory.ts
+++ b/src/common/directory/Directory.ts
@@ -189,17 +189,17 @@
   }
 
   private applyConfiguration(offered: routingTypes.IConfiguration, revision: number): boolean {
-    if (revision <= this.configurationRevision) return false;
     const { activeConfiguration } = this;
     const activeVersion = activeConfiguration?.version ?? 0;
     if (activeConfiguration !== undefined && offered.version <= activeVersion) {
+      if (revision <= this.configurationRevision) return false;
       const isSame = JSON.stringify(offered) === JSON.stringify(activeConfiguration);
       this.configurationRevision = revision;
       if (!isSame) this.reportRejectedConfiguration(offered.version, activeVersion, revision);
       return false;
     }
     this.activeConfiguration = offered;
-    this.configurationRevision = revision;
+    this.configurationRevision = Math.max(this.configurationRevision, revision);
     return true;
   }
 
