Use no server whose entry has numbers or an address out of range

It can happen here: an entry with the port 70000 or the address 999.1.1.1 passed the check of its shape, and each selection that met it threw 'Invalid URL'; callers got 400 for proper requests. An entry with an endless start time took the address of a sound server, since of two entries the later process is used, and callers got 503.

The check of an entry now asks for an address that can be connected to, at most 10,000 slots as in the operators' table, a whole start time that a date can have, and a whole count. Entries that fail it name no server, and the others stay in use.

--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -3,6 +3,7 @@
 import type * as directoryTypes from '../common/directory/Types';
 import * as durations from '../common/Durations';
 import type * as routingTypes from '../common/routing/Types';
+import * as addresses from '../node/settings/Addresses';
 import * as storeRevisions from './StoreRevisions';
 import * as wireNames from './WireNames';
 
@@ -34,6 +35,12 @@
 const POSITIVE = zod.number().positive();
 const COUNT = zod.int().min(1);
 
+/** Maximum number of slots of a server, as in the operators' table. */
+const MAX_SLOTS = 10_000;
+
+/** Latest time that a date can have, in Unix milliseconds. */
+const MAX_TIME_MS = 8.64e15;
+
 const SPLIT = zod
   .array(zod.object({ service: zod.string(), weight: zod.number().min(0) }))
   .min(1)
@@ -73,16 +80,14 @@
 
 const SERVER = zod.object({
   service: zod.string(),
-  address: zod
-    .string()
-    .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'expected an IP address and a port'),
+  address: zod.string().refine(addresses.isAddress, 'expected an IP address and a port'),
   zone: zod.string(),
   // `configVersion` of an entry is the version of the server's software, and is ignored.
-  slots: COUNT,
+  slots: COUNT.max(MAX_SLOTS),
   state: zod.enum(['ready', 'draining']),
   // Start of the server process in Unix milliseconds.
-  born: zod.number().optional(),
-  seq: zod.number().optional(),
+  born: zod.int().min(0).max(MAX_TIME_MS).optional(),
+  seq: zod.int().min(0).optional(),
 });
 
 type Rule = zod.infer<typeof RULE>;
