Leave out servers of a peer's directory that have no usable address

Peers pass on decoded entries. Beside a daemon of an earlier version, which accepts an address out of range, all daemons would take it over from the relay; the new case of DirectorySync.test fails before. Its other cases name addresses that can be used now; they check what they did.

--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -19,7 +19,11 @@
   peerDirectory = new directoryModule.Directory(clock);
   isReachable = true;
   isReader = false;
-  const server = { id: '1', address: 'a', state: 'ready' } as directoryTypes.IRegistration;
+  const server = {
+    id: '1',
+    address: '10.0.0.1:80',
+    state: 'ready',
+  } as directoryTypes.IRegistration;
   peerDirectory.apply([{ kind: 'server', revision: 5, server }], 5);
 });
 
@@ -68,6 +72,17 @@
   expect(confirmation.remainingMs).toBe(0);
 });
 
+// Guards against an odd entry that a daemon of an earlier version passes on to all others.
+test('a server of a peer with an address out of range is left out', async () => {
+  const odd = { id: '2', address: '10.0.0.1:70000', state: 'ready' };
+  const server = odd as directoryTypes.IRegistration;
+  peerDirectory.apply([{ kind: 'server', revision: 6, server }], 6);
+  const { directory, sync } = make();
+  await sync.syncFrom(ADDRESS, { version: 6, hash: '', ageMs: 20 });
+  expect(directory.servers.map(({ id }) => id)).toEqual(['1']);
+  expect(directory.revision).toBe(6);
+});
+
 test('a peer without a confirmation of its own confirms nothing', async () => {
   const { confirmation, sync } = make();
   await sync.syncFrom(ADDRESS, { version: 5, hash: '' });
@@ -99,7 +114,7 @@
 test('a daemon that lacks some changes receives only these', async () => {
   const { directory, sync } = make();
   await sync.syncFrom(ADDRESS, { version: 5, hash: '', ageMs: 20 });
-  const server = { id: '2', address: 'b', state: 'ready' } as directoryTypes.IRegistration;
+  const server = { id: '2', address: '10.0.0.2:80', state: 'ready' } as directoryTypes.IRegistration;
   peerDirectory.apply([{ kind: 'server-removed', revision: 6, id: '1' }], 6);
   peerDirectory.apply([{ kind: 'server', revision: 7, server }], 7);
   const replaceSpy = jest.spyOn(directory, 'replace');
--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -10,6 +10,7 @@
 import type * as types from '../../common/Types';
 import type * as fleetTypes from '../fleet/Types';
 import type * as peer from '../peer/generated/peer';
+import * as addresses from '../settings/Addresses';
 import * as names from '../telemetry/Names';
 
 const gzip = util.promisify(zlib.gzip);
@@ -29,6 +30,11 @@
  */
 const LOCAL_READ_GRACE_MS = 400;
 
+/** Whether a record of a peer, which may run an earlier version, names no server out of range. */
+function isUsable(record: directoryTypes.DirectoryRecord): boolean {
+  return record.kind !== 'server' || addresses.isAddress(record.server.address);
+}
+
 type RelayedContent =
   | { readonly kind: 'changes'; readonly content: directoryTypes.IDirectoryChanges }
   | { readonly kind: 'listing'; readonly content: directoryTypes.IDirectoryListing };
@@ -134,7 +140,11 @@
       const maxOutputLength = MAX_DIRECTORY_BYTES;
       const text = await gunzip(fetched.value.compressedText, { maxOutputLength });
       const relayed = JSON.parse(text.toString('utf8')) as RelayedDirectory;
-      const { kind, content } = relayed;
+      const { kind } = relayed;
+      const records = relayed.content.records.filter(isUsable);
+      const content = { ...relayed.content, records };
+      if (records.length < relayed.content.records.length)
+        this.logger.warn({ address }, 'servers in the directory of a peer cannot be used');
       this.directory.startGracePeriod(Math.min(relayed.graceRemainingMs ?? 0, MAX_GRACE_MS));
       if (kind === 'changes') this.directory.apply(content.records, content.revision);
       else this.directory.replace(content);
