--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -114,7 +114,11 @@
 test('a daemon that lacks some changes receives only these', async () => {
   const { directory, sync } = make();
   await sync.syncFrom(ADDRESS, { version: 5, hash: '', ageMs: 20 });
-  const server = { id: '2', address: '10.0.0.2:80', state: 'ready' } as directoryTypes.IRegistration;
+  const server = {
+    id: '2',
+    address: '10.0.0.2:80',
+    state: 'ready',
+  } as directoryTypes.IRegistration;
   peerDirectory.apply([{ kind: 'server-removed', revision: 6, id: '1' }], 6);
   peerDirectory.apply([{ kind: 'server', revision: 7, server }], 7);
   const replaceSpy = jest.spyOn(directory, 'replace');
