Restore the store from a copy in the soak

The store of the soak loses what is written during the fault, a configuration among it, and gets the configuration and the servers written again. Entries count the statements of their servers, as those of the platform do.

--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -246,6 +246,7 @@
         begin: async () => fleet.store.compact(),
         end: async () => undefined,
       }),
+      this.restoredStoreFault(),
       {
         name: 'new configuration',
         subject: 'configuration',
@@ -255,6 +256,23 @@
     ];
   }
 
+  /** The store loses what is written during the fault. */
+  private restoredStoreFault(): IFault {
+    const { fleet } = this;
+    let copy: platformStore.IStoreCopy | undefined;
+    return this.withInterval('store', {
+      name: 'store restored from a copy',
+      subject: 'store',
+      begin: async () => {
+        copy = fleet.store.copy();
+        fleet.publishConfiguration();
+      },
+      end: async () => {
+        if (copy !== undefined) fleet.restoreStore(copy);
+      },
+    });
+  }
+
   /** Records the interval of a fault, up to the time when `end` has completed. */
   private withInterval(kind: soakTypes.IFaultInterval['kind'], fault: IFault): IFault {
     const openIntervals = new Map<number, soakTypes.IFaultInterval>();
--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -87,6 +87,9 @@
 
   private storeUrl = '';
 
+  /** Number of entries that the servers have written. */
+  private entriesWritten = 0;
+
   private daemonPorts: IDaemonPorts[] = [];
 
   private nextServerNumber = 1;
@@ -127,6 +130,17 @@
   /** Publishes a configuration with the next version. */
   public publishConfiguration(): void {
     this.configurationVersion += 1;
+    this.putConfiguration();
+  }
+
+  /** Restores the store from a copy. The configuration and the servers are then written again. */
+  public restoreStore(copy: platformStore.IStoreCopy): void {
+    this.store.restore(copy);
+    this.putConfiguration();
+    this.servers.forEach((server) => this.putServer(server));
+  }
+
+  private putConfiguration(): void {
     const rules = [...SERVICES].map(([service, idempotent]) => ({
       prefix: `/${service}/`,
       service,
@@ -161,12 +175,17 @@
 
   /** Publishes the directory entry of a server. */
   public register(server: ISoakServer, state: 'ready' | 'draining' = 'ready'): void {
-    const { service, address, target } = server;
     const changed = server;
     changed.leavingSinceMs = state === 'draining' ? performance.now() : undefined;
+    this.putServer(server);
+  }
+
+  private putServer({ service, address, target, leavingSinceMs }: ISoakServer): void {
+    const state = leavingSinceMs === undefined ? 'ready' : 'draining';
+    this.entriesWritten += 1;
     this.store.put(
       `servers/${target.id}`,
-      platformRecords.makeServerEntry(service, address, { state }),
+      platformRecords.makeServerEntry(service, address, { state, seq: this.entriesWritten }),
     );
   }
 
