Do not repeat a forwarded call whose peer was lost beyond attempts and permits

A daemon that has lost its servers asks a peer to run a call. If that peer was lost without a reply, a call that may be repeated went to up to three further peers, without a permit of the retry allowance and each time with all attempts of its route: a request could run on four times the servers that its route allows, and repeats grew with the calls in flight when peers were killed during a cut.

Such a call now needs a permit, and goes to no other peer if its attempts are limited, since the lost peer may have used all of them. Its caller is told that the outcome is unknown and may send the request again. A peer that says it cannot help is followed by another one as before.

--- a/src/node/forwarding/CallForwarder.test.ts
+++ b/src/node/forwarding/CallForwarder.test.ts
@@ -42,8 +42,8 @@
       },
     },
     reach,
-    () => true,
     {
+      takeRetryPermit: () => true,
       helpers: new helperChoice.HelperChoice(own, () => peers, clock, random),
       peers: {
         forward: (_address, request, onReply) => {
--- a/src/node/forwarding/CallForwarder.ts
+++ b/src/node/forwarding/CallForwarder.ts
@@ -17,11 +17,9 @@
  * service, at a peer that does.
  */
 export class CallForwarder {
-  /** @param takeRetryPermit Takes a permit to run a call of a service once more, if there is one. */
   public constructor(
     private readonly local: forwardTypes.ILocalCalls,
     private readonly reach: serverReach.ServerReach,
-    private readonly takeRetryPermit: (service: string) => boolean,
     private readonly context: forwardedCall.IForwardContext,
   ) {}
 
@@ -64,6 +62,6 @@
     if (outcome.kind !== 'unknown' || outcome.reason !== 'connection-lost') return false;
     const attemptsLeft = withAttemptsLeft(call, outcome).maxAttempts ?? 1;
     const isRepeatable = idempotent && attemptsLeft > 0;
-    return isRepeatable && !this.reach.isReachable(name) && this.takeRetryPermit(name);
+    return isRepeatable && !this.reach.isReachable(name) && this.context.takeRetryPermit(name);
   }
 }
--- a/src/node/forwarding/ForwardedCall.test.ts
+++ b/src/node/forwarding/ForwardedCall.test.ts
@@ -29,7 +29,11 @@
   outcomes = [];
 });
 
-function begin(idempotent: boolean): forwardedCall.ForwardedCall {
+function begin(
+  idempotent: boolean,
+  maxAttempts?: number,
+  hasPermit = true,
+): forwardedCall.ForwardedCall {
   const table = fixtures.makeTable({ idempotent });
   const random = new seededRandom.SeededRandom(1);
   const peers = Array.from({ length: 9 }, (_, index) => ({
@@ -43,7 +47,7 @@
       service: table.services.get('status') as tableTypes.IServiceRow,
       table,
       ...{ method: 'POST', path: '/', headers: [], body: new Uint8Array(), depth: 0 },
-      ...{ retriesSpent: 0, fingerprint: '', deadlineMs: 1_000 },
+      ...{ retriesSpent: 0, fingerprint: '', deadlineMs: 1_000, maxAttempts },
     },
     {
       helpers: new helperChoice.HelperChoice(own, () => peers, clock, random),
@@ -56,6 +60,7 @@
         },
       },
       observer: { onForwarded: () => undefined },
+      takeRetryPermit: () => hasPermit,
       clock,
     },
     (outcome) => outcomes.push(outcome),
@@ -103,6 +108,17 @@
   expect(outcomes).toEqual([ANSWERED]);
 });
 
+// Guards against repeats beyond the fleet's allowance, and beyond the servers that a route allows.
+test.each([
+  ['attempts are limited', 2, true],
+  ['no permit is left', undefined, false],
+] as const)('a call goes to no other peer after a loss if %s', (_name, maxAttempts, hasPermit) => {
+  replies = [LOST, reply(ANSWERED)];
+  begin(true, maxAttempts, hasPermit);
+  expect(asked).toHaveLength(1);
+  expect(outcomes).toMatchObject([{ kind: 'unknown', reason: 'connection-lost' }]);
+});
+
 // Guards against "not run" for a call that an earlier peer may have run.
 test('a call that an earlier peer may have run is unknown if no other can help', () => {
   replies = [LOST, CANNOT_HELP, CANNOT_HELP, CANNOT_HELP];
--- a/src/node/forwarding/ForwardedCall.ts
+++ b/src/node/forwarding/ForwardedCall.ts
@@ -15,6 +15,8 @@
   readonly helpers: helperChoice.HelperChoice;
   readonly peers: forwardTypes.IForwardPeers;
   readonly observer: forwardTypes.IForwardObserver;
+  /** Takes a permit to run a call of a service once more, if there is one. */
+  readonly takeRetryPermit: (service: string) => boolean;
   readonly clock: types.IClock;
 }
 
@@ -89,10 +91,18 @@
       const kind = 'unknown';
       this.unknownOutcome = { kind, reason: 'connection-lost', detail, dispatched: true };
     }
-    if (result.kind === 'cannot-help' || this.call.service.idempotent) this.askNext();
+    if (result.kind === 'cannot-help' || this.mayRepeat()) this.askNext();
     else this.end(this.failedOutcome());
   }
 
+  /** Whether another peer may run a call that a peer without a reply may have run. */
+  private mayRepeat(): boolean {
+    const { service, maxAttempts } = this.call;
+    // A peer may use all attempts of the call, and how many it used is not known.
+    if (!service.idempotent || maxAttempts !== undefined) return false;
+    return this.context.takeRetryPermit(service.name);
+  }
+
   private failedOutcome(): callTypes.CallOutcome {
     if (this.unknownOutcome !== undefined) return this.unknownOutcome;
     return {
--- a/src/node/forwarding/Forwarding.ts
+++ b/src/node/forwarding/Forwarding.ts
@@ -71,12 +71,10 @@
     const peers: forwardTypes.IForwardPeers = {
       forward: (...message) => this.send(...message),
     };
-    this.forwarder = new callForwarder.CallForwarder(
-      this.local,
-      reach,
-      (service) => services.balancerOf(service)?.takeRetryPermit() ?? false,
-      { helpers, peers, observer, clock },
-    );
+    const takeRetryPermit = (service: string) =>
+      services.balancerOf(service)?.takeRetryPermit() ?? false;
+    const context = { helpers, peers, observer, takeRetryPermit, clock };
+    this.forwarder = new callForwarder.CallForwarder(this.local, reach, context);
   }
 
   /** Runs a call of a caller. */
