Announce losses from before the daemon joined the fleet

A daemon serves callers while it still loads the modules of the fleet. The losses of that time were recorded and never told to peers. The new case of FactExchange.test fails before.

--- a/src/common/suspicion/RequestSuspicion.ts
+++ b/src/common/suspicion/RequestSuspicion.ts
@@ -60,6 +60,13 @@
     return [...this.losses.keys()].filter((fingerprint) => this.isSuspect(fingerprint)).length;
   }
 
+  /** All losses that have not expired, as they are reported to peers. */
+  public get suspicions(): readonly suspicionTypes.ISuspicion[] {
+    return [...this.losses.keys()]
+      .map((fingerprint) => this.suspicionOf(fingerprint))
+      .filter(({ servers }) => servers.length > 0);
+  }
+
   /** Whether the request must be refused. */
   public isSuspect(fingerprint: string): boolean {
     return this.serversLost(fingerprint).length >= this.serversToRefuse;
@@ -79,9 +86,7 @@
   /** Records that the process `server` was lost while the request was in flight on it. */
   public recordLoss(fingerprint: string, server: string): void {
     this.add(fingerprint, [server], this.clock.monotonicMs(), 'own');
-    // More servers than those that decide would not fit into a message to peers.
-    const servers = this.serversLost(fingerprint).slice(-this.serversToRefuse);
-    this.lossEmitter.fire({ fingerprint, servers });
+    this.lossEmitter.fire(this.suspicionOf(fingerprint));
   }
 
   /** Merges losses that a peer observed `ageMs` milliseconds ago. */
@@ -95,6 +100,12 @@
     this.losses.delete(fingerprint);
   }
 
+  private suspicionOf(fingerprint: string): suspicionTypes.ISuspicion {
+    // More servers than those that decide would not fit into a message to peers.
+    const servers = this.serversLost(fingerprint).slice(-this.serversToRefuse);
+    return { fingerprint, servers };
+  }
+
   private add(
     fingerprint: string,
     servers: readonly string[],
--- a/src/node/FactExchange.test.ts
+++ b/src/node/FactExchange.test.ts
@@ -12,7 +12,7 @@
 
 const SERVER = '10.0.0.1:80';
 
-function build() {
+function build(lostBefore: readonly string[] = []) {
   const clock = new manualClock.ManualClock();
   const random = new seededRandom.SeededRandom(1);
   const facts = new factStore.FactStore('10.0.1.1:1', clock, 1);
@@ -25,6 +25,7 @@
   );
   services.update(fixtures.makeTable());
   const suspicion = new requestSuspicion.RequestSuspicion(clock);
+  lostBefore.forEach((server) => suspicion.recordLoss('request', server));
   const members = { leavingServers: new Set<string>() };
   const restraints = new serverRestraints.ServerRestraints('10.0.1.1:1', clock, random);
   const exchange = new factExchange.FactExchange(
@@ -128,3 +129,9 @@
   expect(peer.avoidance()).toBeUndefined();
   expect(avoidance()).toBeUndefined();
 });
+
+// Guards against losses that peers never learn of, because they came while the daemon started.
+test('losses from before the daemon joined the fleet are announced', () => {
+  const { facts } = build(['a']);
+  expect(facts.about('suspect-request', 'request')).toMatchObject([{ details: ['a'] }]);
+});
--- a/src/node/FactExchange.ts
+++ b/src/node/FactExchange.ts
@@ -3,6 +3,7 @@
 import type * as serverRestraints from '../common/restraint/ServerRestraints';
 import type * as restraintTypes from '../common/restraint/Types';
 import type * as requestSuspicion from '../common/suspicion/RequestSuspicion';
+import type * as suspicionTypes from '../common/suspicion/Types';
 import type * as types from '../common/Types';
 import type * as serviceSet from './ServiceSet';
 
@@ -56,14 +57,7 @@
           details: [],
         }),
       ),
-      suspicion.onLoss(({ fingerprint, servers }) =>
-        facts.record({
-          kind: 'suspect-request',
-          subject: fingerprint,
-          lifetimeMs: FACT_LIFETIME_MS,
-          details: [...servers],
-        }),
-      ),
+      suspicion.onLoss((loss) => FactExchange.recordLoss(facts, loss)),
       services.onEjected(({ address, durationMs }) =>
         facts.record({
           kind: 'refusing',
@@ -84,6 +78,8 @@
         suspicion.merge({ fingerprint: fact.subject, servers: fact.details }, fact.ageMs);
       }),
     ];
+    // Requests are served before the daemon joins the fleet.
+    suspicion.suspicions.forEach((loss) => FactExchange.recordLoss(facts, loss));
     if (restraints === undefined) return;
     const leaving = restraints.onLeaving((server) =>
       facts.record({
@@ -102,6 +98,18 @@
     this.timer = this.clock.setTimer(LEAVING_SERVERS_INTERVAL_MS, () => this.start());
   }
 
+  private static recordLoss(
+    facts: factStore.FactStore,
+    { fingerprint, servers }: suspicionTypes.ISuspicion,
+  ): void {
+    facts.record({
+      kind: 'suspect-request',
+      subject: fingerprint,
+      lifetimeMs: FACT_LIFETIME_MS,
+      details: [...servers],
+    });
+  }
+
   private mergeDraining(fact: membershipTypes.IFact): void {
     const server = processOf(fact);
     if (server === undefined) this.services.mergeDraining(fact.subject);
