--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -200,8 +200,8 @@
 }
 
 /**
- * Whether a server of which a connection was lost has ended. `undecided`: it did not answer a check,
- * or none of the servers answered this daemon.
+ * Whether a server has ended that was sent a request and gave no answer. `undecided`: it did not
+ * answer a check, and the table still lists its process.
  */
 export type LossVerdict = 'ended' | 'running' | 'undecided';
 
--- a/src/node/directory/DirectoryWatcher.ts
+++ b/src/node/directory/DirectoryWatcher.ts
@@ -196,7 +196,10 @@
     this.logger.info({ event: names.DIRECTORY_REGAINED, outageMs }, 'directory is available again');
   }
 
-  /** Keeps servers that registered after the copy was made, until they have registered again. */
+  /**
+   * Keeps servers that registered after the copy was made, until they have registered again. Must be
+   * called before the listing is applied.
+   */
   private handleRestoredCopy(revision: number): void {
     this.directory.startGracePeriod();
     const fields = { event: names.DIRECTORY_RESTORED, before: this.directory.revision, revision };
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -59,7 +59,7 @@
 
   private readonly losses = new promClient.Counter({
     name: 'lavenderspar_server_losses_total',
-    help: 'Requests whose connection was lost, by whether their server had ended',
+    help: 'Requests that got no answer, by whether their server had ended',
     labelNames: ['service', 'verdict'],
     registers: [this.registry],
   });
