--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -267,7 +267,9 @@
     platformRecords.makeServerEntry('reads', '127.0.0.1:1', { state: 'draining' }),
   );
   await eventually(async () =>
-    (await send('/metrics', {}, '', readinessPort)).body.includes('directory_revision 1000000000005\n'),
+    (await send('/metrics', {}, '', readinessPort)).body.includes(
+      'directory_revision 1000000000005\n',
+    ),
   );
   await Promise.all([1, 2, 3, 4, 5].map(() => send('/x/1')));
   expect(first.runs).toHaveLength(0);
