--- /dev/null
+++ b/review/lib/daemons.mjs
@@ -0,0 +1,178 @@
+/* eslint n/no-sync: off */
+// Starts the project's daemons with the command and the settings template of the deploy file, and
+// plays the platform's part: a process that ends is started again after a short delay.
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as path from 'node:path';
+import * as url from 'node:url';
+
+export const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../..');
+
+const RESTART_DELAY_MS = 500;
+
+/** Bounds of the pages for a small deployment, as they reach the settings template. */
+const BOUNDS = {
+  configApply: '2000ms',
+  grace: '6s',
+  retryBudgetRatio: '0.2',
+  budgetSlack: '58',
+  budgetWindow: '10s',
+  probesPerS: '60',
+};
+
+/** Returns free loopback ports. */
+export async function freePorts(count) {
+  const servers = [];
+  for (let index = 0; index < count; index += 1) {
+    const server = net.createServer();
+    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
+    servers.push(server);
+  }
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
+function deployRole() {
+  const text = fs.readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
+  const run = /^run = "(.*)"$/m.exec(text)[1].split(' ');
+  const template = /^template = "(.*)"$/m.exec(text)[1];
+  return { run, template: fs.readFileSync(path.join(ROOT, template), 'utf8') };
+}
+
+function fill(template, values) {
+  return template.replace(/\{\{([^}]+)\}\}/g, (_, name) => {
+    if (!(name in values)) throw new Error(`no value for ${name}`);
+    return values[name];
+  });
+}
+
+export class Daemon {
+  /**
+   * @param options name, zone, front, ready, control (ports), seeds (addresses), store (port),
+   * folder (temporary), onExit (called with code and signal).
+   */
+  constructor(options) {
+    this.options = options;
+    this.stopped = false;
+    this.ends = [];
+    this.lines = [];
+    this.startedAtMs = 0;
+    this.file = path.join(options.folder, `${options.name}.yaml`);
+    const address = (port) => `127.0.0.1:${port}`;
+    const { template, run } = deployRole();
+    this.run = run;
+    const text = fill(template, {
+      'listen.front': address(options.front),
+      'listen.ready': address(options.ready),
+      'listen.control': address(options.control),
+      zone: options.zone,
+      'provider.address': options.storeAddress ?? address(options.store),
+      'seeds|json': JSON.stringify(options.seeds),
+      ...Object.fromEntries(Object.entries(BOUNDS).map(([key, value]) => [`bounds.${key}`, value])),
+    });
+    fs.writeFileSync(this.file, text);
+  }
+
+  start() {
+    const [command, ...parameters] = this.run;
+    const { PATH, HOME, LANG } = process.env;
+    this.startedAtMs = performance.now();
+    const child = childProcess.spawn(command === 'node' ? process.execPath : command, parameters, {
+      cwd: ROOT,
+      env: { PATH, HOME, LANG, LAVENDERSPAR_BOOT: this.file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.child = child;
+    const keep = (text) => {
+      this.lines.push(...`${text}`.split('\n').filter((line) => line !== ''));
+      this.lines.splice(0, Math.max(0, this.lines.length - 4_000));
+    };
+    child.stdout.on('data', keep);
+    child.stderr.on('data', keep);
+    child.once('exit', (code, signal) => {
+      const end = { atMs: performance.now(), code, signal, isExpected: this.stopped };
+      this.ends.push(end);
+      this.options.onExit?.(this, end);
+      if (!this.stopped) setTimeout(() => !this.stopped && this.start(), RESTART_DELAY_MS);
+    });
+  }
+
+  /** Whether the readiness check answers 200. */
+  isReady() {
+    return new Promise((resolve) => {
+      const request = http.get(
+        { host: '127.0.0.1', port: this.options.ready, path: '/v1/readyz', agent: false },
+        (response) => {
+          response.resume();
+          resolve(response.statusCode === 200);
+        },
+      );
+      request.setTimeout(1_000, () => request.destroy());
+      request.on('error', () => resolve(false));
+    });
+  }
+
+  async waitUntilReady(timeoutMs = 20_000) {
+    const endMs = performance.now() + timeoutMs;
+    while (performance.now() < endMs) {
+      if (await this.isReady()) return true;
+      await pause(50);
+    }
+    return false;
+  }
+
+  signal(name) {
+    this.child?.kill(name);
+  }
+
+  /** Ends the process for good. */
+  async stop() {
+    this.stopped = true;
+    const { child } = this;
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return;
+    const ended = new Promise((resolve) => child.once('exit', resolve));
+    child.kill('SIGKILL');
+    await ended;
+  }
+
+  /** Memory in use, in megabytes. */
+  memoryMb() {
+    try {
+      const status = fs.readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+      return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)[1]) / 1_024;
+    } catch {
+      return 0;
+    }
+  }
+}
+
+export function pause(durationMs) {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+/** Creates a small fleet: daemons in three zones that know three seeds. */
+export async function makeFleet(count, folder, storePort, extra = {}) {
+  const ports = await freePorts(count * 3);
+  const seeds = [0, 1, 2]
+    .filter((index) => index < count)
+    .map((index) => `127.0.0.1:${ports[index * 3 + 2]}`);
+  return Array.from({ length: count }, (_, index) => {
+    const [front, ready, control] = ports.slice(index * 3, index * 3 + 3);
+    const name = `edge-${index + 1}`;
+    const zone = `zone-${(index % 3) + 1}`;
+    return new Daemon({
+      name,
+      zone,
+      front,
+      ready,
+      control,
+      seeds,
+      store: storePort,
+      folder,
+      ...extra,
+    });
+  });
+}
