--- a/review/lib/daemons.mjs
+++ b/review/lib/daemons.mjs
@@ -12,6 +12,11 @@
 
 const RESTART_DELAY_MS = 500;
 
+const MEMORY_CHECK_MS = 10;
+
+/** Log lines of a daemon that are not kept: those below the level of a warning. */
+const INFORMATION = /"level":[123]0/;
+
 /** Bounds of the pages for a small deployment, as they reach the settings template. */
 const BOUNDS = {
   configApply: '2000ms',
@@ -80,6 +85,7 @@
     const [command, ...parameters] = this.run;
     const { PATH, HOME, LANG } = process.env;
     this.startedAtMs = performance.now();
+    this.isOverLimit = false;
     const child = childProcess.spawn(command === 'node' ? process.execPath : command, parameters, {
       cwd: ROOT,
       env: { PATH, HOME, LANG, LAVENDERSPAR_BOOT: this.file },
@@ -87,7 +93,9 @@
     });
     this.child = child;
     const keep = (text) => {
-      this.lines.push(...`${text}`.split('\n').filter((line) => line !== ''));
+      this.lines.push(
+        ...`${text}`.split('\n').filter((line) => line !== '' && !INFORMATION.test(line)),
+      );
       this.lines.splice(0, Math.max(0, this.lines.length - 4_000));
     };
     child.stdout.on('data', keep);
@@ -138,11 +146,11 @@
     await ended;
   }
 
-  /** Memory in use, in megabytes. */
-  memoryMb() {
+  /** Anonymous memory of the process, in megabytes; 0 if it does not run. */
+  anonymousMemoryMb() {
     try {
       const status = fs.readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
-      return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)[1]) / 1_024;
+      return Number(/^RssAnon:\s+(\d+) kB$/m.exec(status)[1]) / 1_024;
     } catch {
       return 0;
     }
@@ -176,3 +184,26 @@
     });
   });
 }
+
+/**
+ * Plays the platform's limit on memory: "A process that exceeds `memoryMb` is killed." Counts only
+ * anonymous memory, so neither the program file nor bytes in the buffers of sockets.
+ */
+export function enforceMemoryLimit(fleet, limitMb, onKill) {
+  const peaks = new Map();
+  const timer = setInterval(() => {
+    fleet.forEach((daemon) => {
+      const usedMb = daemon.anonymousMemoryMb();
+      peaks.set(daemon, Math.max(usedMb, peaks.get(daemon) ?? 0));
+      if (usedMb <= limitMb || daemon.isOverLimit) return;
+      const over = daemon;
+      over.isOverLimit = true;
+      onKill(over, usedMb);
+      over.signal('SIGKILL');
+    });
+  }, MEMORY_CHECK_MS);
+  return {
+    peakMb: () => Math.round(Math.max(...peaks.values())),
+    stop: () => clearInterval(timer),
+  };
+}
