--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -16,13 +16,6 @@
     this.runs = [];
     this.arrivals = [];
     this.sockets = new Set();
-    this.server = http.createServer((request, response) => this.serve(request, response));
-    this.server.on('connection', (socket) => {
-      this.sockets.add(socket);
-      socket.on('error', () => undefined);
-      socket.once('close', () => this.sockets.delete(socket));
-    });
-    this.server.keepAliveTimeout = 10_000;
   }
 
   get id() {
@@ -30,6 +23,13 @@
   }
 
   async listen(port = 0) {
+    this.server = http.createServer((request, response) => this.serve(request, response));
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    this.server.keepAliveTimeout = 10_000;
     await new Promise((resolve) => this.server.listen(port, '127.0.0.1', resolve));
     this.port = this.server.address().port;
   }
@@ -58,6 +58,14 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Starts again after a crash, under the same address and id, with nothing of before. */
+  restart() {
+    this.bornMs = Date.now();
+    this.running = 0;
+    this.queue = [];
+    return this.listen(this.port);
+  }
+
   load() {
     const headers = {
       'Server-Load': `${this.running},${this.queue.length},${this.options.slots},100`,
