--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -10,10 +10,10 @@
 
 const CLIENTS = 4;
 const SMALL_BYTES = 5_000;
-const LARGE_BYTES = 10_000_000;
+const LARGE_BYTES = 15_000_000;
 
-/** Rate at which a client reads, in bytes per millisecond (24 Mbit/s). */
-const READ_RATE = 3_000;
+/** Rate at which a client reads, in bytes per millisecond (48 Mbit/s). */
+const READ_RATE = 6_000;
 
 const WORK_MS = 300;
 const DEADLINE_MS = 5_000;
