--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,114 +1,174 @@
-// One target sends, in place of a few of its answers, a body in small chunks without end.
+// A daemon freezes and wakes again while clients that had just connected send their orders.
+import * as net from 'node:net';
+import * as workerThreads from 'node:worker_threads';
+
 import * as cases from '../lib/case.mjs';
-import * as load from '../lib/load.mjs';
+import * as clients from '../lib/client.mjs';
+import * as daemons from '../lib/daemons.mjs';
+import * as links from '../lib/link.mjs';
 
-/** Share of the answers of the faulty target that are spoilt; the pages' dose of `garble`. */
-const SPOILT_EVERY = 50;
+/** `node_freeze`: the longest one of the site. */
+const FREEZE_MS = 3_500;
 
-const PLAY_MS = 60_000;
-const WORK_MS = 100;
+/** Time from the connect of a client to the freeze, and to its request, in milliseconds. */
+const CONNECT_BEFORE_MS = 300;
+const SEND_AFTER_MS = 2_600;
 
-/** Chunks of one byte. */
-const CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(16_384));
+/** `gang-assign`: the deadline of a client, and the work of a target. */
+const DEADLINE_MS = 1_500;
+const WORK_MS = 78;
 
-const KINDS = [
-  {
-    service: 'status',
-    host: 's.example',
-    prefix: '/s/',
-    method: 'GET',
-    kind: 'idempotent',
-    aim: '400ms',
-    timeout: '1200ms',
-    deadlineMs: 1_200,
-  },
-  {
-    service: 'filing',
-    host: 'f.example',
-    prefix: '/f/',
-    method: 'POST',
-    kind: 'non_idempotent',
-    aim: '500ms',
-    timeout: '1500ms',
-    deadlineMs: 1_500,
-    body: 'x'.repeat(1_200),
-  },
-  {
-    service: 'vault',
-    host: 'v.example',
-    prefix: '/v/',
-    method: 'GET',
-    kind: 'idempotent',
-    aim: '1000ms',
-    timeout: '2000ms',
-    deadlineMs: 3_000,
-  },
-];
+/** Delay between clients and the machines, one way. */
+const ONE_WAY_MS = 8;
 
-/** Answers with bytes until the caller closes. */
-function answerWithoutEnd(current, run, request, target) {
-  run.isTaken = true;
-  const { socket } = request;
-  current.note('spoilt answer', { id: run.id, target: run.target });
-  socket.write(
-    `HTTP/1.1 200 OK\r\nRequest-Id: ${run.id}\r\nResponse-Signature: sig-${run.id}\r\nTransfer-Encoding: chunked\r\n\r\n`,
-  );
-  const writeMore = () => {
-    while (!socket.destroyed && socket.write(CHUNKS));
-  };
-  socket.on('drain', writeMore);
-  socket.once('close', () => {
-    target.running -= 1;
-    target.next();
+const CLIENTS = 2;
+const ROUNDS = 8;
+const ROUND_MS = 8_500;
+const WARM_UP_MS = 6_000;
+
+/** Statuses that promise that the request has not run and never will. */
+const PROMISES = new Set([408, 421, 429, 503]);
+
+const ROUTE = { host: 'f.example', kind: 'non_idempotent', prefix: '/f/', service: 'dispatcher' };
+
+/** A client that is connected before it has a request to send. */
+class EarlyClient {
+  constructor(port) {
+    this.socket = net.connect({ port, host: '127.0.0.1', noDelay: true });
+    this.socket.on('error', () => undefined);
+    this.connected = new Promise((resolve) => {
+      this.socket.once('connect', resolve);
+    });
+  }
+
+  /** Sends an order, and closes the connection once it is answered, as the answer says. */
+  send(id, order) {
+    const { socket } = this;
+    return new Promise((resolve) => {
+      let received = '';
+      const end = (error) => {
+        socket.destroy();
+        const status = Number(/^HTTP\/1\.1 (\d{3})/.exec(received)?.[1] ?? 0);
+        resolve({ id, order, status, error });
+      };
+      const timer = setTimeout(() => end('deadline'), DEADLINE_MS);
+      socket.on('data', (bytes) => {
+        received += bytes.toString('latin1');
+        const head = received.indexOf('\r\n\r\n');
+        const length = Number(/content-length: (\d+)/i.exec(received)?.[1] ?? 0);
+        if (head < 0 || received.length < head + 4 + length) return;
+        clearTimeout(timer);
+        end();
+      });
+      const lines = [
+        `POST /f/${order} HTTP/1.1`,
+        `Host: ${ROUTE.host}`,
+        `Request-Id: ${id}`,
+        `Request-Deadline: ${DEADLINE_MS}`,
+        `Content-Length: ${order.length}`,
+      ];
+      socket.write(`${lines.join('\r\n')}\r\n\r\n${order}`);
+    });
+  }
+}
+
+/** Starts the targets, and collects the runs of each request. */
+async function startTargets(current) {
+  const runs = [];
+  const workerData = { count: 7, service: ROUTE.service, workMs: WORK_MS };
+  const worker = new workerThreads.Worker(new URL('./targets.mjs', import.meta.url), {
+    workerData,
+  });
+  await new Promise((resolve) => {
+    worker.on('message', (message) => {
+      if (message.kind === 'entry') current.store.put(`servers/${message.id}`, message.entry);
+      if (message.kind === 'listening') resolve();
+      if (message.kind !== 'run') return;
+      current.note('run', message);
+      runs.push(message);
+    });
   });
-  writeMore();
+  return runs;
 }
 
 await cases.run(import.meta.url, async (current) => {
-  await current.openStore(KINDS.map((kind) => ({ ...kind, name: `r-${kind.service}` })));
-  let answers = 0;
-  let spoilt = 0;
-  const spoilSome = (run, request, response, target) => {
-    answers += 1;
-    if (!cases.hasTrouble || answers % SPOILT_EVERY !== 0) return;
-    spoilt += 1;
-    answerWithoutEnd(current, run, request, target);
+  await current.openStore([
+    { ...ROUTE, name: 'r-assign', aim: '250ms', timeout: `${DEADLINE_MS}ms` },
+  ]);
+  const runs = await startTargets(current);
+  await current.startFleet(3);
+  const [daemon, ...others] = current.fleet;
+  const link = await links.openLink(daemon.options.front, ONE_WAY_MS);
+  const assign = (port, id, order) =>
+    clients.attempt({
+      ...{ port, id, method: 'POST', path: `/f/${order}`, host: ROUTE.host, body: order },
+      deadlineMs: DEADLINE_MS,
+    });
+  // The usual load, at the frozen daemon only before the first freeze.
+  let isPlaying = true;
+  const load = async (port, endMs) => {
+    while (isPlaying && performance.now() < endMs) {
+      await assign(port, clients.newId(), clients.newId());
+      await daemons.pause(20);
+    }
   };
-  for (const { service } of KINDS) {
-    for (let index = 0; index < 4; index += 1) {
-      const isFaulty = service === 'vault' && index === 0;
-      await current.addTarget({
-        id: `i-${service}-${index}`,
-        service,
-        zone: `zone-${(index % 3) + 1}`,
-        workMs: WORK_MS,
-        onRun: isFaulty ? spoilSome : undefined,
-      });
+  const running = others.flatMap(({ options }) =>
+    [1, 2, 3].map(() => load(options.front, Number.POSITIVE_INFINITY)),
+  );
+  await Promise.all(
+    [1, 2, 3, 4].map(() => load(daemon.options.front, performance.now() + WARM_UP_MS)),
+  );
+  const results = [];
+  const playClient = async () => {
+    const client = new EarlyClient(link.port);
+    await client.connected;
+    await daemons.pause(SEND_AFTER_MS);
+    const [id, order] = [clients.newId(), clients.newId()];
+    current.note('sent', { id, order });
+    const result = await client.send(id, order);
+    current.note('ended', result);
+    results.push(result);
+    if (!PROMISES.has(result.status)) return;
+    // The order was refused as not run, so the client sends it once more, to another machine.
+    const again = clients.newId();
+    current.note('sent', { id: again, order });
+    const { status } = await assign(others[0].options.front, again, order);
+    current.note('ended', { id: again, order, status });
+  };
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const startMs = performance.now();
+    const playing = Promise.all(Array.from({ length: CLIENTS }, () => playClient()));
+    await daemons.pause(CONNECT_BEFORE_MS);
+    if (cases.hasTrouble) {
+      current.note('freeze', { daemon: daemon.options.name });
+      daemon.signal('SIGSTOP');
+      await daemons.pause(FREEZE_MS);
+      daemon.signal('SIGCONT');
+      current.note('wake');
     }
+    await playing;
+    await daemons.pause(ROUND_MS - (performance.now() - startMs));
   }
-  const faulty = current.targets.find(({ id }) => id === 'i-vault-0');
-  await current.startFleet(3);
-  const attempts = await load.runClients(current, {
-    kinds: KINDS,
-    clientsPerKind: 3,
-    endMs: performance.now() + PLAY_MS,
-  });
-  const lost = load.lostAttempts(current, attempts, (target) => target !== faulty);
-  const ends = current.fleet.flatMap(({ options, ends: list }) =>
-    list
-      .filter(({ isExpected }) => !isExpected)
-      .map(({ signal, code }) => `${options.name} ${signal ?? code}`),
+  isPlaying = false;
+  await Promise.all(running);
+  link.close();
+  const ran = new Set(runs.map(({ id }) => id));
+  const broken = results.filter(({ id, status }) => PROMISES.has(status) && ran.has(id));
+  const twice = results.filter(
+    ({ order }) => runs.filter(({ path }) => path === `/f/${order}`).length > 1,
   );
+  const ends = {};
+  results.forEach(({ status, error }) => {
+    ends[error ?? status] = (ends[error ?? status] ?? 0) + 1;
+  });
   return {
-    // LOST: more than three times.
-    isBroken: lost.length > 3,
+    // REFUSED: answered 408 and has run.
+    isBroken: broken.length > 0,
     summary: {
-      spoiltAnswers: spoilt,
-      ofAnswers: answers,
-      processEnds: ends,
-      lost: lost.length,
-      lostByKind: load.countBy(lost, ({ kind }) => kind.service),
-      ends: load.countBy(attempts, ({ status, error }) => status ?? error),
+      refusedAndRun: broken.length,
+      ordersRunTwice: twice.length,
+      of: results.length,
+      ends,
     },
   };
 });
