--- a/review/lib/daemons.mjs
+++ b/review/lib/daemons.mjs
@@ -14,6 +14,10 @@
 
 const MEMORY_CHECK_MS = 10;
 
+/** Range of the ports of daemons and of the store. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
+
 /** Log lines of a daemon that are not kept: those below the level of a warning. */
 const INFORMATION = /"level":[123]0/;
 
@@ -27,17 +31,26 @@
   probesPerS: '60',
 };
 
-/** Returns free loopback ports. */
-export async function freePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index += 1) {
+/** Whether a loopback port can be listened on. */
+function isFree(port) {
+  return new Promise((resolve) => {
     const server = net.createServer();
-    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-    servers.push(server);
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/**
+ * Returns free loopback ports below those that the system gives to outgoing connections, which could
+ * take one before its process listens.
+ */
+export async function freePorts(count) {
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (!ports.has(port) && (await isFree(port))) ports.add(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  return [...ports];
 }
 
 function deployRole() {
