Run no request that arrives after a refusal of its connection

A daemon that woke after a freeze of 3.5 s answered 408 to whole requests on connections older than headerTimeout, and then ran them; callers sent them again, so that orders ran twice.

Cause: Node.js runs due timers before it reads sockets, so that the header timeout speaks of an old state. The refusal ended only the writing side of the socket, and a request that was read afterwards was served like any other.

Evidence: a process that is blocked for 2.5 s while a request arrives answers 408 and starts the call; without a pause the second half of a head that is sent after the 408 starts one as well. Both tests failed before. Ruled out: the deadline of the body (its exchange has ended and starts nothing), and a second daemon (one Request-Id).

Change: the header timeout is handled after the next poll of the sockets, and a request that was read in it is served; what is read after a refusal on the socket is discarded, and the connection is destroyed a second later.

--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -33,6 +33,11 @@
 
   public constructor(private readonly socket: stream.Duplex) {}
 
+  /** Number of requests that have been read. */
+  public get readCount(): number {
+    return this.arrivals;
+  }
+
   /** Number of requests without a response. */
   public get size(): number {
     return this.exchanges.length;
@@ -87,6 +92,11 @@
     this.exchanges.at(-1)?.closeAfterwards();
   }
 
+  /** Runs no request that is read from now on, and answers none. */
+  public rejectLater(): void {
+    this.isClosing = true;
+  }
+
   /** Bytes of responses that have not been handed to the operating system yet. */
   public get unsentBytes(): number {
     return this.socket.writableLength;
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -131,11 +131,11 @@
   }
 
   /**
-   * Ends the exchange without a response, because the response to an earlier request closes the
-   * connection. The caller takes the request as not read.
+   * Ends the exchange without a response, because a response before it closes the connection. The
+   * caller takes the request as not read.
    */
   public discard(): void {
-    this.cancel('the response to an earlier request closes the connection');
+    this.cancel('an earlier response closes the connection');
   }
 
   /** Ends the exchange with a response, because the daemon stops. */
--- a/src/node/server/CallerServer.test.ts
+++ b/src/node/server/CallerServer.test.ts
@@ -1,3 +1,6 @@
+import * as nodeEvents from 'node:events';
+import * as net from 'node:net';
+
 import * as requestKeyCodec from '../../common/keys/RequestKeyCodec';
 import * as callerServerRig from './testing/CallerServerRig';
 
@@ -237,3 +240,45 @@
   expect(await rig.exchange('GET /status/a HTTP/1.1\r\nhost:')).toMatch(/^HTTP\/1.1 408 /);
   expect(rig.refused).toMatchObject([{ kind: 'request-incomplete', outcome: 'not-run' }]);
 });
+
+/** Blocks the process as a freeze does: meanwhile requests arrive, and timers become due. */
+function pauseProcess(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
+
+// Guards against a whole request that is refused as incomplete after a pause, and is run.
+test('a request that arrived during a pause is run and not refused', async () => {
+  rig.server.setTimeouts(1_000, 5_000);
+  const socket = rig.connect();
+  await nodeEvents.once(socket, 'connect');
+  const received: string[] = [];
+  socket.setEncoding('latin1').on('data', (text: string) => received.push(text));
+  // The time for the head runs from the accept, which comes before that of a later connection.
+  await rig.exchange(get('', '/none'));
+  socket.write(get('', '/lodgement/a'));
+  pauseProcess(2_500);
+  await rig.reply(1, 200, [], 'ok');
+  await nodeEvents.once(socket, 'close');
+  expect(received.join('').match(/HTTP\/1.1 \d+/g)).toEqual(['HTTP/1.1 200']);
+  expect(rig.refused).toMatchObject([{ kind: 'unknown-service' }]);
+});
+
+// Guards against a lodgement that is refused as not run, and runs once the rest of it arrives.
+test('a request that was refused as incomplete never runs', async () => {
+  rig.server.setTimeouts(10, 5_000);
+  const [first, rest] = ['POST /lodgement/a HTTP/1.1\r\n', 'host: x\r\ncontent-length: 0\r\n\r\n'];
+  const socket = net.connect({ port: rig.server.port, host: '127.0.0.1', allowHalfOpen: true });
+  socket.on('error', () => undefined).write(first);
+  const [refusal] = (await nodeEvents.once(socket, 'data')) as [Buffer];
+  expect(refusal.toString()).toMatch(/^HTTP\/1.1 408 /);
+  socket.write(rest);
+  while (rig.refused.length < 2) await new Promise(setImmediate);
+  expect(rig.transport.attempts).toHaveLength(0);
+  expect(rig.refused[1]).toMatchObject({ outcome: 'unknown', dispatched: false });
+  rig.clock.advance(1_000);
+  // A write to a connection that no longer exists fails once its reset has arrived.
+  while (!socket.destroyed) {
+    socket.write('x');
+    await new Promise(setImmediate);
+  }
+});
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -18,6 +18,12 @@
 /** Interval of the check for header timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 1_000;
 
+/**
+ * Time, in milliseconds, in which a caller can read a refusal that closes its connection. Closing at
+ * once would reset a connection with unread bytes, and the refusal would be lost.
+ */
+const REFUSAL_LINGER_MS = 1_000;
+
 /** Dependencies of a caller server. */
 export interface ICallerServerContext extends callerExchange.IExchangeContext {
   /** Issues request keys. If undefined, no keys are issued. */
@@ -137,6 +143,24 @@
   }
 
   private handleClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') this.awaitUnreadHead(error, socket);
+    else this.refuseClient(error, socket);
+  }
+
+  /**
+   * Handles a header timeout after the bytes that have already arrived were read. After a pause of
+   * the process, Node.js runs its timers before it reads the sockets.
+   */
+  private awaitUnreadHead(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
+    const connection = this.connections.get(socket);
+    const readCount = connection?.readCount;
+    setImmediate(() => {
+      if (socket.destroyed || connection?.readCount !== readCount) return;
+      this.refuseClient(error, socket);
+    });
+  }
+
+  private refuseClient(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
     const connection = this.connections.get(socket);
     const reading = connection?.reading;
     if (error.code === 'ECONNRESET' || !socket.writable) {
@@ -172,6 +196,10 @@
       tableVersion: this.context.daemonState.table?.version ?? 0,
     };
     this.context.observer.onRefused(record, 0);
+    // The refusal states that nothing was run, so what arrives after it must not run either.
+    this.connections.get(socket)?.rejectLater();
+    const linger = this.context.clock.setTimer(REFUSAL_LINGER_MS, () => socket.destroy());
+    socket.once('close', () => linger.dispose());
     socket.end(responseWriter.serializeRefusal(this.context.protocol.toLocalReply(record)));
   }
 }
