Answer a request that arrived on an idle connection during a pause

A caller that reuses a connection shortly before its idle timeout, while the daemon is frozen, has its connection closed without an answer.

The idle timeout fires before the sockets are read, and Node.js destroys the socket with the unread request.

Change: the idle timeout is handled after the next poll of the sockets, and only if nothing has arrived in it. The test with a blocked process failed before (it waited for an answer without end); an idle connection is still closed.

--- a/src/node/server/CallerServer.test.ts
+++ b/src/node/server/CallerServer.test.ts
@@ -263,6 +263,27 @@
   expect(rig.refused).toMatchObject([{ kind: 'unknown-service' }]);
 });
 
+// Guards against a request on a kept connection that is closed unread after a pause.
+test('a request that arrived during a pause on an idle connection is answered', async () => {
+  rig.server.setTimeouts(1_000, 500);
+  const socket = rig.connect();
+  socket.write('GET /none/a HTTP/1.1\r\nhost: x\r\n\r\n');
+  await nodeEvents.once(socket, 'data');
+  socket.write(get(''));
+  pauseProcess(2_500);
+  await rig.reply(1, 200, [], 'ok');
+  const [answer] = (await nodeEvents.once(socket, 'data')) as [Buffer];
+  expect(answer.toString()).toMatch(/^HTTP\/1.1 200 /);
+});
+
+test('an idle connection is closed after its timeout', async () => {
+  rig.server.setTimeouts(1_000, 100);
+  const socket = rig.connect();
+  socket.write('GET /none/a HTTP/1.1\r\nhost: x\r\n\r\n');
+  await nodeEvents.once(socket.resume(), 'close');
+  expect(rig.refused).toHaveLength(1);
+});
+
 // Guards against a lodgement that is refused as not run, and runs once the rest of it arrives.
 test('a request that was refused as incomplete never runs', async () => {
   rig.server.setTimeouts(10, 5_000);
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -1,5 +1,6 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 
 import type * as callTypes from '../../common/call/Types';
@@ -65,6 +66,7 @@
     this.server.on('connect', (_request, socket: stream.Duplex) =>
       this.refuseOnSocket(socket, 'malformed-request', 'the method CONNECT is not supported'),
     );
+    this.server.on('timeout', (socket: net.Socket) => CallerServer.closeIdle(socket));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: stream.Duplex) =>
       this.handleClientError(error, socket),
     );
@@ -118,6 +120,14 @@
     return listening.closeNow(this.server);
   }
 
+  /** Closes a connection at its idle timeout, unless a request has arrived during a pause. */
+  private static closeIdle(socket: net.Socket): void {
+    const { bytesRead } = socket;
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  }
+
   private trackConnection(socket: stream.Duplex): void {
     const connection = new callerConnection.CallerConnection(socket);
     this.connections.set(socket, connection);
