Hold the small pieces of a body in blocks, and limit small chunks

An answer in chunks of one byte without end ended the daemon that read it (heap out of memory), and the requests of all its callers ended with it. Another operator reports the same of bytes that are no answer.

Cause: the limits on an answer count bytes, but each chunk was kept as an object of its own, on the heap and with the read buffer that it is a part of. The bodies of requests were kept in the same way.

Evidence: the deployed program ends with four such answers (new test, failed before), and not with the same bytes in chunks of 16 KiB, which rules out the bytes themselves. With the objects gone, one such answer of 16 MiB still took 8.4 s of processor time, an event for each chunk, since eight bytes were allowed for each byte of a body.

Change: BodyBuffer copies small pieces into blocks, for answers and requests. Beyond the first 256 KiB of an answer its chunks have to carry 24 bytes on average: the same answer ends after 0.35 s and 0.65 s of processor time (its test timed out before). Answers in chunks of one byte up to 256 KiB, and of 24 bytes beyond, are still complete.

--- /dev/null
+++ b/src/node/BodyBuffer.test.ts
@@ -0,0 +1,42 @@
+import * as bodyBuffer from './BodyBuffer';
+
+const PIECE_SIZES = [0, 1, 3, 4_095, 4_096, 32_768, 32_769, 65_536, 100_000];
+
+function makePieces(sizes: readonly number[]): Buffer[] {
+  return sizes.map((size, index) => Buffer.alloc(size, index + 1));
+}
+
+// Guards against bytes that are lost or change places between copied and kept pieces.
+test.each([1, 2, 3, 5, 7])('returns all bytes in order: every %ith size', (step) => {
+  const sizes = Array.from({ length: 60 }, (_, index) => PIECE_SIZES[(index * step) % 9] as number);
+  const pieces = makePieces(sizes);
+  const body = new bodyBuffer.BodyBuffer();
+  pieces.forEach((piece) => body.add(piece));
+  expect(body.size).toBe(sizes.reduce((sum, size) => sum + size, 0));
+  expect(body.toBytes().equals(Buffer.concat(pieces))).toBe(true);
+});
+
+// Guards against a process that runs out of memory by an object for each chunk of one byte.
+test('pieces of one byte are held in few buffers', () => {
+  const body = new bodyBuffer.BodyBuffer();
+  for (let count = 0; count < 1_000_000; count += 1) body.add(Buffer.from('x'));
+  expect(body.partCount).toBeLessThan(30);
+  expect(body.toBytes().toString()).toBe('x'.repeat(1_000_000));
+});
+
+test('a piece that is added after it was read changes nothing that was returned', () => {
+  const body = new bodyBuffer.BodyBuffer();
+  ['a', 'b', 'c'].forEach((text) => body.add(Buffer.from(text)));
+  const first = body.toBytes();
+  body.add(Buffer.from('d'));
+  expect(first.toString()).toBe('abc');
+  expect(body.toBytes().toString()).toBe('abcd');
+});
+
+test('holds nothing after it was cleared', () => {
+  const body = new bodyBuffer.BodyBuffer();
+  makePieces([1, 2, 40_000]).forEach((piece) => body.add(piece));
+  body.clear();
+  expect(body).toMatchObject({ size: 0, partCount: 0 });
+  expect(body.toBytes()).toHaveLength(0);
+});
--- /dev/null
+++ b/src/node/BodyBuffer.ts
@@ -0,0 +1,73 @@
+/** Size, in bytes, up to which a piece is copied. A larger one is kept without a copy. */
+const MAX_COPIED_BYTES = 32 * 1024;
+
+/** Sizes, in bytes, of the first and of the largest block that small pieces are copied to. */
+const FIRST_BLOCK_BYTES = 4 * 1024;
+const MAX_BLOCK_BYTES = 64 * 1024;
+
+const EMPTY = Buffer.alloc(0);
+
+/**
+ * Collects the pieces of a body. Small pieces are copied into blocks: a body in many small chunks
+ * would otherwise take an object for each, and keep the read buffer alive that the chunk is a part of.
+ */
+export class BodyBuffer {
+  private readonly parts: Buffer[] = [];
+
+  /** Block that is being filled, and the number of bytes in it. */
+  private block = EMPTY;
+
+  private blockSize = 0;
+
+  private totalSize = 0;
+
+  /** Number of bytes collected. */
+  public get size(): number {
+    return this.totalSize;
+  }
+
+  /** Number of buffers that hold the bytes. */
+  public get partCount(): number {
+    return this.parts.length + (this.blockSize > 0 ? 1 : 0);
+  }
+
+  public add(piece: Buffer): void {
+    const isFirst = this.totalSize === 0;
+    this.totalSize += piece.length;
+    // Most bodies arrive in one piece, which needs no copy.
+    if (isFirst || piece.length > MAX_COPIED_BYTES) {
+      this.closeBlock();
+      this.parts.push(piece);
+    } else this.copy(piece);
+  }
+
+  /** Discards all bytes. */
+  public clear(): void {
+    this.parts.length = 0;
+    this.block = EMPTY;
+    this.blockSize = 0;
+    this.totalSize = 0;
+  }
+
+  /** Returns all bytes. */
+  public toBytes(): Buffer {
+    this.closeBlock();
+    return this.parts.length === 1 ? (this.parts[0] as Buffer) : Buffer.concat(this.parts);
+  }
+
+  private copy(piece: Buffer): void {
+    if (this.blockSize + piece.length > this.block.length) {
+      this.closeBlock();
+      const wanted = Math.min(MAX_BLOCK_BYTES, Math.max(FIRST_BLOCK_BYTES, this.totalSize));
+      this.block = Buffer.allocUnsafeSlow(wanted);
+    }
+    piece.copy(this.block, this.blockSize);
+    this.blockSize += piece.length;
+  }
+
+  private closeBlock(): void {
+    if (this.blockSize > 0) this.parts.push(this.block.subarray(0, this.blockSize));
+    this.block = EMPTY;
+    this.blockSize = 0;
+  }
+}
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -1,6 +1,7 @@
 import type * as undici from 'undici';
 
 import type * as callTypes from '../../common/call/Types';
+import * as bodyBuffer from '../BodyBuffer';
 import type * as connections from './Connection';
 import * as headers from './Headers';
 import type * as dispatchTypes from './Types';
@@ -9,7 +10,7 @@
 
 /** Buffers the response of one exchange, and accepts it only if it is complete. */
 export class AttemptHandler implements undici.Dispatcher.DispatchHandler {
-  private readonly chunks: Buffer[] = [];
+  private readonly body = new bodyBuffer.BodyBuffer();
 
   private responseHeaders: string[] = [];
 
@@ -17,8 +18,6 @@
 
   private status = 0;
 
-  private size = 0;
-
   private ended = false;
 
   public constructor(
@@ -73,9 +72,8 @@
   public onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.ended) return;
     this.listener.onProgress();
-    this.size += chunk.length;
     this.connection.recordBody(chunk.length);
-    if (this.size <= this.request.maxAnswerBytes) this.chunks.push(chunk);
+    if (this.body.size + chunk.length <= this.request.maxAnswerBytes) this.body.add(chunk);
     else this.rejectOversized(controller);
   }
 
@@ -88,7 +86,6 @@
       return;
     }
     this.reportLoad();
-    const body = this.chunks.length === 1 ? (this.chunks[0] as Buffer) : Buffer.concat(this.chunks);
     const isReused = this.connection.exchangeCount > 1;
     const classification = this.request.classify(this.status, this.responseHeaders, isReused);
     if (classification.kind === 'refused') {
@@ -97,6 +94,7 @@
       this.end({ kind: 'lost', reason: 'answer-invalid', detail: classification.detail });
     } else {
       const { status, responseHeaders } = this;
+      const body = this.body.toBytes();
       const { isFailure } = classification;
       this.end({ kind: 'answered', answer: { status, headers: responseHeaders, body, isFailure } });
     }
--- a/src/node/dispatch/Connection.ts
+++ b/src/node/dispatch/Connection.ts
@@ -14,8 +14,17 @@
  */
 const MAX_FRAMING_BYTES = 128 * 1024;
 
-/** Framing bytes allowed for each byte of a body: a chunk of one byte has five more, and LF. */
-const FRAMING_PER_BODY_BYTE = 8;
+/** Size, in bytes, of the first part of a body, whose chunks may be of any size. */
+const ANY_CHUNK_BODY_BYTES = 256 * 1024;
+
+/** Bytes received for each byte of that part: a chunk of one byte has five more. */
+const BYTES_PER_BODY_BYTE = 8;
+
+/**
+ * Bytes received for each byte of the rest of a body. Chunks of a few bytes cost more processor time
+ * than the requests of all other callers, so that the rest must come in chunks of 24 bytes or more.
+ */
+const BYTES_PER_LATER_BODY_BYTE = 1.25;
 
 /** One TCP connection to a backend server. It is never reconnected. */
 export class Connection {
@@ -30,6 +39,9 @@
 
   private hasGracefulEnd = false;
 
+  /** Number of bytes of the body in the current exchange. */
+  private bodyBytes = 0;
+
   /** Value of `bytesRead` above which the connection is closed. */
   private byteLimit = Number.POSITIVE_INFINITY;
 
@@ -70,13 +82,16 @@
     handler: undici.Dispatcher.DispatchHandler,
   ): void {
     this.exchangeCount += 1;
+    this.bodyBytes = 0;
     this.byteLimit = this.bytesRead + MAX_FRAMING_BYTES;
     this.client.dispatch(options, handler);
   }
 
   /** Raises the limit on received bytes for a part of a body that has arrived. */
   public recordBody(bytes: number): void {
-    this.byteLimit += FRAMING_PER_BODY_BYTE * bytes;
+    this.bodyBytes += bytes;
+    const isFirstPart = this.bodyBytes <= ANY_CHUNK_BODY_BYTES;
+    this.byteLimit += bytes * (isFirstPart ? BYTES_PER_BODY_BYTE : BYTES_PER_LATER_BODY_BYTE);
   }
 
   /** Closes the connection immediately. */
@@ -107,7 +122,7 @@
     this.socket = socket;
     socket.on('readable', () => {
       if (socket.bytesRead <= this.byteLimit) return;
-      socket.destroy(new Error('the server sends bytes that belong to no body'));
+      socket.destroy(new Error('the server sends too many bytes that belong to no body'));
     });
     // Node.js reports a reset that arrives together with data as an end. Only the remote address,
     // which a reset connection no longer has, distinguishes the two.
--- a/src/node/dispatch/EndlessAnswers.test.ts
+++ b/src/node/dispatch/EndlessAnswers.test.ts
@@ -39,7 +39,7 @@
       accepted.on('close', () => resolve());
     });
     const writeMore = () => {
-      while (!accepted.destroyed && sentBytes < 4 * MAX_SENT_BYTES) {
+      while (piece !== '' && !accepted.destroyed && sentBytes < 4 * MAX_SENT_BYTES) {
         sentBytes += piece.length;
         if (!accepted.write(piece, 'latin1')) {
           accepted.once('drain', writeMore);
@@ -55,13 +55,13 @@
   return nodeEvents.once(server.listen(0, '127.0.0.1'), 'listening');
 }
 
-function send(): Promise<callTypes.AttemptOutcome> {
+function send(maxAnswerBytes = MAX_ANSWER_BYTES): Promise<callTypes.AttemptOutcome> {
   const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
   const row = { address, failureDomain: 'a', weight: 1, slots: 3, maxConnections: 39 };
   const call = {
     ...{ requestId: '1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
     ...{ deadlineMs: 1_000, depth: 0, retriesSpent: 0, fingerprint: '' },
-    service: { maxAnswerBytes: MAX_ANSWER_BYTES, idempotent: true },
+    service: { maxAnswerBytes, idempotent: true },
     table: { maxDaemons: 10 },
   } as unknown as callTypes.ICall;
   return new Promise((resolve) => {
@@ -114,3 +114,27 @@
   await closed;
   expect(sentBytes).toBeLessThanOrEqual(MAX_SENT_BYTES);
 });
+
+const ANY_CHUNK_BODY_BYTES = 256 * 1024;
+const LARGE_ANSWER_BYTES = 16 * 1024 * 1024;
+
+// Guards against an answer that takes the processor for seconds by an event for each of its bytes.
+test('chunks of one byte lose the attempt long before the size limit of an answer', async () => {
+  await startServer(CHUNKED, '1\r\nx\r\n'.repeat(PIECE_BYTES / 8));
+  expect(await send(LARGE_ANSWER_BYTES)).toMatchObject({ kind: 'lost' });
+  await closed;
+  expect(sentBytes).toBeLessThanOrEqual(MAX_SENT_BYTES);
+});
+
+// Guards against a whole answer that is lost because its server writes it in small chunks.
+test.each([
+  ['one byte', ANY_CHUNK_BODY_BYTES, 1],
+  ['24 bytes', 4 * ANY_CHUNK_BODY_BYTES, 24],
+])('an answer in chunks of %s is complete', async (_name, size, chunkSize) => {
+  const chunk = `${chunkSize.toString(16)}\r\n${'x'.repeat(chunkSize)}\r\n`;
+  const count = Math.floor(size / chunkSize);
+  await startServer(`${CHUNKED}${chunk.repeat(count)}0\r\n\r\n`, '');
+  const outcome = await send(LARGE_ANSWER_BYTES);
+  if (outcome.kind !== 'answered') throw new Error(JSON.stringify(outcome));
+  expect(outcome.answer.body).toHaveLength(count * chunkSize);
+});
--- a/src/node/server/BodyReader.ts
+++ b/src/node/server/BodyReader.ts
@@ -1,5 +1,7 @@
 import type * as http from 'node:http';
 
+import * as bodyBuffer from '../BodyBuffer';
+
 /** Result of reading a request body. */
 export type BodyResult =
   { readonly kind: 'complete'; readonly body: Uint8Array } | { readonly kind: 'too-large' };
@@ -11,9 +13,10 @@
 
 /** Reads the body of one request, up to a limit. */
 export class BodyReader {
-  private chunks: Buffer[] = [];
+  private readonly body = new bodyBuffer.BodyBuffer();
 
-  private size = 0;
+  /** Number of bytes received, kept or not. */
+  private receivedBytes = 0;
 
   private ended = false;
 
@@ -40,20 +43,21 @@
       this.finish({ kind: 'too-large' });
       return;
     }
-    this.request.once('end', () => this.finish({ kind: 'complete', body: this.join() }));
+    this.request.once('end', () => this.finish({ kind: 'complete', body: this.body.toBytes() }));
   }
 
   /** Stops reading without a result. Further data is discarded. */
   public stop(): void {
     this.ended = true;
-    this.chunks = [];
+    this.body.clear();
   }
 
   private addChunk(chunk: Buffer): void {
-    this.size += chunk.length;
-    if (!this.ended && this.size <= this.maxBytes) this.chunks.push(chunk);
+    this.receivedBytes += chunk.length;
+    if (!this.ended && this.receivedBytes <= this.maxBytes) this.body.add(chunk);
     else if (!this.ended) this.finish({ kind: 'too-large' });
-    else if (this.size > this.maxBytes + MAX_DISCARDED_BYTES) this.request.socket.destroy();
+    else if (this.receivedBytes > this.maxBytes + MAX_DISCARDED_BYTES)
+      this.request.socket.destroy();
   }
 
   private finish(result: BodyResult): void {
@@ -61,8 +65,4 @@
     this.stop();
     this.onResult(result);
   }
-
-  private join(): Uint8Array {
-    return this.chunks.length === 1 ? (this.chunks[0] as Buffer) : Buffer.concat(this.chunks);
-  }
 }
--- /dev/null
+++ b/src/platform/DeployedProgram.test.ts
@@ -0,0 +1,105 @@
+import * as fs from 'node:fs/promises';
+import * as nodeEvents from 'node:events';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+import * as undici from 'undici';
+
+import * as deployFile from '../standin/DeployFile';
+import * as freePorts from '../standin/FreePorts';
+import * as deployedDaemon from './testing/DeployedDaemon';
+import * as platformRecords from './testing/PlatformRecords';
+import * as platformServer from './testing/PlatformServer';
+import * as platformStore from './testing/PlatformStore';
+
+const SOUND = { prefix: '/x/', service: 'reads' };
+const FAULTY = { prefix: '/y/', service: 'faulty', timeout: '10s', maxAttempts: 1 };
+
+const DEADLINE_MS = 10_000;
+
+/** Chunks of one byte. */
+const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(16_384));
+
+jest.setTimeout(60_000);
+
+let deploy: deployFile.DeployFile;
+let folder: string;
+let store: platformStore.PlatformStore;
+let sound: platformServer.PlatformServer;
+let faulty: net.Server;
+let daemon: deployedDaemon.DeployedDaemon;
+
+/** Response of the faulty server to a request. */
+let respond: (socket: net.Socket, requestId: string) => void;
+
+function serveFaulty(socket: net.Socket): void {
+  socket.on('error', () => undefined);
+  socket.on('data', (bytes) => {
+    const text = bytes.toString('latin1');
+    if (text.startsWith('GET /health')) {
+      socket.write('HTTP/1.1 200 OK\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n');
+    } else respond(socket, /^request-id: (.*)\r$/im.exec(text)?.[1] ?? '');
+  });
+}
+
+async function send(requestPath: string): Promise<number> {
+  const reply = await undici.request(`${daemon.callerUrl}${requestPath}`, {
+    headers: {
+      host: platformRecords.HOST,
+      'request-id': requestPath,
+      'request-deadline': `${DEADLINE_MS}`,
+    },
+  });
+  await reply.body.dump();
+  return reply.statusCode;
+}
+
+beforeAll(async () => {
+  deploy = await deployFile.DeployFile.read();
+  await deploy.build();
+});
+
+beforeEach(async () => {
+  folder = await fs.mkdtemp(path.join(os.tmpdir(), 'deployed-'));
+  store = new platformStore.PlatformStore();
+  sound = new platformServer.PlatformServer('i-1');
+  faulty = net.createServer(serveFaulty);
+  await nodeEvents.once(faulty.listen(0, '127.0.0.1'), 'listening');
+  const faultyAddress = `127.0.0.1:${(faulty.address() as net.AddressInfo).port}`;
+  store.put('servers/i-1', platformRecords.makeServerEntry('reads', await sound.listen()));
+  store.put('servers/i-2', platformRecords.makeServerEntry('faulty', faultyAddress));
+  store.put('op/config', platformRecords.makeConfiguration(1, [SOUND, FAULTY]));
+  const storeAddress = (await store.listen()).replace('http://', '');
+  const ports = (await freePorts.freePorts(3)) as [number, number, number];
+  const [callerPort, readinessPort, peerPort] = ports;
+  daemon = await deployedDaemon.DeployedDaemon.start(deploy, {
+    ...{ name: 'daemon', folder, callerPort, readinessPort, peerPort, storeAddress },
+    seedPorts: [peerPort],
+  });
+  await daemon.waitUntilReady();
+});
+
+afterEach(async () => {
+  await daemon.child.kill();
+  await Promise.all([store.close(), sound.close()]);
+  await nodeEvents.once(faulty.close(), 'close');
+  await fs.rm(folder, { recursive: true });
+});
+
+// Guards against a daemon that runs out of memory by an object for each chunk of an answer.
+test('answers in chunks of one byte without end do not end the program', async () => {
+  respond = (socket, requestId) => {
+    const headers = `Request-Id: ${requestId}\r\nResponse-Signature: s\r\n`;
+    socket.write(`HTTP/1.1 200 OK\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`);
+    const writeMore = () => {
+      while (!socket.destroyed && socket.write(SMALL_CHUNKS));
+    };
+    socket.on('drain', writeMore);
+    writeMore();
+  };
+  const statuses = await Promise.all([1, 2, 3, 4].map((number) => send(`/y/${number}`)));
+  expect(statuses).toEqual([502, 502, 502, 502]);
+  expect(await send('/x/1')).toBe(200);
+  expect(daemon.child.isRunning).toBe(true);
+});
--- a/src/standin/ChildProcess.ts
+++ b/src/standin/ChildProcess.ts
@@ -22,9 +22,17 @@
 
   private readonly firstLine: Promise<string>;
 
-  /** Starts `node` with `parameters`. Its standard input closes when this process ends. */
-  public constructor(parameters: readonly string[], environment: NodeJS.ProcessEnv = {}) {
+  /**
+   * Starts `node` with `parameters`. Its standard input closes when this process ends.
+   * @param folder Working folder; by default that of this process.
+   */
+  public constructor(
+    parameters: readonly string[],
+    environment: NodeJS.ProcessEnv = {},
+    folder?: string,
+  ) {
     this.child = childProcess.spawn(process.execPath, parameters, {
+      cwd: folder,
       stdio: ['pipe', 'pipe', 'pipe'],
       env: { ...process.env, ...environment },
     });
