Give failed assertions of the bundle a message of their own

The first answer with the status 000 stopped the process for about four seconds, for the requests of all services, and once more after each restart.

Cause: undici asserts that a status is 100 or more. For an assertion without a message node:assert parses the line of the source that the call stands on, and a line of the minified bundle is most of the program.

Change: deploy/assert.js replaces node:assert in the bundle, for all assertions of the libraries in it, and a status below 100 ends the attempt as an invalid answer. Both tests of it failed before (the bundle required node:assert; the attempt was lost by the assertion).

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,7 +6,8 @@
 bundle() {
   npx esbuild "$1" --bundle --platform=node --target=node20 --minify --log-level=warning \
     --external:dtrace-provider --external:mv --external:moment --external:safe-json-stringify \
-    --alias:undici=./deploy/undici.js --outfile="$2"
+    --alias:undici=./deploy/undici.js --alias:assert=./deploy/assert.js \
+    --alias:node:assert=./deploy/assert.js --outfile="$2"
 }
 bundle src/platform/main.ts target/edge.js
 bundle src/platform/launch.ts target/launch.js
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -8,6 +8,9 @@
 
 const BODYLESS_STATUSES = new Set([204, 304]);
 
+/** Lowest status code of the protocol. */
+const MIN_STATUS = 100;
+
 /** Buffers the response of one exchange, and accepts it only if it is complete. */
 export class AttemptHandler implements undici.Dispatcher.DispatchHandler {
   private readonly body = new bodyBuffer.BodyBuffer();
@@ -59,6 +62,10 @@
   ): void {
     if (this.ended) return;
     this.listener.onProgress();
+    if (statusCode < MIN_STATUS) {
+      this.rejectStatus(controller, statusCode);
+      return;
+    }
     if (statusCode < 200) return;
     this.status = statusCode;
     this.responseHeaders = headers.decodeRaw((controller.rawHeaders ?? []) as Buffer[]);
@@ -134,6 +141,13 @@
     controller.abort(new Error(detail));
   }
 
+  /** undici takes any number for a status, and ends the connection by an assertion later. */
+  private rejectStatus(controller: undici.Dispatcher.DispatchController, status: number): void {
+    const detail = `the answer has the status ${status}`;
+    this.end({ kind: 'lost', reason: 'answer-invalid', detail });
+    controller.abort(new Error(detail));
+  }
+
   private reportLoad(): void {
     const report = this.request.readLoad(this.responseHeaders);
     if (report !== undefined) this.listener.onLoadReport(report);
--- a/src/node/dispatch/HttpTransport.test.ts
+++ b/src/node/dispatch/HttpTransport.test.ts
@@ -130,6 +130,7 @@
   ['reset after the request was read', (socket) => socket.resetAndDestroy(), 'connection-lost'],
   ['not HTTP', respondWith('hello\r\n\r\n'), 'connection-lost'],
   ['truncated headers', respondWith(`${START}x: `, true), 'connection-lost'],
+  ['a status of 000', respondWith('HTTP/1.1 000 OK\r\n\r\n'), 'answer-invalid'],
   ['an unrequested upgrade', respondWith(UPGRADE), 'connection-lost'],
   [
     'a truncated body',
--- a/src/platform/DeployedProgram.test.ts
+++ b/src/platform/DeployedProgram.test.ts
@@ -1,3 +1,4 @@
+import * as nodeAssert from 'node:assert/strict';
 import * as fs from 'node:fs/promises';
 import * as nodeEvents from 'node:events';
 import * as net from 'node:net';
@@ -103,3 +104,24 @@
   expect(await send('/x/1')).toBe(200);
   expect(daemon.child.isRunning).toBe(true);
 });
+
+// Guards against a program that stands still while Node.js parses the bundle for the message of a
+// failed assertion.
+test('the bundle makes no message of an assertion from its source', async () => {
+  const bundle = await fs.readFile(path.join(deploy.folder, 'target/edge.js'), 'utf8');
+  expect(/require\("(node:)?assert"\)/.test(bundle)).toBe(false);
+  const file = path.join(deploy.folder, 'deploy/assert.js');
+  const assert = (await import(file)) as unknown as typeof nodeAssert;
+  const checks = [assert, assert.ok, assert.strict];
+  checks.forEach((check) =>
+    expect(() => check(false)).toThrow(expect.objectContaining({ generatedMessage: false })),
+  );
+  expect(() => assert.strictEqual(1, 2)).toThrow(nodeAssert.AssertionError);
+});
+
+test('an answer with an invalid status is a failure of its server only', async () => {
+  respond = (socket, requestId) =>
+    socket.end(`HTTP/1.1 000 OK\r\nRequest-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`);
+  expect(await send('/y/1')).toBe(502);
+  expect(await send('/x/1')).toBe(200);
+});
