Run the deployed program in the soak, and count processes that end by themselves

Cause: the soak started the compiled sources without the heap limit, so that it could show neither a full heap nor a fault of the bundle, and a daemon that ended by itself counted only if a fault met it later.

Change: daemons run with the command, the bundle and the settings template of deploy/system.toml. `ownEnds` counts ends that nobody asked for, and graceful stops with an exit code other than 0; it must be 0.

--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -1,3 +1,4 @@
+import type * as deployedDaemon from '../platform/testing/DeployedDaemon';
 import * as platformServer from '../platform/testing/PlatformServer';
 import type * as platformStore from '../platform/testing/PlatformStore';
 import type * as soakFleet from './SoakFleet';
@@ -56,7 +57,8 @@
 
   private daemonFaults(): IFault[] {
     const { fleet, balancerTargets } = this;
-    const childOf = (index: number) => (fleet.daemons[index] as soakFleet.ISoakDaemon).child;
+    const childOf = (index: number) =>
+      (fleet.daemons[index] as deployedDaemon.DeployedDaemon).child;
     const restart = async (index: number) => {
       await fleet.startDaemon(index);
       balancerTargets.add(index);
--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -1,13 +1,13 @@
-import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
 
 import * as undici from 'undici';
-import * as yaml from 'yaml';
 
+import * as deployedDaemon from '../platform/testing/DeployedDaemon';
 import * as platformStore from '../platform/testing/PlatformStore';
 import * as platformServer from '../platform/testing/PlatformServer';
 import * as platformRecords from '../platform/testing/PlatformRecords';
-import * as childProcess from '../standin/ChildProcess';
+import type * as childProcess from '../standin/ChildProcess';
+import * as deployFile from '../standin/DeployFile';
 import * as freePorts from '../standin/FreePorts';
 import * as tcpRelay from '../standin/TcpRelay';
 import type * as soakTypes from './Types';
@@ -23,8 +23,10 @@
 const SERVERS_PER_SERVICE = 4;
 const WORK_MS = 20;
 const BODY_BYTES = 3_000;
-const READY_TIMEOUT_MS = 30_000;
-const POLL_INTERVAL_MS = 50;
+
+/** Lines of output that are kept of a process that ended by itself. */
+const LINES_OF_END = 5;
+
 const HOST = '127.0.0.1';
 
 /** The services, and whether their requests are idempotent. */
@@ -45,13 +47,6 @@
   leavingSinceMs: number | undefined;
 }
 
-/** A daemon that runs as a child process. */
-export interface ISoakDaemon {
-  readonly child: childProcess.ChildProcess;
-  readonly callerUrl: string;
-  readonly readinessUrl: string;
-}
-
 interface IDaemonPorts {
   readonly callerPort: number;
   readonly readinessPort: number;
@@ -73,7 +68,7 @@
 
   public readonly servers: ISoakServer[] = [];
 
-  public readonly daemons: ISoakDaemon[] = [];
+  public readonly daemons: deployedDaemon.DeployedDaemon[] = [];
 
   public readonly runs: soakTypes.IRunRecord[] = [];
 
@@ -83,9 +78,14 @@
 
   public readonly limits: soakTypes.ILimitInterval[] = [];
 
+  /** Ends of daemon processes that nobody asked for, or with an exit code other than 0. */
+  public readonly ownEnds: soakTypes.IOwnEnd[] = [];
+
   public storeRelay: tcpRelay.TcpRelay | undefined;
 
-  private storeUrl = '';
+  private storeAddress = '';
+
+  private readonly deploy = deployFile.DeployFile.read();
 
   /** Number of entries that the servers have written. */
   private entriesWritten = 0;
@@ -105,7 +105,8 @@
   public async start(daemons: number): Promise<void> {
     const port = portOf(await this.store.listen());
     this.storeRelay = new tcpRelay.TcpRelay(HOST, port);
-    this.storeUrl = `http://${HOST}:${await this.storeRelay.listen(0, HOST)}`;
+    this.storeAddress = `${HOST}:${await this.storeRelay.listen(0, HOST)}`;
+    await (await this.deploy).build();
     for (const service of SERVICES.keys()) {
       for (let count = 0; count < SERVERS_PER_SERVICE; count += 1) await this.addServer(service);
     }
@@ -192,37 +193,24 @@
   /** Starts the daemon with this index, and waits until it is ready. */
   public async startDaemon(index: number): Promise<void> {
     const { callerPort, readinessPort, peerPort } = this.daemonPorts[index] as IDaemonPorts;
-    const file = path.join(this.folder, `daemon-${index}.yaml`);
-    const settings = {
-      callerAddress: `${HOST}:${callerPort}`,
-      readinessAddress: `${HOST}:${readinessPort}`,
-      readinessPath: '/ready',
-      peerAddress: `${HOST}:${peerPort}`,
-      failureDomain: 'a',
-      directoryUrl: this.storeUrl,
-      seedPeers: this.daemonPorts.slice(0, 2).map((ports) => `${HOST}:${ports.peerPort}`),
-      stopGrace: `${STOP_GRACE_MS}ms`,
-      retryFraction: RETRY_FRACTION,
-      retryAllowance: RETRY_ALLOWANCE,
-      retryWindow: `${RETRY_WINDOW_MS}ms`,
-      checksPerSecond: 60,
-      logLevel: 'warn',
-    };
-    await fs.writeFile(file, yaml.stringify(settings));
-    const child = new childProcess.ChildProcess(
-      [
-        '--require',
-        path.join(this.buildFolder, 'soak/ClockStep.js'),
-        path.join(this.buildFolder, 'platform/main.js'),
-      ],
-      { LAVENDERSPAR_BOOT: file },
+    const daemon = await deployedDaemon.DeployedDaemon.start(await this.deploy, {
+      ...{ name: `daemon-${index}`, folder: this.folder, callerPort, readinessPort, peerPort },
+      seedPorts: this.daemonPorts.slice(0, 2).map((ports) => ports.peerPort),
+      storeAddress: this.storeAddress,
+      values: {
+        'bounds.grace': `${STOP_GRACE_MS}ms`,
+        'bounds.retryBudgetRatio': `${RETRY_FRACTION}`,
+        'bounds.budgetSlack': `${RETRY_ALLOWANCE}`,
+        'bounds.budgetWindow': `${RETRY_WINDOW_MS}ms`,
+      },
+      nodeParameters: ['--require', path.join(this.buildFolder, 'soak/ClockStep.js')],
+    });
+    this.daemons[index] = daemon;
+    daemon.child.exited.then(
+      (code) => this.recordEnd(index, daemon.child, code),
+      () => undefined,
     );
-    this.daemons[index] = {
-      child,
-      callerUrl: `http://${HOST}:${callerPort}`,
-      readinessUrl: `http://${HOST}:${readinessPort}`,
-    };
-    await this.waitUntilReady(index);
+    await daemon.waitUntilReady();
   }
 
   /** Returns the active configuration version of a daemon; undefined if it does not reply. */
@@ -232,23 +220,20 @@
     return value === undefined ? undefined : Number(value);
   }
 
-  private async waitUntilReady(index: number): Promise<void> {
-    const deadlineMs = performance.now() + READY_TIMEOUT_MS;
-    const daemon = this.daemons[index] as ISoakDaemon;
-    while (performance.now() < deadlineMs && daemon.child.isRunning) {
-      if ((await this.readPage(index, '/ready')) !== undefined) return;
-      await new Promise((resolve) => {
-        setTimeout(resolve, POLL_INTERVAL_MS);
-      });
-    }
-    throw new Error(`daemon ${index} did not become ready: ${daemon.child.lines.join('\n')}`);
+  private recordEnd(
+    index: number,
+    { ending, lines }: childProcess.ChildProcess,
+    code: number | undefined,
+  ): void {
+    if (ending === 'killed' || (ending === 'asked' && code === 0)) return;
+    this.ownEnds.push({ daemon: index, code, lastLines: lines.slice(-LINES_OF_END) });
   }
 
   /** Returns a page at the readiness address; undefined unless its status is 200. */
   private async readPage(index: number, page: string): Promise<string | undefined> {
     const timeouts = { headersTimeout: 1_000, bodyTimeout: 1_000 };
     try {
-      const url = `${(this.daemons[index] as ISoakDaemon).readinessUrl}${page}`;
+      const url = `${(this.daemons[index] as deployedDaemon.DeployedDaemon).readinessUrl}${page}`;
       const reply = await undici.request(url, timeouts);
       const text = await reply.body.text();
       return reply.statusCode === 200 ? text : undefined;
--- a/src/soak/SoakLoad.ts
+++ b/src/soak/SoakLoad.ts
@@ -1,6 +1,7 @@
 import * as undici from 'undici';
 
 import type * as types from '../common/Types';
+import type * as deployedDaemon from '../platform/testing/DeployedDaemon';
 import * as platformRecords from '../platform/testing/PlatformRecords';
 import * as wireNames from '../platform/WireNames';
 import * as soakFleet from './SoakFleet';
@@ -123,7 +124,7 @@
   private poolOf(daemon: number): undici.Pool {
     const known = this.pools.get(daemon);
     if (known !== undefined) return known;
-    const { callerUrl } = this.fleet.daemons[daemon] as soakFleet.ISoakDaemon;
+    const { callerUrl } = this.fleet.daemons[daemon] as deployedDaemon.DeployedDaemon;
     const pool = new undici.Pool(callerUrl, { connections: 16, pipelining: 1 });
     this.pools.set(daemon, pool);
     return pool;
--- a/src/soak/Types.ts
+++ b/src/soak/Types.ts
@@ -57,7 +57,15 @@
   endMs: number;
 }
 
-/** Summary of a soak run. The last ten fields must be 0. */
+/** End of a daemon process that was not asked for, or that was and failed. */
+export interface IOwnEnd {
+  readonly daemon: number;
+  /** Exit code; undefined if a signal ended the process. */
+  readonly code: number | undefined;
+  readonly lastLines: readonly string[];
+}
+
+/** Summary of a soak run. The last eleven fields must be 0. */
 export interface ISoakResult {
   readonly seed: number;
   readonly faults: number;
@@ -78,4 +86,6 @@
   readonly disturbedPauses: number;
   /** Servers that got more requests than the limit that they named. */
   readonly limitOverruns: number;
+  /** Daemon processes that ended by themselves, or by a graceful stop with a failure. */
+  readonly ownEnds: number;
 }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -6,6 +6,7 @@
 
 import * as seededRandom from '../common/SeededRandom';
 import type * as types from '../common/Types';
+import type * as deployedDaemon from '../platform/testing/DeployedDaemon';
 import * as restraintAudit from './RestraintAudit';
 import * as soakAudit from './SoakAudit';
 import * as soakFaults from './SoakFaults';
@@ -54,7 +55,7 @@
     this.stopped = true;
   }
 
-  private async sample(daemon: soakFleet.ISoakDaemon, index: number): Promise<void> {
+  private async sample(daemon: deployedDaemon.DeployedDaemon, index: number): Promise<void> {
     const version = await this.fleet.configurationVersionAt(index);
     if (version === undefined || this.fleet.daemons[index] !== daemon) return;
     const highest = this.highestVersions.get(daemon.child) ?? 0;
@@ -143,7 +144,8 @@
     });
     const observed = { calls, arrivals, statements, limits, faultIntervals };
     const restraintViolations = restraintAudit.auditRestraints(observed);
-    logViolations({ ...violations, ...restraintViolations });
+    const { ownEnds } = fleet;
+    logViolations({ ...violations, ...restraintViolations, ownEnds });
     const countOf = (end: soakTypes.CallOutcome) => calls.filter((call) => call.end === end).length;
     return {
       seed,
@@ -162,6 +164,7 @@
       requestsToLeaving: restraintViolations.requestsToLeaving.length,
       disturbedPauses: restraintViolations.disturbedPauses.length,
       limitOverruns: restraintViolations.limitOverruns.length,
+      ownEnds: ownEnds.length,
     };
   } finally {
     await fleet.stop();
@@ -172,10 +175,17 @@
 function countViolations(result: soakTypes.ISoakResult): number {
   const { wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving } = result;
   const { tableReversions, budgetOverruns } = result;
-  const { requestsToLeaving, disturbedPauses, limitOverruns } = result;
+  const { requestsToLeaving, disturbedPauses, limitOverruns, ownEnds } = result;
   return [
     ...[wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving],
-    ...[tableReversions, budgetOverruns, requestsToLeaving, disturbedPauses, limitOverruns],
+    ...[
+      tableReversions,
+      budgetOverruns,
+      requestsToLeaving,
+      disturbedPauses,
+      limitOverruns,
+      ownEnds,
+    ],
   ].reduce((sum, count) => sum + count, 0);
 }
 
--- a/src/standin/ChildProcess.ts
+++ b/src/standin/ChildProcess.ts
@@ -8,6 +8,9 @@
 // Kills the remaining children when this process exits early.
 process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
 
+/** What a process was told about its end. */
+export type Ending = 'none' | 'asked' | 'killed';
+
 /** A child process of a test, a demo or a bench. Signals go to its process ID only. */
 export class ChildProcess {
   /** Last lines of output, for the report of a failed test. */
@@ -20,6 +23,8 @@
 
   private running = true;
 
+  private requestedEnding: Ending = 'none';
+
   private readonly firstLine: Promise<string>;
 
   /**
@@ -59,11 +64,18 @@
     return this.running;
   }
 
+  /** Whether the process was killed, asked to end, or neither. */
+  public get ending(): Ending {
+    return this.requestedEnding;
+  }
+
   public get processId(): number {
     return this.child.pid ?? 0;
   }
 
   public signal(name: NodeJS.Signals): void {
+    if (name === 'SIGKILL') this.requestedEnding = 'killed';
+    else if (name === 'SIGTERM' && this.requestedEnding === 'none') this.requestedEnding = 'asked';
     if (this.running) this.child.kill(name);
   }
 
