Close no connection on which an answer is still being written

After a SIGTERM answers that callers were still reading were cut, with 2.7 s of the grace period left.

Cause: http.Server.close closes the connections that it takes for idle. It takes one for idle once a response was ended, also while its bytes wait to be written or a later request of the connection is run by a server.

Evidence: the new test fails with it, for the answer and for the request behind it. Ruled out: a wait for unsent bytes that ends early (it begins after the connections are gone).

Change: the server stops listening, and each connection closes itself if nothing is read, run or written on it. As before, a connection without a first request stays open, and its request is refused as not run.

--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -1,4 +1,4 @@
-import type * as stream from 'node:stream';
+import type * as net from 'node:net';
 
 import type * as callerExchange from './CallerExchange';
 
@@ -31,7 +31,10 @@
 
   private isPaused = false;
 
-  public constructor(private readonly socket: stream.Duplex) {}
+  /** Number of bytes that had been received when the connection last had no request. */
+  private bytesWhenIdle = 0;
+
+  public constructor(private readonly socket: net.Socket) {}
 
   /** Number of requests that have been read. */
   public get readCount(): number {
@@ -78,6 +81,7 @@
     this.begun.delete(exchange);
     this.lastAnswered = Math.max(this.lastAnswered, this.positions.get(exchange) ?? 0);
     this.positions.delete(exchange);
+    if (this.size === 0) this.bytesWhenIdle = this.socket.bytesRead;
     if (closesConnection) {
       this.discard(later);
     } else {
@@ -102,6 +106,17 @@
     return this.socket.writableLength;
   }
 
+  /**
+   * Closes the connection once its responses are written, unless a request is being read or run. Before
+   * the first request it stays open, since its caller is about to send one.
+   */
+  public closeIfIdle(): void {
+    const isReadingHead = this.socket.bytesRead > this.bytesWhenIdle;
+    if (this.size > 0 || this.arrivals === 0 || isReadingHead) return;
+    if (this.unsentBytes > 0) this.socket.once('drain', () => this.closeIfIdle());
+    else this.socket.destroy();
+  }
+
   /** Ends all requests with a response, in order, because the daemon stops. */
   public endForStop(): void {
     [...this.exchanges].forEach((exchange) => exchange.endForStop());
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -1,6 +1,6 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import type * as stream from 'node:stream';
 
 import type * as callTypes from '../../common/call/Types';
@@ -62,7 +62,7 @@
     this.server.on('request', serve);
     this.server.on('checkContinue', serve);
     this.server.on('checkExpectation', serve);
-    this.server.on('connection', (socket: stream.Duplex) => this.trackConnection(socket));
+    this.server.on('connection', (socket: net.Socket) => this.trackConnection(socket));
     this.server.on('connect', (_request, socket: stream.Duplex) =>
       this.refuseOnSocket(socket, 'malformed-request', 'the method CONNECT is not supported'),
     );
@@ -97,8 +97,9 @@
   /** Stops accepting connections, closes idle ones, and resolves when all others are closed. */
   public close(): Promise<void> {
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      // `http.Server.close` closes connections on which a response is still being written.
+      net.Server.prototype.close.call(this.server, () => resolve());
+      this.connections.forEach((connection) => connection.closeIfIdle());
     });
   }
 
@@ -128,7 +129,7 @@
     });
   }
 
-  private trackConnection(socket: stream.Duplex): void {
+  private trackConnection(socket: net.Socket): void {
     const connection = new callerConnection.CallerConnection(socket);
     this.connections.set(socket, connection);
     socket.once('close', () => {
--- a/src/node/server/StoppingDaemon.test.ts
+++ b/src/node/server/StoppingDaemon.test.ts
@@ -84,3 +84,45 @@
   await nodeEvents.once(socket, 'close');
   expect(received).toBeGreaterThan(LARGE_BODY_BYTES);
 });
+
+// Guards against a stop that cuts the answer which a caller is still reading, and the request behind
+// it on the same connection, which a server is running.
+test('a stop closes no connection on which an answer is still being written', async () => {
+  const socket = rig.connect();
+  socket.write(get('/status/a', 60_000) + get('/status/b', 60_000));
+  await rig.reply(1, 200, [], 'x'.repeat(LARGE_BODY_BYTES));
+  while (!rig.server.hasUnsentBytes) await timers.setTimeout(1);
+  rig.phase = 'stopping';
+  const closed = rig.server.close();
+  await timers.setTimeout(10);
+  await rig.reply(2, 200, [], 'second');
+  let text = '';
+  socket.setEncoding('latin1').on('data', (part: string) => {
+    text += part;
+  });
+  await nodeEvents.once(socket, 'end');
+  await closed;
+  expect(text.length).toBeGreaterThan(LARGE_BODY_BYTES);
+  expect(text).toMatch(/\r\n\r\nsecond$/);
+});
+
+test('a stop closes idle connections at once, and none that awaits its request', async () => {
+  const [fresh, used, reading] = [rig.connect(), rig.connect(), rig.connect()];
+  used.write(get('/none/a', 1_000));
+  await nodeEvents.once(used, 'data');
+  reading.write('GET /status/a HTTP/1.1\r\n');
+  // A later connection is accepted and served after the bytes of the earlier ones were read.
+  await rig.exchange('GET /none/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n');
+  const end = nodeEvents.once(used.resume(), 'close');
+  const closed = rig.server.close();
+  await end;
+  rig.phase = 'stopping';
+  const answers = [fresh, reading].map(
+    (socket) => nodeEvents.once(socket, 'data') as Promise<[Buffer]>,
+  );
+  fresh.write(get('/status/a', 1_000));
+  reading.write('host: x\r\n\r\n');
+  const texts = (await Promise.all(answers)).map(([text]) => text.toString());
+  texts.forEach((text) => expect(text).toMatch(/^HTTP\/1.1 503 /));
+  await closed;
+});
