Try an address that is in use again for a while

Reproduced: the deployed program exits with code 3 if an outgoing connection of another process has the port of any of its three addresses as it starts.

Cause: an address in use ended the start at once. The operating system gives outgoing connections any port of its range, and refuses to listen on one of them. Ruled out: closed connections of the previous process (SO_REUSEADDR is set).

Change: AddressOpener tries an address in use again every 100 ms for 5 s, logs that, and then fails as before with the name of the setting. A stop ends the tries. `RoutedFleet.listen` is apart from `start`, which the test of the fleet follows. The test of an address that stays in use advances its clock, since the failure comes later; it expects the same error and that all ports are released; so does that of RoutedDaemon, with a faster clock.

Tests: 'a port that is in use for a moment delays the start' failed for all three addresses before, and two tests of Daemon.

--- a/src/node/Daemon.test.ts
+++ b/src/node/Daemon.test.ts
@@ -58,8 +58,8 @@
   const ports = await findFreePorts(4);
   const blocker = net.createServer().listen(ports[0], '127.0.0.1');
   await nodeEvents.once(blocker, 'listening');
-  const { daemon } = build(ports);
-  await expect(daemon.start()).rejects.toThrow(
+  const { clock, daemon } = build(ports);
+  await expect(advanceUntilSettled(clock, daemon.start())).rejects.toThrow(
     new RegExp(`^cannot listen on callerAddress 127.0.0.1:${ports[0]}: .*EADDRINUSE`),
   );
   await nodeEvents.once(blocker.close(), 'close');
@@ -68,6 +68,32 @@
   await advanceUntilSettled(second.clock, second.daemon.stop());
 });
 
+// Guards against a daemon that ends because another process has its port for a moment.
+test('start waits for an address in use', async () => {
+  const ports = await findFreePorts(4);
+  const blockers = [0, 1, 2].map((index) => net.createServer().listen(ports[index], '127.0.0.1'));
+  await Promise.all(blockers.map((blocker) => nodeEvents.once(blocker, 'listening')));
+  const { clock, daemon } = build(ports);
+  const started = advanceUntilSettled(clock, daemon.start());
+  blockers.forEach((blocker) => blocker.close());
+  await started;
+  await advanceUntilSettled(clock, daemon.stop());
+});
+
+test('a daemon that is stopped while it waits for an address listens nowhere', async () => {
+  const ports = await findFreePorts(4);
+  const blocker = net.createServer().listen(ports[0], '127.0.0.1');
+  await nodeEvents.once(blocker, 'listening');
+  const { clock, daemon } = build(ports);
+  const started = daemon.start();
+  await advanceUntilSettled(clock, daemon.stop());
+  await nodeEvents.once(blocker.close(), 'close');
+  await advanceUntilSettled(clock, started);
+  const next = net.createServer().listen(ports[0], '127.0.0.1');
+  await nodeEvents.once(next, 'listening');
+  await nodeEvents.once(next.close(), 'close');
+});
+
 test('a daemon without a table is unready and refuses calls with a reason', async () => {
   const ports = await findFreePorts(4);
   const { clock, daemon } = build(ports);
--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -8,6 +8,7 @@
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
+import * as addressOpener from './AddressOpener';
 import * as callRunner from './CallRunner';
 import * as httpTransport from './dispatch/HttpTransport';
 import * as factExchange from './FactExchange';
@@ -23,7 +24,6 @@
 import type * as serverTypes from './server/Types';
 import * as serviceSet from './ServiceSet';
 import type * as settings from './settings/Settings';
-import * as startError from './StartError';
 import * as makeExporters from './telemetry/MakeExporters';
 import * as names from './telemetry/Names';
 import * as instrumentedTransport from './telemetry/InstrumentedTransport';
@@ -58,6 +58,8 @@
 
   private readonly pauseDetector: pauseDetector.PauseDetector;
 
+  private readonly opener: addressOpener.AddressOpener;
+
   private readonly callerServer: callerServer.CallerServer;
 
   private readonly operatorServer: operatorServer.OperatorServer;
@@ -114,6 +116,7 @@
       this.requestKeys.gateway,
       clock,
     );
+    this.opener = new addressOpener.AddressOpener(clock, logger);
     this.pauseDetector = new pauseDetector.PauseDetector(clock, (gapMs) =>
       this.resetAfterPause(gapMs),
     );
@@ -143,13 +146,8 @@
    * been asked for theirs. Rejects with a `StartError` after closing what was opened.
    */
   public async start(): Promise<void> {
-    const { operatorAddress, peerAddress, callerAddress } = this.options;
     try {
-      await startError.listen('operatorAddress', operatorAddress, this.operatorServer);
-      await startError.listen('peerAddress', peerAddress, {
-        listen: () => this.peerServer.listen(peerAddress),
-      });
-      await startError.listen('callerAddress', callerAddress, this.callerServer);
+      if (!(await this.openAddresses())) return;
     } catch (error) {
       await this.release();
       throw error;
@@ -158,9 +156,22 @@
     this.facts.start();
     this.pauseDetector.start();
     this.telemetry.startGauges(() => this.gauges());
+    const { operatorAddress, peerAddress, callerAddress } = this.options;
     this.logger.info({ callerAddress, operatorAddress, peerAddress }, 'daemon started');
   }
 
+  /** Returns whether all addresses are open; they are not if the daemon is stopped meanwhile. */
+  private async openAddresses(): Promise<boolean> {
+    const { operatorAddress, peerAddress, callerAddress } = this.options;
+    const { opener } = this;
+    const peers = { listen: () => this.peerServer.listen(peerAddress) };
+    return (
+      (await opener.open('operatorAddress', operatorAddress, this.operatorServer)) &&
+      (await opener.open('peerAddress', peerAddress, peers)) &&
+      opener.open('callerAddress', callerAddress, this.callerServer)
+    );
+  }
+
   /**
    * Shuts down gracefully: becomes unready, keeps serving for the lag of the platform balancer,
    * stops accepting connections, finishes every call in flight, hands over the request keys and
@@ -178,6 +189,7 @@
       'shutdown started, serving until the platform balancer moves callers away',
     );
     this.stage = 'draining';
+    this.opener.dispose();
     this.fleet.leave();
     await this.wait(lagMs);
     this.stage = 'stopping';
@@ -206,6 +218,7 @@
   }
 
   private async release(): Promise<void> {
+    this.opener.dispose();
     this.pauseDetector.dispose();
     this.facts.dispose();
     this.callerServer.closeNow();
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -17,6 +17,7 @@
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
+import * as addressOpener from './AddressOpener';
 import * as directoryWatcher from './directory/DirectoryWatcher';
 import type * as directoryTypes from './directory/Types';
 import type * as backendProtocol from './dispatch/BackendProtocol';
@@ -33,7 +34,6 @@
 import * as serviceSet from './ServiceSet';
 import * as reloadedSettings from './settings/ReloadedSettings';
 import type * as routedSettings from './settings/RoutedSettings';
-import * as startError from './StartError';
 import * as daemonGauges from './telemetry/addDaemonGauges';
 import * as names from './telemetry/Names';
 import * as decisionLog from './telemetry/DecisionLog';
@@ -105,6 +105,8 @@
 
   private readonly pauseDetector: pauseDetector.PauseDetector;
 
+  private readonly opener: addressOpener.AddressOpener;
+
   private readonly tableBuilder: tableBuilder.TableBuilder;
 
   private readonly fleetShares: fleetShares.FleetShares;
@@ -133,6 +135,7 @@
     private readonly random: types.IRandom,
   ) {
     this.decisionLog = new decisionLog.DecisionLog(logger, clock);
+    this.opener = new addressOpener.AddressOpener(clock, logger);
     this.tableBuilder = new tableBuilder.TableBuilder(new weightedSplit.SplitStates(random));
     this.directory = new directoryModule.Directory(clock);
     this.confirmation = new confirmationModule.Confirmation(
@@ -240,8 +243,10 @@
   private async open(): Promise<void> {
     const { callerAddress, readinessAddress, failureDomain } = this.options;
     this.watcher.start();
-    await startError.listen('readinessAddress', readinessAddress, this.readinessServer);
-    await startError.listen('callerAddress', callerAddress, this.callerServer);
+    const isOpen =
+      (await this.opener.open('readinessAddress', readinessAddress, this.readinessServer)) &&
+      (await this.opener.open('callerAddress', callerAddress, this.callerServer));
+    if (!isOpen) return;
     this.pauseDetector.start();
     this.logger.info({ callerAddress, failureDomain }, 'daemon started');
     await this.joinFleet();
@@ -253,7 +258,7 @@
     // eslint-disable-next-line import-x/extensions
     const { RoutedFleet } = await import('./fleet/RoutedFleet.js');
     if (this.stage !== 'running') return;
-    this.fleet = new RoutedFleet(
+    const fleet = new RoutedFleet(
       this.options,
       this.directory,
       this.confirmation,
@@ -262,15 +267,19 @@
       this.random,
       this.forwarding.handler,
     );
+    this.fleet = fleet;
     this.facts = new factExchange.FactExchange(
-      this.fleet.facts,
-      this.fleet.members,
+      fleet.facts,
+      fleet.members,
       this.services,
       this.suspicion,
       this.clock,
       this.restraints,
     );
-    await this.fleet.start();
+    const { peerAddress } = this.options;
+    const peers = { listen: () => fleet.listen() };
+    if (!(await this.opener.open('peerAddress', peerAddress, peers))) return;
+    fleet.start();
     this.facts.start();
   }
 
@@ -302,6 +311,7 @@
       endMs: startMs + stopGrace - SHUTDOWN_RESERVE_MS,
     };
     this.stage = 'draining';
+    this.opener.dispose();
     this.fleet?.leave();
     this.logger.info(
       { stopGrace },
@@ -326,6 +336,7 @@
   }
 
   private async release(): Promise<void> {
+    this.opener.dispose();
     this.pauseDetector.dispose();
     this.forwarding.dispose();
     this.fleetShares.dispose();
--- a/src/node/fleet/RoutedFleet.test.ts
+++ b/src/node/fleet/RoutedFleet.test.ts
@@ -51,7 +51,8 @@
   const addresses = (await freePorts.freePorts(MEMBERS)).map((port) => `127.0.0.1:${port}`);
   const seeds = addresses.slice(0, 1);
   members = addresses.map((address, index) => make(address, seeds, index + 1));
-  await Promise.all(members.map(({ fleet }) => fleet.start()));
+  await Promise.all(members.map(({ fleet }) => fleet.listen()));
+  members.forEach(({ fleet }) => fleet.start());
 });
 
 afterEach(() => {
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -15,7 +15,6 @@
 import type * as peer from '../peer/generated/peer';
 import * as peerClient from '../peer/PeerClient';
 import * as peerServer from '../peer/PeerServer';
-import * as startError from '../StartError';
 import * as exchangeLoop from './ExchangeLoop';
 import * as exchangeMessages from './ExchangeMessages';
 import * as memberSync from './MemberSync';
@@ -102,12 +101,13 @@
     this.setSeedPeers(options.seedPeers);
   }
 
-  /** Listens for peers and starts exchanging with them. Rejects with a `StartError`. */
-  public async start(): Promise<void> {
-    const { peerAddress } = this.options;
-    await startError.listen('peerAddress', peerAddress, {
-      listen: () => this.server.listen(peerAddress),
-    });
+  /** Listens for peers. Rejects if the address cannot be used. */
+  public listen(): Promise<void> {
+    return this.server.listen(this.options.peerAddress);
+  }
+
+  /** Starts exchanging with peers. */
+  public start(): void {
     this.loop.start();
     this.loop.exchangeNow();
     this.relay.start();
--- a/src/node/server/listen.ts
+++ b/src/node/server/listen.ts
@@ -1,13 +1,17 @@
 import type * as http from 'node:http';
 
-/** Starts listening. Rejects if the address cannot be used. */
+/** Starts listening. Rejects if the address cannot be used, and may be called again after that. */
 export function listen(server: http.Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.removeListener('error', reject);
-      resolve();
-    });
+    const end = (error?: Error) => {
+      server.removeListener('listening', end);
+      server.removeListener('error', end);
+      if (error === undefined) resolve();
+      else reject(error);
+    };
+    server.once('listening', end);
+    server.once('error', end);
+    server.listen(port, host);
   });
 }
 
--- a/src/platform/DeployedProgram.test.ts
+++ b/src/platform/DeployedProgram.test.ts
@@ -29,6 +29,7 @@
 let store: platformStore.PlatformStore;
 let sound: platformServer.PlatformServer;
 let faulty: net.Server;
+let storeAddress: string;
 let daemon: deployedDaemon.DeployedDaemon;
 
 /** Response of the faulty server to a request. */
@@ -56,6 +57,14 @@
   return reply.statusCode;
 }
 
+function startDaemon(ports: readonly number[]): Promise<deployedDaemon.DeployedDaemon> {
+  const [callerPort, readinessPort, peerPort] = ports as [number, number, number];
+  return deployedDaemon.DeployedDaemon.start(deploy, {
+    ...{ name: 'daemon', folder, callerPort, readinessPort, peerPort, storeAddress },
+    seedPorts: [peerPort],
+  });
+}
+
 beforeAll(async () => {
   deploy = await deployFile.DeployFile.read();
   await deploy.build();
@@ -71,13 +80,8 @@
   store.put('servers/i-1', platformRecords.makeServerEntry('reads', await sound.listen()));
   store.put('servers/i-2', platformRecords.makeServerEntry('faulty', faultyAddress));
   store.put('op/config', platformRecords.makeConfiguration(1, [SOUND, FAULTY]));
-  const storeAddress = (await store.listen()).replace('http://', '');
-  const ports = (await freePorts.freePorts(3)) as [number, number, number];
-  const [callerPort, readinessPort, peerPort] = ports;
-  daemon = await deployedDaemon.DeployedDaemon.start(deploy, {
-    ...{ name: 'daemon', folder, callerPort, readinessPort, peerPort, storeAddress },
-    seedPorts: [peerPort],
-  });
+  storeAddress = (await store.listen()).replace('http://', '');
+  daemon = await startDaemon(await freePorts.freePorts(3));
   await daemon.waitUntilReady();
 });
 
@@ -125,3 +129,18 @@
   expect(await send('/y/1')).toBe(502);
   expect(await send('/x/1')).toBe(200);
 });
+
+// Guards against a program that ends at its start because an outgoing connection has its port.
+test.each([0, 1, 2])('a port that is in use for a moment delays the start: %i', async (index) => {
+  await daemon.child.kill();
+  const { port } = faulty.address() as net.AddressInfo;
+  const holder = net.connect({ host: '127.0.0.1', port });
+  holder.on('error', () => undefined);
+  await nodeEvents.once(holder, 'connect');
+  const ports = [...(await freePorts.freePorts(3))];
+  ports[index] = holder.localPort as number;
+  daemon = await startDaemon(ports);
+  await daemon.child.firstLine;
+  holder.resetAndDestroy();
+  await daemon.waitUntilReady();
+});
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -23,24 +23,31 @@
   readonly headers: http.IncomingHttpHeaders;
 }
 
-/** Factor by which the daemon's clock runs slower than real time. */
-const CLOCK_SLOWDOWN = 20;
-
 /**
- * Runs slowly, so that servers on a busy machine do not appear silent to the daemon, which detects
- * silence within milliseconds.
+ * Factor by which the daemon's clock runs slower than real time, so that servers on a busy machine do
+ * not appear silent to the daemon, which detects silence within milliseconds.
  */
-class SlowClock extends systemClock.SystemClock {
+const SLOWDOWN = 20;
+
+/** Factor for a daemon that has to wait for the end of its start. */
+const SPEEDUP = 0.05;
+
+/** Runs slower than real time by a factor. */
+class ScaledClock extends systemClock.SystemClock {
+  public constructor(private readonly slowdown: number) {
+    super();
+  }
+
   public override monotonicMs(): number {
-    return super.monotonicMs() / CLOCK_SLOWDOWN;
+    return super.monotonicMs() / this.slowdown;
   }
 
   public override wallTime(): Date {
-    return new Date(super.wallTime().getTime() / CLOCK_SLOWDOWN);
+    return new Date(super.wallTime().getTime() / this.slowdown);
   }
 
   public override setTimer(delayMs: number, callback: () => void): types.IDisposable {
-    return super.setTimer(delayMs * CLOCK_SLOWDOWN, callback);
+    return super.setTimer(delayMs * this.slowdown, callback);
   }
 }
 
@@ -63,7 +70,7 @@
   ];
   ({ settings, daemon } = platformDaemon.makePlatformDaemon({
     ...{ callerPort, readinessPort, peerPort, directoryUrl: url },
-    ...{ checksPerSecond: 60, clock: new SlowClock() },
+    ...{ checksPerSecond: 60, clock: new ScaledClock(SLOWDOWN) },
   }));
   await daemon.start();
 }
@@ -443,7 +450,7 @@
         backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
       },
       bunyan.createLogger({ name: 'test', streams: [] }),
-      new SlowClock(),
+      new ScaledClock(SPEEDUP),
       new seededRandom.SeededRandom(2),
     );
     await expect(second.start()).rejects.toThrow(taken);
--- a/src/standin/ChildProcess.ts
+++ b/src/standin/ChildProcess.ts
@@ -19,14 +19,15 @@
   /** Resolves with the exit code, or undefined if a signal ended the process. */
   public readonly exited: Promise<number | undefined>;
 
+  /** Resolves with the first line of output. */
+  public readonly firstLine: Promise<string>;
+
   private readonly child: childProcess.ChildProcess;
 
   private running = true;
 
   private requestedEnding: Ending = 'none';
 
-  private readonly firstLine: Promise<string>;
-
   /**
    * Starts `node` with `parameters`. Its standard input closes when this process ends.
    * @param folder Working folder; by default that of this process.
