Keep a listener for errors on each connection of a caller

Cause: for CONNECT Node.js hands the socket over with an event, and removes its own listener for errors, so that a reset is an unhandled error event. Related paths: upgrade has no listener and is served as any request; the readiness address has none for connect, and Node.js closes the connection.

Change: each connection has a listener for errors from its start. The test resets 40 such connections of the deployed program, which ended it before.

--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -132,6 +132,9 @@
   private trackConnection(socket: net.Socket): void {
     const connection = new callerConnection.CallerConnection(socket);
     this.connections.set(socket, connection);
+    // Node.js removes its own listener when it hands a socket over, as for CONNECT. The end of the
+    // connection is reported with each of its requests.
+    socket.on('error', () => socket.destroy());
     socket.once('close', () => {
       this.connections.delete(socket);
       connection.abandon();
--- a/src/platform/DeployedProgram.test.ts
+++ b/src/platform/DeployedProgram.test.ts
@@ -144,3 +144,18 @@
   holder.resetAndDestroy();
   await daemon.waitUntilReady();
 });
+
+// Guards against an event of a connection that has no listener, and ends the program.
+test('connections that ask for a tunnel and are reset do not end the program', async () => {
+  const { callerPort: port } = daemon.options;
+  for (let count = 0; count < 40; count += 1) {
+    const socket = net.connect({ host: '127.0.0.1', port });
+    socket.on('error', () => undefined);
+    await nodeEvents.once(socket, 'connect');
+    socket.write(`CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n`);
+    if (count % 2 === 0) await nodeEvents.once(socket, 'data');
+    socket.resetAndDestroy();
+  }
+  expect(await send('/x/1')).toBe(200);
+  expect(daemon.child.isRunning).toBe(true);
+});
