Count the bodies that a daemon holds against one budget

Seen: the report of another operator (bytes without end, the machine that had called runs out of memory), reproduced: forty answers in chunks of 64 KiB without end, at once, take the deployed program to 388 MB; a VM has 350 MB.

Cause: each answer is limited to 16 MiB, and nothing limits their sum.

--- /dev/null
+++ b/src/common/memory/Types.ts
@@ -0,0 +1,25 @@
+import type * as types from '../Types';
+
+/** What a held body is: one of a request, of an answer on its way in, or of one on its way out. */
+export type BodyKind = 'request' | 'answer' | 'reply';
+
+/** Limits on the bytes of bodies that a daemon holds at the same time. */
+export interface IByteLimits {
+  /** Limit on all bodies. Replies count, but are never refused. */
+  readonly totalBytes: number;
+  /** Part of it that bodies of requests leave to answers. */
+  readonly answerReserveBytes: number;
+  /**
+   * Limit on answers that are being received. The memory of one that has ended is free only after the
+   * next garbage collection, so that ended and held answers take a multiple of it.
+   */
+  readonly answerBytes: number;
+}
+
+/** Part of a budget that one body holds until it is disposed. */
+export interface IReservation extends types.IDisposable {
+  /** Number of bytes held. */
+  readonly bytes: number;
+  /** Holds more bytes. Returns false, and holds what it held before, if they do not fit. */
+  grow(bytes: number): boolean;
+}
--- a/src/node/BodyBuffer.ts
+++ b/src/node/BodyBuffer.ts
@@ -1,3 +1,5 @@
+import type * as memoryTypes from '../common/memory/Types';
+
 /** Size, in bytes, up to which a piece is copied. A larger one is kept without a copy. */
 const MAX_COPIED_BYTES = 32 * 1024;
 
@@ -8,6 +10,9 @@
 /** Size, in bytes, from which a body is held in one buffer. */
 const LARGE_BYTES = 1024 * 1024;
 
+/** Size, in bytes, up to which a body takes nothing of the budget, and the steps beyond it. */
+const RESERVATION_STEP_BYTES = 64 * 1024;
+
 const EMPTY = Buffer.alloc(0);
 
 /**
@@ -26,8 +31,16 @@
 
   private totalSize = 0;
 
-  /** @param maxBytes Maximum size of the body. */
-  public constructor(private readonly maxBytes: number) {}
+  private reservation: memoryTypes.IReservation | undefined;
+
+  /**
+   * @param maxBytes Maximum size of the body.
+   * @param reserve Opens the part of the daemon's budget that the body takes.
+   */
+  public constructor(
+    private readonly maxBytes: number,
+    private readonly reserve: () => memoryTypes.IReservation,
+  ) {}
 
   /** Number of bytes collected. */
   public get size(): number {
@@ -39,8 +52,12 @@
     return this.parts.length + (this.blockSize > 0 ? 1 : 0);
   }
 
-  /** Adds a piece. The body must not become larger than its maximum size. */
-  public add(piece: Buffer): void {
+  /**
+   * Adds a piece. The body must not become larger than its maximum size.
+   * @returns false if the budget has no room for it.
+   */
+  public add(piece: Buffer): boolean {
+    if (!this.hasRoomFor(piece.length)) return false;
     const isFirst = this.totalSize === 0;
     this.totalSize += piece.length;
     if (this.totalSize > LARGE_BYTES) this.copyLarge(piece);
@@ -49,10 +66,13 @@
       this.closeBlock();
       this.parts.push(piece);
     } else this.copySmall(piece);
+    return true;
   }
 
-  /** Discards all bytes. */
+  /** Discards all bytes, and leaves its part of the budget to other bodies. */
   public clear(): void {
+    this.reservation?.dispose();
+    this.reservation = undefined;
     this.parts.length = 0;
     this.block = EMPTY;
     this.blockSize = 0;
@@ -65,6 +85,14 @@
     return this.parts.length === 1 ? (this.parts[0] as Buffer) : Buffer.concat(this.parts);
   }
 
+  private hasRoomFor(bytes: number): boolean {
+    const missing =
+      this.totalSize + bytes - RESERVATION_STEP_BYTES - (this.reservation?.bytes ?? 0);
+    if (missing <= 0) return true;
+    this.reservation ??= this.reserve();
+    return this.reservation.grow(Math.max(missing, RESERVATION_STEP_BYTES));
+  }
+
   private copySmall(piece: Buffer): void {
     if (this.blockSize + piece.length > this.block.length) {
       const wanted = Math.min(MAX_BLOCK_BYTES, Math.max(FIRST_BLOCK_BYTES, this.totalSize));
--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -13,6 +13,7 @@
 import * as httpTransport from './dispatch/HttpTransport';
 import * as factExchange from './FactExchange';
 import * as fleetModule from './fleet/Fleet';
+import * as bodyBudgets from './makeBodyBudget';
 import * as pauseDetector from './PauseDetector';
 import * as peerClient from './peer/PeerClient';
 import * as peerServer from './peer/PeerServer';
@@ -58,6 +59,8 @@
 
   private readonly pauseDetector: pauseDetector.PauseDetector;
 
+  private readonly bodyBudget = bodyBudgets.makeBodyBudget();
+
   private readonly opener: addressOpener.AddressOpener;
 
   private readonly callerServer: callerServer.CallerServer;
@@ -84,7 +87,7 @@
     this.telemetry = new telemetryModule.Telemetry(logger, clock, metrics, traces);
     const fleet = new fleetModule.Fleet(options, this.peerClient, logger, clock, random);
     this.fleet = fleet;
-    this.transport = new httpTransport.HttpTransport(clock, random);
+    this.transport = new httpTransport.HttpTransport(clock, random, undefined, this.bodyBudget);
     const isObserved = metrics !== undefined || traces !== undefined;
     const transport: callTypes.IBackendTransport = isObserved
       ? new instrumentedTransport.InstrumentedTransport(this.transport, metrics, traces, clock)
@@ -271,6 +274,7 @@
       runner: this.runner,
       observer: this.telemetry,
       clock: this.clock,
+      budget: this.bodyBudget,
       beforeRequest: () => this.pauseDetector.check(),
       issueKeys: (count) => this.requestKeys.issue(count),
     });
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -26,6 +26,7 @@
 import * as fleetShares from './FleetShares';
 import type * as routedFleet from './fleet/RoutedFleet';
 import * as forwardingModule from './forwarding/Forwarding';
+import * as bodyBudgets from './makeBodyBudget';
 import * as pauseDetector from './PauseDetector';
 import type * as callerProtocol from './server/CallerProtocol';
 import * as callerServer from './server/CallerServer';
@@ -105,6 +106,8 @@
 
   private readonly pauseDetector: pauseDetector.PauseDetector;
 
+  private readonly bodyBudget = bodyBudgets.makeBodyBudget();
+
   private readonly opener: addressOpener.AddressOpener;
 
   private readonly tableBuilder: tableBuilder.TableBuilder;
@@ -151,7 +154,12 @@
       random,
       () => this.fleet?.readRole ?? 'fallback',
     );
-    this.transport = new httpTransport.HttpTransport(clock, random, dependencies.backendProtocol);
+    this.transport = new httpTransport.HttpTransport(
+      clock,
+      random,
+      dependencies.backendProtocol,
+      this.bodyBudget,
+    );
     this.checkBudget = new checkBudget.CheckBudget(clock);
     this.restraints = new serverRestraints.ServerRestraints(options.peerAddress, clock, random);
     this.transport.onSignals(({ server, signals, source, requestId }) =>
@@ -216,6 +224,7 @@
       countLimitedServers: () => this.restraints.limitedCount,
       countUnreachableServices: () => this.reach.lostServices.length,
       countSuspectRequests: () => this.suspicion.suspectCount,
+      budget: this.bodyBudget,
     });
   }
 
@@ -467,6 +476,7 @@
         },
         observer: this.decisionLog,
         clock: this.clock,
+        budget: this.bodyBudget,
         beforeRequest: () => this.pauseDetector.check(),
       },
       MAX_HEADER_BYTES,
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -31,13 +31,16 @@
     >,
     private readonly listener: dispatchTypes.IExchangeListener,
   ) {
-    this.body = new bodyBuffer.BodyBuffer(request.maxAnswerBytes);
+    this.body = new bodyBuffer.BodyBuffer(request.maxAnswerBytes, () =>
+      request.reserveAnswer(() => this.endForRoom()),
+    );
   }
 
   /** Aborts the exchange. No event follows. */
   public abort(): void {
     if (this.ended) return;
     this.ended = true;
+    this.body.clear();
     this.controller?.abort(new Error('attempt cancelled'));
   }
 
@@ -82,8 +85,9 @@
     if (this.ended) return;
     this.listener.onProgress();
     this.connection.recordBody(chunk.length);
-    if (this.body.size + chunk.length <= this.request.maxAnswerBytes) this.body.add(chunk);
-    else this.rejectOversized(controller);
+    if (this.body.size + chunk.length > this.request.maxAnswerBytes)
+      this.rejectOversized(controller);
+    else if (!this.body.add(chunk)) this.endForRoom();
   }
 
   public onResponseEnd(): void {
@@ -155,8 +159,17 @@
     if (report !== undefined) this.listener.onLoadReport(report);
   }
 
+  /** Ends the attempt because the budget of the daemon has no room for the answer. */
+  private endForRoom(): void {
+    if (this.ended) return;
+    const detail = 'the daemon holds too many bytes of answers';
+    this.end({ kind: 'lost', reason: 'answer-too-large', detail });
+    this.controller?.abort(new Error(detail));
+  }
+
   private end(outcome: callTypes.AttemptOutcome): void {
     this.ended = true;
+    this.body.clear();
     this.listener.onEnd(outcome);
   }
 }
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -2,6 +2,7 @@
 
 import type * as callTypes from '../../common/call/Types';
 import * as emitter from '../../common/Emitter';
+import * as byteBudget from '../../common/memory/ByteBudget';
 import type * as policyTypes from '../../common/policy/Types';
 import type * as restraintTypes from '../../common/restraint/Types';
 import type * as tableTypes from '../../common/table/Types';
@@ -56,6 +57,7 @@
     private readonly protocol: backendProtocol.BackendProtocol = new defaultBackendProtocol.DefaultBackendProtocol(
       clock,
     ),
+    private readonly budget = new byteBudget.ByteBudget(byteBudget.UNLIMITED),
   ) {
     this.scheduleSweep();
   }
@@ -186,6 +188,7 @@
       idempotent: service.idempotent,
       isCheck: false,
       maxAnswerBytes: service.maxAnswerBytes,
+      reserveAnswer: (onEvicted) => this.budget.reserveAnswer(onEvicted),
       allowsCloseDelimitedBody: protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, status, list, call.requestId),
       classify: (status, list, isReused) => protocol.classifyResponse(call, status, list, isReused),
@@ -205,6 +208,7 @@
       idempotent: true,
       isCheck: true,
       maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
+      reserveAnswer: (onEvicted) => this.budget.reserveAnswer(onEvicted),
       allowsCloseDelimitedBody: this.protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, status, list),
       classify: (_status, list) =>
--- a/src/node/dispatch/Types.ts
+++ b/src/node/dispatch/Types.ts
@@ -1,4 +1,5 @@
 import type * as callTypes from '../../common/call/Types';
+import type * as memoryTypes from '../../common/memory/Types';
 import type * as policyTypes from '../../common/policy/Types';
 import type * as backendProtocol from './BackendProtocol';
 
@@ -16,6 +17,8 @@
   readonly maxAnswerBytes: number;
   /** Whether a response that only the close of its connection delimits is accepted. */
   readonly allowsCloseDelimitedBody: boolean;
+  /** Opens the part of the daemon's budget that the answer takes. */
+  reserveAnswer(onEvicted: () => void): memoryTypes.IReservation;
   /** Called with the status and the headers of a final response, before its body arrives. */
   onHead(status: number, headers: readonly string[]): void;
   /** @param isReused Whether the connection has carried an earlier exchange. */
--- a/src/node/server/BodyReader.ts
+++ b/src/node/server/BodyReader.ts
@@ -1,17 +1,21 @@
 import type * as http from 'node:http';
 
+import type * as memoryTypes from '../../common/memory/Types';
 import * as bodyBuffer from '../BodyBuffer';
 
 /** Result of reading a request body. */
 export type BodyResult =
-  { readonly kind: 'complete'; readonly body: Uint8Array } | { readonly kind: 'too-large' };
+  | { readonly kind: 'complete'; readonly body: Uint8Array }
+  | { readonly kind: 'too-large' }
+  /** The budget of the daemon has no room for the body. */
+  | { readonly kind: 'no-room' };
 
 /** Bytes that are discarded after a refusal to keep the connection open. Beyond them it is closed. */
 const MAX_DISCARDED_BYTES = 4 * 1024 * 1024;
 
 const EMPTY = Buffer.alloc(0);
 
-/** Reads the body of one request, up to a limit. */
+/** Reads the body of one request, up to a limit, and holds it until it is stopped. */
 export class BodyReader {
   private readonly body: bodyBuffer.BodyBuffer;
 
@@ -20,13 +24,17 @@
 
   private ended = false;
 
-  /** @param onResult Called at most once, and not after `stop`. */
+  /**
+   * @param reserve Opens the part of the daemon's budget that the body takes.
+   * @param onResult Called at most once, and not after `stop`.
+   */
   public constructor(
     private readonly request: http.IncomingMessage,
     private readonly maxBytes: number,
+    reserve: () => memoryTypes.IReservation,
     private readonly onResult: (result: BodyResult) => void,
   ) {
-    this.body = new bodyBuffer.BodyBuffer(maxBytes);
+    this.body = new bodyBuffer.BodyBuffer(maxBytes, reserve);
   }
 
   /** Whether the headers of a request declare a body. */
@@ -48,7 +56,7 @@
     this.request.once('end', () => this.finish({ kind: 'complete', body: this.body.toBytes() }));
   }
 
-  /** Stops reading without a result. Further data is discarded. */
+  /** Stops reading, and no longer holds the body. Further data is discarded. */
   public stop(): void {
     this.ended = true;
     this.body.clear();
@@ -56,15 +64,20 @@
 
   private addChunk(chunk: Buffer): void {
     this.receivedBytes += chunk.length;
-    if (!this.ended && this.receivedBytes <= this.maxBytes) this.body.add(chunk);
-    else if (!this.ended) this.finish({ kind: 'too-large' });
+    if (!this.ended) this.addPiece(chunk);
     else if (this.receivedBytes > this.maxBytes + MAX_DISCARDED_BYTES)
       this.request.socket.destroy();
   }
 
+  private addPiece(piece: Buffer): void {
+    if (this.receivedBytes > this.maxBytes) this.finish({ kind: 'too-large' });
+    else if (!this.body.add(piece)) this.finish({ kind: 'no-room' });
+  }
+
   private finish(result: BodyResult): void {
     if (this.ended) return;
-    this.stop();
+    if (result.kind === 'complete') this.ended = true;
+    else this.stop();
     this.onResult(result);
   }
 }
--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -1,10 +1,16 @@
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 
+import type * as byteBudget from '../../common/memory/ByteBudget';
+import type * as types from '../../common/Types';
 import type * as callerExchange from './CallerExchange';
 
 /** Requests of one connection that are in progress at the same time. */
 export const MAX_CONCURRENT_EXCHANGES = 8;
 
+/** Size, in bytes, up to which an answer that is being written takes nothing of the budget. */
+const UNCOUNTED_REPLY_BYTES = 64 * 1024;
+
 /** Requests of one connection that wait for a response, beyond which no more are read. */
 export const MAX_WAITING_EXCHANGES = 16;
 
@@ -34,7 +40,13 @@
   /** Number of bytes that had been received when the connection last had no request. */
   private bytesWhenIdle = 0;
 
-  public constructor(private readonly socket: net.Socket) {}
+  /** Answers that are being written. */
+  private readonly replies = new Set<types.IDisposable>();
+
+  public constructor(
+    private readonly socket: net.Socket,
+    private readonly budget: byteBudget.ByteBudget,
+  ) {}
 
   /** Number of requests that have been read. */
   public get readCount(): number {
@@ -90,6 +102,16 @@
     }
   }
 
+  public holdReply(response: http.ServerResponse, bytes: number): void {
+    if (bytes <= UNCOUNTED_REPLY_BYTES) return;
+    const reply = this.budget.holdReply(bytes);
+    this.replies.add(reply);
+    response.once('close', () => {
+      this.replies.delete(reply);
+      reply.dispose();
+    });
+  }
+
   /** Closes the connection after the requests that have been read. */
   public closeAfterwards(): void {
     this.isClosing = true;
@@ -125,6 +147,7 @@
   /** Ends all requests because the caller closed the connection. */
   public abandon(): void {
     this.isClosing = true;
+    this.replies.forEach((reply) => reply.dispose());
     const { exchanges } = this;
     // An ended request would otherwise start the next one.
     this.exchanges = [];
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 
 import type * as callTypes from '../../common/call/Types';
+import type * as byteBudget from '../../common/memory/ByteBudget';
 import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
 import * as bodyReader from './BodyReader';
@@ -12,6 +13,9 @@
 import * as startWait from './StartWait';
 import type * as serverTypes from './Types';
 
+/** Time after which a caller may come back if its body had no room, in milliseconds. */
+const NO_ROOM_RETRY_AFTER_MS = 1_000;
+
 /** Runs calls, and decides the outcome of refused requests that carry a request key. */
 export interface ICallRunner {
   start(
@@ -29,6 +33,8 @@
   readonly runner: ICallRunner;
   readonly observer: serverTypes.IRequestObserver;
   readonly clock: types.IClock;
+  /** Bytes of bodies that the daemon holds. */
+  readonly budget: byteBudget.ByteBudget;
   /** Called before a request is processed, to detect a pause of the process. */
   beforeRequest(): void;
 }
@@ -37,6 +43,8 @@
 export interface IExchangeOwner {
   /** Whether a later request on the connection has started, or already has its response. */
   hasBegunAfter(exchange: CallerExchange): boolean;
+  /** Counts an answer in the budget until it was written, or the connection was closed. */
+  holdReply(response: http.ServerResponse, bytes: number): void;
   /** Called once, after the response was written or the caller disconnected. */
   remove(exchange: CallerExchange): void;
 }
@@ -118,8 +126,11 @@
       return;
     }
     const { head } = accepted;
-    this.reader = new bodyReader.BodyReader(this.request, head.service.maxRequestBytes, (result) =>
-      this.onBody(accepted, result),
+    this.reader = new bodyReader.BodyReader(
+      this.request,
+      head.service.maxRequestBytes,
+      () => this.context.budget.reserveRequest(),
+      (result) => this.onBody(accepted, result),
     );
     if (bodyReader.BodyReader.hasBody(this.request)) this.awaitBody(head);
     this.reader.begin();
@@ -223,6 +234,14 @@
       this.refuseUnclaimed(requestHead.notRun('body-too-large', detail));
       return;
     }
+    if (result.kind === 'no-room') {
+      const detail = 'the daemon holds too many bytes of other requests';
+      this.refuseUnclaimed({
+        ...requestHead.notRun('overloaded', detail),
+        retryAfterMs: NO_ROOM_RETRY_AFTER_MS,
+      });
+      return;
+    }
     this.startCall(this.toCall(accepted, result.body), accepted.head.requestKey);
   }
 
@@ -263,6 +282,7 @@
     if (this.ended) return;
     const { protocol } = this.context;
     responseWriter.writeAnswer(this.response, call, answer, protocol, this.closesConnection);
+    this.owner.holdReply(this.response, answer.body.length);
     this.finish();
     const latencyMs = this.context.clock.monotonicMs() - this.startMs;
     this.context.observer.onAnswered(call, answer.status, server, latencyMs);
--- a/src/node/server/CallerServer.test.ts
+++ b/src/node/server/CallerServer.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 
 import * as requestKeyCodec from '../../common/keys/RequestKeyCodec';
+import * as byteBudget from '../../common/memory/ByteBudget';
 import * as callerServerRig from './testing/CallerServerRig';
 
 const CLOSE = 'host: x\r\nconnection: close\r\n';
@@ -23,6 +24,8 @@
   return `POST ${path} HTTP/1.1\r\n${CLOSE}${headers}\r\n${body}`;
 }
 
+const LARGE_ANSWER_BYTES = 16 * 1024 * 1024;
+
 const LONG = 'x'.repeat(17_000);
 const MALFORMED = 'malformed-request';
 const TE = 'transfer-encoding: chunked\r\n';
@@ -303,3 +306,34 @@
     await new Promise(setImmediate);
   }
 });
+
+// Guards against uploads that together take a daemon over its memory.
+test('an upload without room is refused as not run, with a time to come back', async () => {
+  rig.budget = new byteBudget.ByteBudget({ ...byteBudget.UNLIMITED, totalBytes: 100_000 });
+  const held = rig.budget.reserveRequest();
+  held.grow(100_000);
+  const body = 'x'.repeat(80_000);
+  const upload = post(`content-length: ${body.length}\r\n`, body, '/upload/a');
+  const text = await rig.exchange(upload);
+  expect(text).toMatch(/^HTTP\/1.1 503 [^]*"overloaded"/);
+  expect(rig.refused).toMatchObject([{ outcome: 'not-run', retryAfterMs: 1_000 }]);
+  expect(rig.transport.attempts).toHaveLength(0);
+  held.dispose();
+  const done = rig.exchange(upload);
+  await rig.reply(1, 200, [], 'ok');
+  expect(await done).toMatch(/^HTTP\/1.1 200 /);
+  expect(rig.budget.totalBytes).toBe(0);
+});
+
+// Guards against slow readers whose answers are not counted, or are counted for ever.
+test.each(['read', 'reset'])('an answer counts until it was written or lost: %s', async (end) => {
+  const socket = rig.connect();
+  socket.write('GET /status/a HTTP/1.1\r\nhost: x\r\n\r\n');
+  await rig.reply(1, 200, [], 'x'.repeat(LARGE_ANSWER_BYTES));
+  await new Promise(setImmediate);
+  expect(rig.budget.bytesOf('reply')).toBe(LARGE_ANSWER_BYTES);
+  if (end === 'reset') socket.resetAndDestroy();
+  else socket.resume();
+  while (rig.budget.totalBytes > 0) await new Promise(setImmediate);
+  expect(rig.budget.totalBytes).toBe(0);
+});
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -130,7 +130,7 @@
   }
 
   private trackConnection(socket: net.Socket): void {
-    const connection = new callerConnection.CallerConnection(socket);
+    const connection = new callerConnection.CallerConnection(socket, this.context.budget);
     this.connections.set(socket, connection);
     // Node.js removes its own listener when it hands a socket over, as for CONNECT. The end of the
     // connection is reported with each of its requests.
--- a/src/node/server/testing/CallerServerRig.ts
+++ b/src/node/server/testing/CallerServerRig.ts
@@ -6,6 +6,7 @@
 import * as emitter from '../../../common/Emitter';
 import * as manualClock from '../../../common/ManualClock';
 import * as requestSuspicion from '../../../common/suspicion/RequestSuspicion';
+import * as byteBudget from '../../../common/memory/ByteBudget';
 import type * as tableTypes from '../../../common/table/Types';
 import * as fakeTransport from '../../../common/testing/FakeTransport';
 import * as fixtures from '../../../common/testing/Fixtures';
@@ -28,6 +29,8 @@
   /** Decision of the key's issuer on a refusal. By default the refusal is confirmed. */
   public keyRefusal: serverTypes.Refusal | undefined;
 
+  public budget = new byteBudget.ByteBudget(byteBudget.UNLIMITED);
+
   public phase: serverTypes.Phase = 'ready';
 
   public stopTimes: serverTypes.IStopTimes | undefined;
@@ -46,9 +49,12 @@
     (table.services as Map<string, tableTypes.IServiceRow>).set('keyed', keyed);
     const lodgement = { ...service, name: 'lodgement', idempotent: false };
     (table.services as Map<string, tableTypes.IServiceRow>).set('lodgement', lodgement);
+    const upload = { ...service, name: 'upload', maxRequestBytes: 100_000 };
+    (table.services as Map<string, tableTypes.IServiceRow>).set('upload', upload);
     const { balancer } = fixtures.makeRig();
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
     const coordinator = new callCoordinator.CallCoordinator(transport, suspicion, clock);
+    const readBudget = () => this.budget;
     const readPhase = () => this.phase;
     const readStopTimes = () => this.stopTimes;
     this.server = new callerServer.CallerServer({
@@ -63,6 +69,9 @@
         onReady: this.ready.event,
       },
       clock,
+      get budget() {
+        return readBudget();
+      },
       protocol: new defaultCallerProtocol.DefaultCallerProtocol(),
       beforeRequest: () => undefined,
       runner: {
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -1,5 +1,6 @@
 import type * as callCoordinator from '../../common/call/CallCoordinator';
 import type * as directoryModule from '../../common/directory/Directory';
+import type * as byteBudget from '../../common/memory/ByteBudget';
 import type * as directoryWatcher from '../directory/DirectoryWatcher';
 import type * as decisionLog from './DecisionLog';
 
@@ -13,6 +14,7 @@
   readonly countLimitedServers: () => number;
   readonly countUnreachableServices: () => number;
   readonly countSuspectRequests: () => number;
+  readonly budget: byteBudget.ByteBudget;
 }
 
 /** Adds gauges for the state of a routed daemon to its metrics. */
@@ -42,4 +44,10 @@
     'Requests that are refused because they crash servers',
     sources.countSuspectRequests,
   );
+  const { budget } = sources;
+  (['request', 'answer', 'reply'] as const).forEach((kind) =>
+    decisions.addGauge(`${kind}_body_bytes`, `Bytes held by large bodies: ${kind}`, () =>
+      budget.bytesOf(kind),
+    ),
+  );
 }
--- a/src/platform/DeployedProgram.test.ts
+++ b/src/platform/DeployedProgram.test.ts
@@ -4,6 +4,7 @@
 import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import * as timers from 'node:timers/promises';
 
 import * as undici from 'undici';
 
@@ -19,6 +20,18 @@
 
 const DEADLINE_MS = 10_000;
 
+const FAULTY_IDS = ['i-2', 'i-3', 'i-4', 'i-5'];
+
+/** Number of answers without end at the same time. */
+const MANY = 40;
+
+/** `limits.memoryMb` of a VM. */
+const MEMORY_MB = 350;
+
+const SAMPLE_INTERVAL_MS = 5;
+
+const LARGE_CHUNK = Buffer.from(`10000\r\n${'x'.repeat(65_536)}\r\n`);
+
 /** Chunks of one byte. */
 const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(16_384));
 
@@ -28,23 +41,60 @@
 let folder: string;
 let store: platformStore.PlatformStore;
 let sound: platformServer.PlatformServer;
-let faulty: net.Server;
+let faulty: readonly net.Server[];
 let storeAddress: string;
 let daemon: deployedDaemon.DeployedDaemon;
 
 /** Response of the faulty server to a request. */
 let respond: (socket: net.Socket, requestId: string) => void;
 
-function serveFaulty(socket: net.Socket): void {
+function portOf(server: net.Server): number {
+  return (server.address() as net.AddressInfo).port;
+}
+
+function serveFaulty(id: string, socket: net.Socket): void {
   socket.on('error', () => undefined);
   socket.on('data', (bytes) => {
     const text = bytes.toString('latin1');
     if (text.startsWith('GET /health')) {
-      socket.write('HTTP/1.1 200 OK\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n');
+      socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
     } else respond(socket, /^request-id: (.*)\r$/im.exec(text)?.[1] ?? '');
   });
 }
 
+function respondWithoutEnd(chunks: Buffer): void {
+  respond = (socket, requestId) => {
+    const headers = `Request-Id: ${requestId}\r\nResponse-Signature: s\r\n`;
+    socket.write(`HTTP/1.1 200 OK\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`);
+    const writeMore = () => {
+      while (!socket.destroyed && socket.write(chunks));
+    };
+    socket.on('drain', writeMore);
+    writeMore();
+  };
+}
+
+/** Returns the memory of the daemon without the pages of its files, in megabytes. */
+async function anonymousMemoryMb(): Promise<number> {
+  const status = await fs.readFile(`/proc/${daemon.child.processId}/status`, 'utf8');
+  return Number(/^RssAnon:\s+(\d+) kB$/m.exec(status)?.[1]) / 1_024;
+}
+
+/** Returns the highest memory of the daemon until `done` resolves, in megabytes. */
+async function peakMemoryMb(done: Promise<unknown>): Promise<number> {
+  let isDone = false;
+  const end = done.finally(() => {
+    isDone = true;
+  });
+  let peak = 0;
+  while (!isDone) {
+    peak = Math.max(peak, await anonymousMemoryMb());
+    await timers.setTimeout(SAMPLE_INTERVAL_MS);
+  }
+  await end;
+  return peak;
+}
+
 async function send(requestPath: string): Promise<number> {
   const reply = await undici.request(`${daemon.callerUrl}${requestPath}`, {
     headers: {
@@ -74,11 +124,15 @@
   folder = await fs.mkdtemp(path.join(os.tmpdir(), 'deployed-'));
   store = new platformStore.PlatformStore();
   sound = new platformServer.PlatformServer('i-1');
-  faulty = net.createServer(serveFaulty);
-  await nodeEvents.once(faulty.listen(0, '127.0.0.1'), 'listening');
-  const faultyAddress = `127.0.0.1:${(faulty.address() as net.AddressInfo).port}`;
+  faulty = FAULTY_IDS.map((id) => net.createServer((socket) => serveFaulty(id, socket)));
+  await Promise.all(
+    faulty.map((server) => nodeEvents.once(server.listen(0, '127.0.0.1'), 'listening')),
+  );
   store.put('servers/i-1', platformRecords.makeServerEntry('reads', await sound.listen()));
-  store.put('servers/i-2', platformRecords.makeServerEntry('faulty', faultyAddress));
+  FAULTY_IDS.forEach((id, index) => {
+    const address = `127.0.0.1:${portOf(faulty[index] as net.Server)}`;
+    store.put(`servers/${id}`, platformRecords.makeServerEntry('faulty', address, { slots: MANY }));
+  });
   store.put('op/config', platformRecords.makeConfiguration(1, [SOUND, FAULTY]));
   storeAddress = (await store.listen()).replace('http://', '');
   daemon = await startDaemon(await freePorts.freePorts(3));
@@ -88,27 +142,28 @@
 afterEach(async () => {
   await daemon.child.kill();
   await Promise.all([store.close(), sound.close()]);
-  await nodeEvents.once(faulty.close(), 'close');
+  await Promise.all(faulty.map((server) => nodeEvents.once(server.close(), 'close')));
   await fs.rm(folder, { recursive: true });
 });
 
 // Guards against a daemon that runs out of memory by an object for each chunk of an answer.
 test('answers in chunks of one byte without end do not end the program', async () => {
-  respond = (socket, requestId) => {
-    const headers = `Request-Id: ${requestId}\r\nResponse-Signature: s\r\n`;
-    socket.write(`HTTP/1.1 200 OK\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`);
-    const writeMore = () => {
-      while (!socket.destroyed && socket.write(SMALL_CHUNKS));
-    };
-    socket.on('drain', writeMore);
-    writeMore();
-  };
+  respondWithoutEnd(SMALL_CHUNKS);
   const statuses = await Promise.all([1, 2, 3, 4].map((number) => send(`/y/${number}`)));
   expect(statuses).toEqual([502, 502, 502, 502]);
   expect(await send('/x/1')).toBe(200);
   expect(daemon.child.isRunning).toBe(true);
 });
 
+// Guards against a daemon that holds many answers without end until it is over its memory.
+test('many answers without end at once stay within the memory of a VM', async () => {
+  respondWithoutEnd(LARGE_CHUNK);
+  const numbers = Array.from({ length: MANY }, (_, number) => number);
+  const sent = Promise.all(numbers.map((number) => send(`/y/${number}`)));
+  expect(await peakMemoryMb(sent)).toBeLessThan(MEMORY_MB);
+  expect(await send('/x/1')).toBe(200);
+});
+
 // Guards against a program that stands still while Node.js parses the bundle for the message of a
 // failed assertion.
 test('the bundle makes no message of an assertion from its source', async () => {
@@ -133,7 +188,7 @@
 // Guards against a program that ends at its start because an outgoing connection has its port.
 test.each([0, 1, 2])('a port that is in use for a moment delays the start: %i', async (index) => {
   await daemon.child.kill();
-  const { port } = faulty.address() as net.AddressInfo;
+  const port = portOf(faulty[0] as net.Server);
   const holder = net.connect({ host: '127.0.0.1', port });
   holder.on('error', () => undefined);
   await nodeEvents.once(holder, 'connect');
