--- a/src/common/memory/ByteBudget.ts
+++ b/src/common/memory/ByteBudget.ts
@@ -37,17 +37,15 @@
     return this.heldBytes[kind];
   }
 
-  /**
-   * Returns a reservation of no bytes for the body of a request that is being read.
-   * @see reservations.Reservation.grow
-   */
+  /** Returns a reservation of no bytes yet for the body of a request that is being read. */
   public reserveRequest(): memoryTypes.IReservation {
     return new reservations.Reservation((bytes) => this.growRequest(bytes));
   }
 
   /**
-   * Returns a reservation of no bytes for an answer that is being received.
-   * @param onEvicted Called if the answer has to end, instead of a larger one. Its bytes are free then.
+   * Returns a reservation of no bytes yet for an answer that is being received.
+   * @param onEvicted Called if the answer has to end, as the largest one, for another that did not fit.
+   * The reservation is disposed before.
    */
   public reserveAnswer(onEvicted: () => void): memoryTypes.IReservation {
     const reservation: reservations.Reservation = new reservations.Reservation(
--- a/src/node/server/RequestSyntax.test.ts
+++ b/src/node/server/RequestSyntax.test.ts
@@ -12,6 +12,9 @@
 const NAME_BYTES = /[A-Za-z0-9!#$%&'*+\-.^_`|~]/;
 const VALUE_BYTES = /[\t\x20-\x7e\x80-\xff]/;
 
+// A test sends up to 1,280 requests, and no check depends on how long they take.
+jest.setTimeout(60_000);
+
 let rig: callerServerRig.CallerServerRig;
 
 beforeEach(async () => {
