Let callers of the soak read large answers slowly

Cause: answers of the soak had 3,000 bytes, which a daemon hands to the operating system at once, so that no stop met an answer that was being written (LOST, docs/incidents/planned-stop.md).

Change: SlowReaders asks for answers of 8 MB and reads them in four seconds, on kept connections, with a random sequence of its own, so that the other calls and the faults of a seed stay as they are.

--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -24,6 +24,10 @@
 const WORK_MS = 20;
 const BODY_BYTES = 3_000;
 
+/** Size of the answer to a request whose identifier begins with `LARGE_PREFIX`, in bytes. */
+export const LARGE_BODY_BYTES = 8 * 1024 * 1024;
+export const LARGE_PREFIX = 'large-';
+
 /** Lines of output that are kept of a process that ended by itself. */
 const LINES_OF_END = 5;
 
@@ -55,7 +59,8 @@
 
 /** Returns the body that a server sends for a request. Callers compare it to detect truncation. */
 export function bodyOf(requestId: string): string {
-  return `${requestId}:`.padEnd(BODY_BYTES, 'x');
+  const bytes = requestId.startsWith(LARGE_PREFIX) ? LARGE_BODY_BYTES : BODY_BYTES;
+  return `${requestId}:`.padEnd(bytes, 'x');
 }
 
 function portOf(address: string): number {
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -8,6 +8,7 @@
 import type * as types from '../common/Types';
 import type * as deployedDaemon from '../platform/testing/DeployedDaemon';
 import * as restraintAudit from './RestraintAudit';
+import * as slowReaders from './SlowReaders';
 import * as soakAudit from './SoakAudit';
 import * as soakFaults from './SoakFaults';
 import * as soakFleet from './SoakFleet';
@@ -122,16 +123,23 @@
     balancerTargets,
     new seededRandom.SeededRandom(seed + 1),
   );
+  const readers = new slowReaders.SlowReaders(
+    fleet,
+    load.calls,
+    balancerTargets,
+    new seededRandom.SeededRandom(seed + 2),
+  );
   const faults = new soakFaults.SoakFaults(fleet, balancerTargets);
   const versionMonitor = new ConfigurationVersionMonitor(fleet);
   try {
     await fleet.start(daemons);
     load.start();
+    readers.start();
     const monitoring = versionMonitor.run();
     const endMs = performance.now() + minutes * 60_000;
     const random = new seededRandom.SeededRandom(seed);
     const injected = await injectFaults(faults, fleet, random, endMs);
-    await load.stop();
+    await Promise.all([load.stop(), readers.stop()]);
     versionMonitor.stop();
     await monitoring;
     const { calls } = load;
