Give each run of the deployed program a build and a held port of its own

The port is now outside of the range, held by a listening socket: the same error for the program, and nobody takes the port but a test. DeployFile.buildIn builds in a folder of the run.

--- a/src/platform/DeployedProgram.test.ts
+++ b/src/platform/DeployedProgram.test.ts
@@ -20,6 +20,10 @@
 
 const DEADLINE_MS = 10_000;
 
+/** Ports below those that Linux gives to outgoing connections. */
+const FIRST_HELD_PORT = 12_000;
+const HELD_PORTS = 20_000;
+
 const FAULTY_IDS = ['i-2', 'i-3', 'i-4', 'i-5'];
 
 /** Number of answers without end at the same time. */
@@ -37,6 +41,7 @@
 
 jest.setTimeout(60_000);
 
+let programFolder: string;
 let deploy: deployFile.DeployFile;
 let folder: string;
 let store: platformStore.PlatformStore;
@@ -116,10 +121,12 @@
 }
 
 beforeAll(async () => {
-  deploy = await deployFile.DeployFile.read();
-  await deploy.build();
+  programFolder = await fs.mkdtemp(path.join(os.tmpdir(), 'program-'));
+  deploy = await (await deployFile.DeployFile.read()).buildIn(programFolder);
 });
 
+afterAll(() => fs.rm(programFolder, { recursive: true }));
+
 beforeEach(async () => {
   folder = await fs.mkdtemp(path.join(os.tmpdir(), 'deployed-'));
   store = new platformStore.PlatformStore();
@@ -185,18 +192,30 @@
   expect(await send('/x/1')).toBe(200);
 });
 
-// Guards against a program that ends at its start because an outgoing connection has its port.
+/** Listens on a port outside of the range from which other processes get theirs. */
+async function holdPort(): Promise<net.Server> {
+  const holder = net.createServer();
+  for (;;) {
+    const port = FIRST_HELD_PORT + Math.floor(Math.random() * HELD_PORTS);
+    try {
+      await nodeEvents.once(holder.listen(port, '127.0.0.1'), 'listening');
+      return holder;
+    } catch {
+      // Another process has this port, so the next one is tried.
+    }
+  }
+}
+
+// Guards against a program that ends at its start because another process has its port, as an
+// outgoing connection or the previous process may.
 test.each([0, 1, 2])('a port that is in use for a moment delays the start: %i', async (index) => {
   await daemon.child.kill();
-  const port = portOf(faulty[0] as net.Server);
-  const holder = net.connect({ host: '127.0.0.1', port });
-  holder.on('error', () => undefined);
-  await nodeEvents.once(holder, 'connect');
+  const holder = await holdPort();
   const ports = [...(await freePorts.freePorts(3))];
-  ports[index] = holder.localPort as number;
+  ports[index] = portOf(holder);
   daemon = await startDaemon(ports);
   await daemon.child.firstLine;
-  holder.resetAndDestroy();
+  holder.close();
   await daemon.waitUntilReady();
 });
 
--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -90,7 +90,7 @@
 
   private storeAddress = '';
 
-  private readonly deploy = deployFile.DeployFile.read();
+  private deploy: deployFile.DeployFile | undefined;
 
   /** Number of entries that the servers have written. */
   private entriesWritten = 0;
@@ -111,7 +111,8 @@
     const port = portOf(await this.store.listen());
     this.storeRelay = new tcpRelay.TcpRelay(HOST, port);
     this.storeAddress = `${HOST}:${await this.storeRelay.listen(0, HOST)}`;
-    await (await this.deploy).build();
+    const deploy = await deployFile.DeployFile.read();
+    this.deploy = await deploy.buildIn(path.join(this.folder, 'program'));
     for (const service of SERVICES.keys()) {
       for (let count = 0; count < SERVERS_PER_SERVICE; count += 1) await this.addServer(service);
     }
@@ -198,7 +199,8 @@
   /** Starts the daemon with this index, and waits until it is ready. */
   public async startDaemon(index: number): Promise<void> {
     const { callerPort, readinessPort, peerPort } = this.daemonPorts[index] as IDaemonPorts;
-    const daemon = await deployedDaemon.DeployedDaemon.start(await this.deploy, {
+    if (this.deploy === undefined) throw new Error('the program is not built yet');
+    const daemon = await deployedDaemon.DeployedDaemon.start(this.deploy, {
       ...{ name: `daemon-${index}`, folder: this.folder, callerPort, readinessPort, peerPort },
       seedPorts: this.daemonPorts.slice(0, 2).map((ports) => ports.peerPort),
       storeAddress: this.storeAddress,
--- a/src/standin/DeployFile.ts
+++ b/src/standin/DeployFile.ts
@@ -4,6 +4,16 @@
 
 const FILE = 'deploy/system.toml';
 
+/** Files and folders that the build reads. */
+const BUILD_INPUTS = [
+  'src',
+  'deploy',
+  'package.json',
+  'package-lock.json',
+  'tsconfig.json',
+  'node_modules',
+];
+
 /** Maximum size of the output of a build, in bytes. */
 const MAX_OUTPUT_BYTES = 16 * 1024 * 1024;
 
@@ -46,15 +56,19 @@
     return new DeployFile(folder, parameters, readValue(text, 'build'), template);
   }
 
-  /** Builds the program. Takes a few seconds. */
-  public build(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      const options = { cwd: this.folder, maxBuffer: MAX_OUTPUT_BYTES };
-      childProcess.exec(this.buildCommand, options, (error, _output, errors) => {
-        if (error === null) resolve();
-        else reject(new Error(`the build failed: ${errors}`));
-      });
-    });
+  /**
+   * Builds the program in a folder with links to the sources, so that runs at the same time do not
+   * write over each other's program. Takes a few seconds.
+   * @returns The deploy file of that folder.
+   */
+  public async buildIn(folder: string): Promise<DeployFile> {
+    await fs.mkdir(folder, { recursive: true });
+    await Promise.all(
+      BUILD_INPUTS.map((name) => fs.symlink(path.join(this.folder, name), path.join(folder, name))),
+    );
+    const built = new DeployFile(folder, this.nodeParameters, this.buildCommand, this.template);
+    await built.build();
+    return built;
   }
 
   /** Returns the settings file of a process. The name of a JSON value ends in `|json`. */
@@ -65,4 +79,14 @@
       return value;
     });
   }
+
+  private build(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const options = { cwd: this.folder, maxBuffer: MAX_OUTPUT_BYTES };
+      childProcess.exec(this.buildCommand, options, (error, _output, errors) => {
+        if (error === null) resolve();
+        else reject(new Error(`the build failed: ${errors}`));
+      });
+    });
+  }
 }
