Log errors that nothing caught and the end of the process before it is gone

The stack went to standard error only, without time or event, and the lines that still waited in memory were lost with the process.

Two events, written synchronously: process.uncaught_error with the stack, its origin, the phase and the requests in progress, and process.ended with the exit code. The build writes target/edge.js.map beside the bundle, so that positions in a stack can be mapped to the source; the program does not load it. What the process does with such errors is unchanged.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 [ node_modules -nt package-lock.json ] || npm ci --silent --no-audit --no-fund
 bundle() {
-  npx esbuild "$1" --bundle --platform=node --target=node20 --minify --log-level=warning \
+  npx esbuild "$1" --bundle --platform=node --target=node20 --minify --sourcemap=external --log-level=warning \
     --external:dtrace-provider --external:mv --external:moment --external:safe-json-stringify \
     --alias:undici=./deploy/undici.js --alias:assert=./deploy/assert.js \
     --alias:node:assert=./deploy/assert.js --outfile="$2"
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -234,6 +234,11 @@
     return this.table === undefined ? 'starting' : 'ready';
   }
 
+  /** Number of requests of callers without a response. */
+  public get exchangesInFlight(): number {
+    return this.callerServer.exchangesInFlight;
+  }
+
   /**
    * Starts watching the directory, listens on the addresses in the settings and joins the fleet.
    * Calls are refused as `not-ready` until a configuration is active. Rejects with a `StartError`
--- a/src/node/telemetry/BoundedLogStream.ts
+++ b/src/node/telemetry/BoundedLogStream.ts
@@ -12,6 +12,9 @@
 /** Writes bytes, and calls back once they have been written. */
 export type WriteBytes = (bytes: Buffer, onWritten: (error: Error | null) => void) => void;
 
+/** Writes bytes before it returns. Throws if they cannot be written. */
+export type WriteBytesNow = (bytes: Buffer) => void;
+
 /**
  * Log stream that never blocks. Lines beyond the buffer limit are dropped while the destination
  * does not accept writes, and a log line reports their number.
@@ -29,6 +32,7 @@
 
   public constructor(
     private readonly writeBytes: WriteBytes,
+    private readonly writeBytesNow: WriteBytesNow,
     private readonly clock: types.IClock,
   ) {
     super({ decodeStrings: false });
@@ -55,6 +59,28 @@
     this.timer?.dispose();
     this.timer = undefined;
     if (this.isWriting || this.buffered.length === 0) return;
+    const bytes = this.takeBuffered();
+    this.isWriting = true;
+    this.writeBytes(bytes, () => {
+      // An error means that the reader is gone, and there is no other place to report it.
+      this.isWriting = false;
+      this.flush();
+    });
+  }
+
+  /** Writes the buffered lines before it returns, for a process that is about to end. */
+  public flushNow(): void {
+    this.timer?.dispose();
+    this.timer = undefined;
+    if (this.buffered.length === 0) return;
+    try {
+      this.writeBytesNow(this.takeBuffered());
+    } catch {
+      // The reader is gone or does not read, and there is no other place to report it.
+    }
+  }
+
+  private takeBuffered(): Buffer {
     const lines = this.buffered;
     if (this.dropped > 0) {
       lines.push(`${JSON.stringify({ event: names.LOG_DROPPED, lines: this.dropped })}\n`);
@@ -62,11 +88,6 @@
     }
     this.buffered = [];
     this.bufferedBytes = 0;
-    this.isWriting = true;
-    this.writeBytes(Buffer.from(lines.join('')), () => {
-      // An error means that the reader is gone, and there is no other place to report it.
-      this.isWriting = false;
-      this.flush();
-    });
+    return Buffer.from(lines.join(''));
   }
 }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -10,6 +10,7 @@
 import * as systemClock from '../node/SystemClock';
 import * as systemRandom from '../node/SystemRandom';
 import * as boundedLogStream from '../node/telemetry/BoundedLogStream';
+import * as processEndLog from '../node/telemetry/ProcessEndLog';
 import * as platformBackendProtocol from './PlatformBackendProtocol';
 import * as platformCallerProtocol from './PlatformCallerProtocol';
 import * as storeClient from './StoreClient';
@@ -48,6 +49,9 @@
   const clock = new systemClock.SystemClock();
   const stream = new boundedLogStream.BoundedLogStream(
     (bytes, onWritten) => fs.write(process.stdout.fd, bytes, onWritten),
+    // Only a synchronous write is complete before the process is gone.
+    // eslint-disable-next-line n/no-sync
+    (bytes) => fs.writeSync(process.stdout.fd, bytes),
     clock,
   );
   const logger = bunyan.createLogger({
@@ -68,6 +72,7 @@
     clock,
     new systemRandom.SystemRandom(),
   );
+  new processEndLog.ProcessEndLog(process, logger, stream, clock, () => daemon).start();
   const stop = () => {
     daemon.stop().catch((error: Error) => {
       logger.error({ err: error }, 'shutdown failed');
