--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -26,6 +26,7 @@
 import * as fleetShares from './FleetShares';
 import type * as routedFleet from './fleet/RoutedFleet';
 import * as forwardingModule from './forwarding/Forwarding';
+import * as gracefulStop from './GracefulStop';
 import * as bodyBudgets from './makeBodyBudget';
 import * as pauseDetector from './PauseDetector';
 import type * as callerProtocol from './server/CallerProtocol';
@@ -48,24 +49,6 @@
 /** Path of the page that lists the servers which get no requests, or few, on the same address. */
 const RESTRAINTS_PATH = '/servers';
 
-/** Fraction of the grace period during which new connections are still served. */
-const DRAIN_FRACTION = 0.55;
-
-/**
- * Fraction of the grace period during which requests are served whatever their deadline. A later one
- * whose deadline is after the end is refused as not run, so that its caller can go elsewhere.
- */
-const OPEN_ENDED_FRACTION = 0.45;
-
-/** Time reserved at the end of the grace period to send the last responses, in milliseconds. */
-const SHUTDOWN_RESERVE_MS = 300;
-
-/** Time reserved at the very end to close open resources, in milliseconds. */
-const CLOSE_RESERVE_MS = 150;
-
-/** Interval between checks for calls in flight during shutdown, in milliseconds. */
-const DRAIN_CHECK_INTERVAL_MS = 20;
-
 /** Number of distinct servers that a request must crash before it is refused. */
 const SUSPICION_THRESHOLD = 3;
 
@@ -308,10 +291,7 @@
     if (applied.includes('directoryUrl')) this.watcher.restart();
   }
 
-  /**
-   * Shuts down gracefully: becomes unready, keeps serving until the platform's balancer notices,
-   * stops accepting connections, and finishes the calls in flight within the grace period.
-   */
+  /** Shuts down gracefully within the grace period of the settings. */
   public stop(): Promise<void> {
     this.stopPromise ??= this.runStop();
     return this.stopPromise;
@@ -319,34 +299,45 @@
 
   private async runStop(): Promise<void> {
     const { stopGrace } = this.options;
-    const startMs = this.clock.monotonicMs();
-    this.stopTimes = {
-      lastOpenEndedMs: startMs + stopGrace * OPEN_ENDED_FRACTION,
-      endMs: startMs + stopGrace - SHUTDOWN_RESERVE_MS,
+    const stop = new gracefulStop.GracefulStop(stopGrace, this.stoppingParts(), this.clock);
+    this.stopTimes = stop.times;
+    await stop.run();
+    this.logger.info('daemon stopped');
+  }
+
+  private stoppingParts(): gracefulStop.IStoppingParts {
+    const { callerServer: server, forwarding } = this;
+    return {
+      beginDraining: () => this.beginDraining(),
+      closeToCallers: () => this.closeToCallers(),
+      get isBusy() {
+        return server.exchangesInFlight + forwarding.handler.inFlight > 0;
+      },
+      endRequests: () => server.endForStop(),
+      get hasUnsentBytes() {
+        return server.hasUnsentBytes;
+      },
+      release: () => this.release(),
     };
+  }
+
+  private beginDraining(): void {
     this.stage = 'draining';
     this.opener.dispose();
     this.fleet?.leave();
     this.logger.info(
-      { stopGrace },
+      { stopGrace: this.options.stopGrace },
       'shutdown started, serving until the platform balancer moves callers away',
     );
-    await this.wait(stopGrace * DRAIN_FRACTION);
+  }
+
+  private closeToCallers(): Promise<void> {
     this.stage = 'stopping';
     this.logger.info(
       { callsInFlight: this.coordinator.inFlight },
       'waiting for calls in flight to finish',
     );
-    const closed = this.callerServer.close();
-    const { handler } = this.forwarding;
-    const isBusy = () => this.callerServer.exchangesInFlight + handler.inFlight > 0;
-    await this.waitWhile(isBusy, this.stopTimes.endMs);
-    this.callerServer.endForStop();
-    const closeAtMs = startMs + stopGrace - CLOSE_RESERVE_MS;
-    await this.waitWhile(() => this.callerServer.hasUnsentBytes, closeAtMs);
-    await this.release();
-    await closed;
-    this.logger.info('daemon stopped');
+    return this.callerServer.close();
   }
 
   private async release(): Promise<void> {
@@ -362,18 +353,6 @@
     this.transport.dispose();
   }
 
-  private async waitWhile(condition: () => boolean, untilMs: number): Promise<void> {
-    while (condition() && this.clock.monotonicMs() < untilMs) {
-      await this.wait(DRAIN_CHECK_INTERVAL_MS);
-    }
-  }
-
-  private wait(durationMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.clock.setTimer(durationMs, resolve);
-    });
-  }
-
   private applyDirectory(): void {
     const { configuration, servers, revision } = this.directory;
     if (configuration === undefined) return;
