Answer the requests in progress before an error that nothing caught ends the process

Callers saw connections close without an answer for requests at which servers were at work: the process had ended by itself. Whatever throws in a callback, Node.js ends the process at once, and with it the requests of all callers.

After such an error the daemon now stops gracefully (it becomes unready, serves until callers have moved, answers what is in progress) and then ends with exit code 1, at the latest half a second after the grace period. Going on for longer was ruled out, since the state may be inconsistent. Further errors are logged and do not end it sooner. `serve` does the same.

--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -2,10 +2,12 @@
 import type * as commander from 'commander';
 
 import * as daemon from '../../node/Daemon';
+import * as errorStop from '../../node/ErrorStop';
 import * as startError from '../../node/StartError';
 import * as settings from '../../node/settings/Settings';
 import * as systemClock from '../../node/SystemClock';
 import * as systemRandom from '../../node/SystemRandom';
+import * as processEndLog from '../../node/telemetry/ProcessEndLog';
 import * as exitCodes from '../ExitCodes';
 import * as readSettings from './readSettings';
 
@@ -33,6 +35,11 @@
   });
   const clock = new systemClock.SystemClock();
   const instance = new daemon.Daemon(options, logger, clock, new systemRandom.SystemRandom());
+  // Standard output of this logger is written synchronously.
+  const stream = { flushNow: () => undefined };
+  new processEndLog.ProcessEndLog(process, logger, stream, clock, () => instance).start();
+  const stoppable = { stopGrace: undefined, stop: () => instance.stop() };
+  new errorStop.ErrorStop(process, stoppable, clock).start();
   const stop = () => {
     instance.stop().catch((error: Error) => {
       logger.error({ err: error }, 'shutdown failed');
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -217,6 +217,11 @@
     return this.table === undefined ? 'starting' : 'ready';
   }
 
+  /** Time that a graceful stop takes at most, in milliseconds. */
+  public get stopGrace(): number {
+    return this.options.stopGrace;
+  }
+
   /** Number of requests of callers without a response. */
   public get exchangesInFlight(): number {
     return this.callerServer.exchangesInFlight;
--- a/src/node/telemetry/ProcessEndLog.ts
+++ b/src/node/telemetry/ProcessEndLog.ts
@@ -13,8 +13,8 @@
 /** State of the daemon at its end. */
 export interface IEndState {
   readonly phase: serverTypes.Phase;
-  /** Requests of callers without a response. */
-  readonly exchangesInFlight: number;
+  /** Requests of callers without a response, if the daemon counts them. */
+  readonly exchangesInFlight?: number;
 }
 
 /** Log stream that can be written at once when the process ends. */
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -4,6 +4,7 @@
 import * as bunyan from 'bunyan';
 
 import type * as types from '../common/Types';
+import * as errorStop from '../node/ErrorStop';
 import * as routedDaemon from '../node/RoutedDaemon';
 import * as routedSettings from '../node/settings/RoutedSettings';
 import * as startError from '../node/StartError';
@@ -73,6 +74,7 @@
     new systemRandom.SystemRandom(),
   );
   new processEndLog.ProcessEndLog(process, logger, stream, clock, () => daemon).start();
+  new errorStop.ErrorStop(process, daemon, clock).start();
   const stop = () => {
     daemon.stop().catch((error: Error) => {
       logger.error({ err: error }, 'shutdown failed');
