Give up replies of the store that come in chunks of a few bytes

The client of the store kept an object for each chunk of a reply, up to 16 million of them within the limit of 16 MiB, as the daemon did with answers of servers before (docs/incidents/endless-answers.md).

Replies are now collected like other bodies, and given up when their pieces carry fewer than 24 bytes on average. An iterator over the body was tried first and does not help, since it joins the pieces that wait. The client of the configuration service reads in the same way.

--- a/src/node/configuration/ConfigurationClient.ts
+++ b/src/node/configuration/ConfigurationClient.ts
@@ -1,5 +1,7 @@
 import * as undici from 'undici';
 
+import * as readBody from '../readBody';
+
 /** One value of the configuration service. */
 export interface IPublishedValue {
   readonly revision: number;
@@ -36,7 +38,7 @@
         dispatcher: this.agent,
         signal: AbortSignal.timeout(READ_TIMEOUT_MS),
       });
-      const text = await reply.body.text();
+      const text = (await readBody.readBody(reply.body, MAX_VALUE_BYTES)).toString();
       if (reply.statusCode === 304) return { kind: 'unchanged' };
       if (reply.statusCode !== 200) {
         return {
@@ -44,9 +46,6 @@
           detail: `configuration service responded with status ${reply.statusCode}`,
         };
       }
-      if (Buffer.byteLength(text) > MAX_VALUE_BYTES) {
-        return { kind: 'failed', detail: 'value exceeds 1 MB' };
-      }
       const revision = Number(reply.headers.revision);
       if (!Number.isSafeInteger(revision)) {
         return { kind: 'failed', detail: 'configuration service sent no valid revision' };
--- a/src/platform/StoreClient.test.ts
+++ b/src/platform/StoreClient.test.ts
@@ -1,11 +1,18 @@
 import * as nodeEvents from 'node:events';
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import type * as stream from 'node:stream';
 
 import * as storeClient from './StoreClient';
 
 const PIECE = ' '.repeat(64 * 1024);
 
+/** Chunks of one byte. */
+const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(8_192));
+
+/** Longest time that a watch waits, in milliseconds. */
+const WATCH_MS = 30_000;
+
 /** What a store may get rid of: the limit on a reply, and what the socket buffers hold. */
 const MAX_SENT_BYTES = 32 * 1024 * 1024;
 
@@ -26,15 +33,14 @@
   await nodeEvents.once(server.close(), 'close');
 });
 
-/** Writes a body without end, as fast as the client reads. */
-function writeForever(response: http.ServerResponse): void {
+/** Writes bytes again and again, as fast as the client reads them. */
+function writeForever(socket: stream.Writable, bytes: Buffer | string): void {
   sentBytes = 0;
-  response.writeHead(200);
   const writeMore = () => {
-    while (!response.destroyed && sentBytes < 8 * MAX_SENT_BYTES) {
-      sentBytes += PIECE.length;
-      if (!response.write(PIECE)) {
-        response.once('drain', writeMore);
+    while (!socket.destroyed && sentBytes < 8 * MAX_SENT_BYTES) {
+      sentBytes += bytes.length;
+      if (!socket.write(bytes)) {
+        socket.once('drain', writeMore);
         return;
       }
     }
@@ -44,11 +50,23 @@
 
 // Guards against a reply without end that fills the memory until the read times out.
 test('a reply without end fails, and its connection is closed', async () => {
-  await serve(writeForever);
+  await serve((response) => writeForever(response.writeHead(200), PIECE));
   expect(await client.list(true)).toMatchObject({ ok: false, error: { kind: 'unavailable' } });
   expect(sentBytes).toBeLessThanOrEqual(MAX_SENT_BYTES);
 });
 
+// Guards against an object for each chunk of a reply, which fill the memory before its bytes do.
+test('a reply in chunks of one byte without end fails before its size does', async () => {
+  await serve(({ socket }) => {
+    if (socket === null) return;
+    socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+    writeForever(socket, SMALL_CHUNKS);
+  });
+  const changes = await client.watch(1, WATCH_MS);
+  expect(changes).toMatchObject({ ok: false, error: { kind: 'unavailable' } });
+  expect(sentBytes).toBeLessThanOrEqual(MAX_SENT_BYTES);
+}, 60_000);
+
 // Guards against one malformed reply that ends the process.
 test.each(['', 'null', '[]', '{"storeRevision":"1"}', '{"storeRevision":1,"items":[null]}', '{'])(
   'the reply %j fails or names no server',
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -4,6 +4,7 @@
 import type * as directoryTypes from '../common/directory/Types';
 import type * as types from '../common/Types';
 import type * as nodeTypes from '../node/directory/Types';
+import * as readBody from '../node/readBody';
 import * as recordDecoder from './RecordDecoder';
 import * as storeRevisions from './StoreRevisions';
 import * as wireNames from './WireNames';
@@ -158,7 +159,7 @@
         method: 'GET',
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const text = await reply.body.text();
+      const text = (await readBody.readBody(reply.body, MAX_REPLY_BYTES)).toString();
       if (reply.statusCode === STATUS_GONE) return { ok: false, error: { kind: 'history-lost' } };
       if (reply.statusCode !== STATUS_OK) return unavailable(`status ${reply.statusCode}`);
       const parsed = REPLY.safeParse(JSON.parse(text));
