Admit waiting calls in a loop that does not nest

Callers saw: the process ended with exit status 1, and all requests on it without an answer, when the last servers of a service were removed while more than about 540 of its calls waited.

Cause: a call that finds no server ends while it is admitted. Its end admitted the next call from within, and so on, about thirty frames for each, until the stack was full. From a timer nothing catches the RangeError. From an answer undici catches it, and the calls that still waited were left until their deadline.

Evidence: the new test failed with "Maximum call stack size exceeded" before.

The outermost admission continues its loop after each call, so that a call that ends within it has only to make room.

--- a/src/common/call/AdmissionQueue.ts
+++ b/src/common/call/AdmissionQueue.ts
@@ -31,6 +31,7 @@
 /** Running and queued calls of one call depth. */
 interface IDepthQueue {
   running: number;
+  isAdmitting: boolean;
   readonly waiting: IWaitingCall[];
 }
 
@@ -90,14 +91,26 @@
 
   private admitWaiting(queue: IDepthQueue): void {
     const depthQueue = queue;
-    while (depthQueue.waiting.length > 0 && depthQueue.running < this.limit.value) {
-      const next = depthQueue.waiting.shift() as IWaitingCall;
-      if (next.latestStartMs < this.clock.monotonicMs()) {
-        next.ticket.onShed();
-      } else {
-        depthQueue.running += 1;
-        next.ticket.onAdmitted();
+    // A call that ends as soon as it is admitted leaves while the loop runs, which then continues.
+    if (depthQueue.isAdmitting) return;
+    depthQueue.isAdmitting = true;
+    try {
+      while (depthQueue.waiting.length > 0 && depthQueue.running < this.limit.value) {
+        this.admitNext(depthQueue);
       }
+    } finally {
+      depthQueue.isAdmitting = false;
+    }
+  }
+
+  private admitNext(queue: IDepthQueue): void {
+    const depthQueue = queue;
+    const next = depthQueue.waiting.shift() as IWaitingCall;
+    if (next.latestStartMs < this.clock.monotonicMs()) {
+      next.ticket.onShed();
+    } else {
+      depthQueue.running += 1;
+      next.ticket.onAdmitted();
     }
   }
 
@@ -108,7 +121,7 @@
   private queueOf(depth: number): IDepthQueue {
     const known = this.depthQueues.get(depth);
     if (known !== undefined) return known;
-    const queue = { running: 0, waiting: [] };
+    const queue = { running: 0, isAdmitting: false, waiting: [] };
     this.depthQueues.set(depth, queue);
     return queue;
   }
--- a/src/common/call/CallCoordinator.test.ts
+++ b/src/common/call/CallCoordinator.test.ts
@@ -264,3 +264,16 @@
   endAttempt(rig, 0, { kind: 'answered', answer: ANSWER });
   expect(rig.outcomes).toMatchObject([{ kind: 'answered' }]);
 });
+
+// Guards against a stack overflow, which would end the process.
+test('thousands of waiting calls end when the last servers are removed', () => {
+  const rig = fixtures.makeRig();
+  const deadlineMs = rig.clock.monotonicMs() + 1_000;
+  for (let count = 0; count < 3_900; count += 1) rig.start({ deadlineMs });
+  const attempts = [...rig.transport.attempts];
+  const { services } = rig.table;
+  const row = services.get('status') as tableTypes.IServiceRow;
+  rig.balancer.update({ ...rig.table, servers: new Map() }, row, []);
+  attempts.forEach(({ listener }) => listener.onEnd({ kind: 'not-sent', detail: 'refused' }));
+  expect(rig.outcomes).toHaveLength(3_900);
+});
