Begin waiting requests in a loop, so that many in one read do not exhaust the stack

What callers saw: a daemon ended with exit status 1, and all connections closed without an answer. One caller had sent 1,001 requests to non-idempotent routes in one write. The first was in progress at a server; the service of the others had no server. When the first one ended, the process ended with "RangeError: Maximum call stack size exceeded" (process.uncaught_error, code 1, 474 requests in progress; trial with the bundle and the command of deploy/system.toml).

A request that is refused as it begins is removed from its connection at once, which began the next one from within the end of the first. The bound on waiting requests pauses the socket, but one read may hold 64 KB, and so more than 1,000 requests.

Fix: while requests are begun, one that is removed begins no other, and the loop that began it goes on with the next one.

The test failed before with the same error.

--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -37,6 +37,8 @@
 
   private isPaused = false;
 
+  private isBeginning = false;
+
   /** Number of bytes that had been received when the connection last had no request. */
   private bytesWhenIdle = 0;
 
@@ -163,14 +165,26 @@
   }
 
   private beginNext(): void {
+    // A request that is refused as it begins is removed at once, which must not begin the next one in
+    // turn: many requests in one read would exhaust the stack.
+    if (this.isBeginning) return;
+    this.isBeginning = true;
+    try {
+      for (let next = this.findNext(); next !== undefined; next = this.findNext()) {
+        this.begun.add(next);
+        next.begin();
+      }
+    } finally {
+      this.isBeginning = false;
+    }
+  }
+
+  /** Returns the next request that need not wait, if there is one. */
+  private findNext(): callerExchange.CallerExchange | undefined {
     const next = this.exchanges.find((exchange) => !this.begun.has(exchange));
-    if (next === undefined) return;
-    const isFirst = next === this.exchanges[0];
+    if (next === undefined || next === this.exchanges[0]) return next;
     const hasRoom = this.begun.size < MAX_CONCURRENT_EXCHANGES;
-    if (!isFirst && !(hasRoom && next.mayRunAhead)) return;
-    this.begun.add(next);
-    next.begin();
-    this.beginNext();
+    return hasRoom && next.mayRunAhead ? next : undefined;
   }
 
   private updateReading(): void {
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -182,6 +182,21 @@
   expect(bodies()).toEqual(Array.from({ length: count }, (_, index) => `body-${index + 1}`));
 });
 
+// Guards against a stack overflow when many requests behind one in progress are refused at once.
+test('any number of waiting requests may be refused one after the other', async () => {
+  const count = 1_600;
+  const first = get('/lodgement/1', 'request-timeout-ms: 5000\r\n');
+  socket.write(first + get('/lodgement/2').repeat(count));
+  await rig.attempt(1);
+  await settle();
+  rig.refused.length = 0;
+  rig.clock.advance(2_000);
+  await rig.reply(1, 200, OK, 'body-1');
+  await until(() => statuses().length === count + 1);
+  expect(rig.refused).toHaveLength(count);
+  expect(rig.transport.attempts).toHaveLength(1);
+});
+
 // Guards against bytes written for a malformed request that the caller takes for another response.
 test('a malformed request behind others closes the connection after their responses', async () => {
   socket.write(`${get('/status/1')}${get('/status/2')}NONSENSE\r\n\r\n`);
