Send on an age from a peer without ending the process

One exchange of a peer with an age of its directory close to 2^32 ms ended the process (status 1, "invalid uint32") within half a second: the age was adopted as the confirmation of a daemon that had none, grew beyond its field of 32 bits, and the next periodic exchange threw in its timer, where nothing catches errors.

Found by reading which numbers of a message are sent on. Shown with the deployed program: one such message, and the process is gone; now it replies with the largest age. Heartbeats and incarnations were checked already, ages not, because they fit when they arrive. The age is limited where messages are encoded, so that its origin makes no difference.

--- a/src/node/fleet/ExchangeMessages.test.ts
+++ b/src/node/fleet/ExchangeMessages.test.ts
@@ -33,6 +33,15 @@
   expect(decoded?.members.map(({ address }) => address)).toEqual(['10.0.0.3:1']);
 });
 
+// Guards against a process that ends when it sends on what it was told.
+test('an age that has grown beyond its field since it was received is limited', () => {
+  const message = exchangeMessages.fromWire(messageOf('10.0.0.1:1', []));
+  if (message === undefined) throw new Error('the message was ignored');
+  const table = { ...message.table, ageMs: 2 ** 32 };
+  expect(exchangeMessages.toWire({ ...message, table }).tableAgeMs).toBe(2 ** 32 - 1);
+  expect(exchangeMessages.encodedSize({ ...message, table })).toBeGreaterThan(0);
+});
+
 test('a message whose sender cannot be reached is ignored', () => {
   expect(exchangeMessages.fromWire(messageOf('\n', []))).toBeUndefined();
 });
--- a/src/node/fleet/ExchangeMessages.ts
+++ b/src/node/fleet/ExchangeMessages.ts
@@ -3,8 +3,8 @@
 import * as peer from '../peer/generated/peer';
 import * as addresses from '../settings/Addresses';
 
-/** Largest heartbeat that can be sent without the record of its member. */
-const MAX_HEARTBEAT = 2 ** 32 - 1;
+/** Largest number in a field of 32 bits. */
+const MAX_UINT32 = 2 ** 32 - 1;
 
 const TO_WIRE: Record<membershipTypes.FactKind, peer.FactKind> = {
   draining: peer.FactKind.FACT_KIND_DRAINING,
@@ -24,6 +24,11 @@
   return { wantsNotices: interest !== 'none', wantsConfirmations: interest === 'all' };
 }
 
+/** Limits an age: it grows after it was received, beyond what can be sent on. */
+function toWireAge(ageMs: number | undefined): number | undefined {
+  return ageMs === undefined ? undefined : Math.min(ageMs, MAX_UINT32);
+}
+
 function fromWireInterest(received: WireInterest): membershipTypes.NoticeInterest | undefined {
   if (received.wantsNotices === undefined) return undefined;
   if (!received.wantsNotices) return 'none';
@@ -47,7 +52,7 @@
     urgent: message.urgent,
     wantsMembers: message.wantsMembers,
     ...toWireInterest(message.noticeInterest),
-    tableAgeMs: message.table.ageMs,
+    tableAgeMs: toWireAge(message.table.ageMs),
   };
 }
 
@@ -64,7 +69,7 @@
  * heartbeat also travels without its record, as a shorter number, and an incarnation may be raised.
  */
 export function isUsable({ address, heartbeat, incarnation }: peer.MemberRecord): boolean {
-  const isInRange = heartbeat <= MAX_HEARTBEAT && incarnation < Number.MAX_SAFE_INTEGER;
+  const isInRange = heartbeat <= MAX_UINT32 && incarnation < Number.MAX_SAFE_INTEGER;
   return isInRange && addresses.isAddress(address);
 }
 
