Reject addresses with an IPv6 zone, which end the process when they are connected to

What callers saw: a daemon ended with exit status 1, and all connections closed without an answer, once a server was registered as "[fe80::1%eth0]:80" and a request came for its service (trial with the bundle and the command of deploy/system.toml; process.uncaught_error: TypeError "Invalid URL" from the constructor of undici's client, thrown in the event of the caller's request).

Cause: the check of addresses asks `net.isIP`, which accepts an IPv6 address with a zone. A URL cannot contain one, and the connection is made by URL when the first check or request goes to the server, where nothing catches the error.

Fix: an address with a zone is no address, so that the item of the store, the record of a peer or the settings are rejected with the usual message. A zone names an interface of one machine, so it could not be shared with peers in any case.

Both tests failed before.

--- a/src/node/settings/Addresses.ts
+++ b/src/node/settings/Addresses.ts
@@ -9,9 +9,12 @@
   return { host, port: Number(address.slice(colon + 1)) };
 }
 
-/** Whether `text` is an IP address and a port from 1 to 65535. IPv6 needs brackets. */
+/**
+ * Whether `text` is an IP address and a port from 1 to 65535. IPv6 needs brackets, and must not have a
+ * zone as in `fe80::1%eth0`: it has a meaning on one machine only, and cannot be part of a URL.
+ */
 export function isAddress(text: string): boolean {
-  const match = /^(\[[^\]]+\]|[^:[\]]+):(\d{1,5})$/.exec(text);
+  const match = /^(\[[^\]%]+\]|[^:[\]]+):(\d{1,5})$/.exec(text);
   if (match === null) return false;
   const [, host = '', port = ''] = match;
   const version = net.isIP(host.replace(/^\[(.*)\]$/, '$1'));
--- a/src/node/settings/Settings.test.ts
+++ b/src/node/settings/Settings.test.ts
@@ -1,3 +1,5 @@
+import * as fastCheck from 'fast-check';
+
 import * as addresses from './Addresses';
 import * as settings from './Settings';
 
@@ -58,10 +60,29 @@
   ['fe80::1:80', false],
   ['[10.0.0.1]:80', false],
   ['localhost:80', false],
+  ['[fe80::1%eth0]:80', false],
 ])('checks an address: %s', (text, expected) => {
   expect(addresses.isAddress(text)).toBe(expected);
 });
 
+// Guards against the registration of a server that ends the process when it is connected to.
+test('each address that is accepted can be part of a URL', () => {
+  const suffix = fastCheck.constantFrom('', '', '%1', '%eth0', '%', '/64');
+  const host = fastCheck.oneof(fastCheck.ipV4(), fastCheck.ipV4Extended(), fastCheck.ipV6());
+  const address = fastCheck
+    .tuple(host, suffix, fastCheck.nat({ max: 70_000 }))
+    .map(([text, end, port]) =>
+      text.includes(':') ? `[${text}${end}]:${port}` : `${text}${end}:${port}`,
+    );
+  fastCheck.assert(
+    fastCheck.property(
+      address,
+      (text) => !addresses.isAddress(text) || URL.canParse(`http://${text}`),
+    ),
+    { seed: 1 },
+  );
+});
+
 test('splits an address into host and port', () => {
   expect(addresses.split('[::1]:81')).toEqual({ host: '::1', port: 81 });
 });
