Bound the buffer that a large body opens, which may end the process

Cause: a body beyond 1 MiB is copied to a buffer that has room for the maximum size at once. That size is the operators' limit, and may exceed the size of any buffer.

Fix: at first such a buffer has room for 64 MiB at most, and then for twice what was received. The budget of the daemon still limits the bytes that are held. Limits up to 64 MiB work as before.

--- a/src/node/BodyBuffer.test.ts
+++ b/src/node/BodyBuffer.test.ts
@@ -62,6 +62,15 @@
   },
 );
 
+// Guards against a limit of the configuration that ends the process with the first large body.
+test('the maximum size of a body may exceed that of a buffer', () => {
+  const budget = new byteBudget.ByteBudget(byteBudget.UNLIMITED);
+  const body = new bodyBuffer.BodyBuffer(1e12, () => budget.reserveRequest());
+  const pieces = makePieces(Array.from({ length: 70 }, () => 1_000_000));
+  pieces.forEach((piece) => body.add(piece));
+  expect(body.toBytes().equals(Buffer.concat(pieces))).toBe(true);
+});
+
 test('a body that arrives in one large piece is not copied', () => {
   const piece = Buffer.alloc(100_000);
   const body = makeBody();
--- a/src/node/BodyBuffer.ts
+++ b/src/node/BodyBuffer.ts
@@ -10,6 +10,9 @@
 /** Size, in bytes, from which a body is held in one buffer. */
 const LARGE_BYTES = 1024 * 1024;
 
+/** Size, in bytes, up to which the buffer of a large body has room for its maximum size at once. */
+const MAX_OPENED_BYTES = 64 * 1024 * 1024;
+
 /** Size, in bytes, up to which a body takes nothing of the budget, and the steps beyond it. */
 const RESERVATION_STEP_BYTES = 64 * 1024;
 
@@ -106,12 +109,18 @@
     if (this.blockSize + piece.length > this.block.length) {
       const before = this.totalSize === piece.length ? EMPTY : this.toBytes();
       this.parts.length = 0;
-      this.openBlock(Math.max(this.maxBytes, this.totalSize));
+      this.openBlock(this.largeBlockBytes);
       this.copy(before);
     }
     this.copy(piece);
   }
 
+  /** The maximum size may be far above the size of any buffer, as where nothing limits bodies. */
+  private get largeBlockBytes(): number {
+    const openedBytes = Math.max(MAX_OPENED_BYTES, 2 * this.totalSize);
+    return Math.max(this.totalSize, Math.min(this.maxBytes, openedBytes));
+  }
+
   private openBlock(bytes: number): void {
     this.closeBlock();
     this.block = Buffer.allocUnsafeSlow(bytes);
