Keep the interim response to a pipelined request in front of its answer

A caller that sends a request with 'Expect: 100-continue' behind another one on its connection got the headers of the answer, then 'HTTP/1.1 100 Continue' as the first bytes of the body, and the last bytes of the body in front of the next response. Node.js keeps what is written to a response that waits for its turn in a list, and puts the headers at the front of that list if the body is a buffer. Answers of more than 16 KB are written as buffers.

The test failed before: the statuses arrived as 200, 200, 100.

--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -6,6 +6,9 @@
 
 const OK = ['content-type', 'text/plain'];
 
+/** Size, in bytes, of a body that is not written together with its headers. */
+const LARGE_BODY_BYTES = 20_000;
+
 let rig: callerServerRig.CallerServerRig;
 let socket: net.Socket;
 let received: string;
@@ -76,6 +79,17 @@
   expect(bodies()).toEqual(['body-1', 'body-2', 'body-3']);
 });
 
+// Guards against the bytes of an interim response within the answer that follows it.
+test('the interim response to a pipelined request arrives before its answer', async () => {
+  const head = 'POST /upload/2 HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 1';
+  socket.write(`${get('/status/1')}${head}\r\n\r\nx`);
+  await rig.reply(2, 200, OK, 'z'.repeat(LARGE_BODY_BYTES));
+  await rig.reply(1, 200, OK, 'body-1');
+  await until(() => received.split('z').length > LARGE_BODY_BYTES);
+  expect(statuses()).toEqual(['200', '100', '200']);
+  expect(received).toMatch(/body-1HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 OK\r\n[^z]*z+$/);
+});
+
 // Guards against a failure of one request that shifts the responses to those behind it.
 test('a request that fails or is refused in front gets its own response', async () => {
   socket.write(get('/status/1') + get('/unknown/2') + get('/status/3'));
--- a/src/node/server/ResponseWriter.ts
+++ b/src/node/server/ResponseWriter.ts
@@ -36,6 +36,8 @@
   list.push(...contentLength(call.method, answer), ...protocol.addedHeaders(call));
   if (close) list.push('connection', 'close');
   response.writeHead(answer.status, list);
+  // Node.js would put the headers in front of an interim response that waits for its turn as well.
+  if (response.socket === null) response.flushHeaders();
   const { body } = answer;
   if (body.length > MAX_STRING_BODY_BYTES) response.end(body);
   // Latin-1 maps each byte to one character and back, so any content is preserved.
