--- a/src/platform/OddEntries.test.ts
+++ b/src/platform/OddEntries.test.ts
@@ -1,8 +1,12 @@
+import * as pause from '../standin/pause';
 import * as platformRecords from './testing/PlatformRecords';
 import * as singleServerRig from './testing/SingleServerRig';
 
 const DEPTH = 100_000;
 
+/** Time in which a change of the store is applied, in milliseconds. */
+const SETTLE_MS = 300;
+
 jest.setTimeout(30_000);
 
 let rig: singleServerRig.SingleServerRig;
@@ -56,3 +60,27 @@
   rig.publish(2, ['/a/', '/b/']);
   await expectServed('/b/1');
 });
+
+/** A duration that is written with more digits than a number can have. */
+const ENDLESS = `${'9'.repeat(400)}ms`;
+
+const ODD_DURATIONS: readonly (readonly [string, string, string])[] = [
+  ['an endless idle timeout', '"15s"', `"${ENDLESS}"`],
+  ['an idle timeout of years', '"15s"', '"99999999s"'],
+  ['an endless header timeout', '"3000ms"', `"${ENDLESS}"`],
+  ['a header timeout of years', '"3000ms"', '"99999999s"'],
+  ['an endless timeout of a route', '"1200ms"', `"${ENDLESS}"`],
+  ['a timeout of a route of years', '"1200ms"', '"99999999s"'],
+  ['an endless objective', '"400ms"', `"${ENDLESS}"`],
+];
+
+// Guards against a timeout that Node.js does not accept, and that ends daemons as it is applied.
+test.each(ODD_DURATIONS)('a configuration with %s does no harm', async (_name, value, odd) => {
+  await rig.daemon.start();
+  await expectServed('/a/1');
+  const rules = [{ prefix: '/a/', service: 'reads' }];
+  const changed = JSON.stringify(platformRecords.makeConfiguration(2, rules)).replace(value, odd);
+  rig.store.put('op/config', changed);
+  await pause.pause(SETTLE_MS);
+  await expectServed('/a/1');
+});
