Refuse a request for a tunnel behind others only once they are answered

A caller that sends CONNECT behind another request on its connection got the refusal of the CONNECT as the response to that request, and its own response never. The refusal was written to the socket at once. Malformed requests already close the connection after the responses that are due, and a request for a tunnel does the same now.

Found by reading, and seen with the deployed program: GET and CONNECT in one write got a single response, 400 with another request id. The test failed before: 400 in place of 200.

--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -63,9 +63,7 @@
     this.server.on('checkContinue', serve);
     this.server.on('checkExpectation', serve);
     this.server.on('connection', (socket: net.Socket) => this.trackConnection(socket));
-    this.server.on('connect', (_request, socket: stream.Duplex) =>
-      this.refuseOnSocket(socket, 'malformed-request', 'the method CONNECT is not supported'),
-    );
+    this.server.on('connect', (_request, socket: stream.Duplex) => this.refuseTunnel(socket));
     this.server.on('timeout', (socket: net.Socket) => CallerServer.closeIdle(socket));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: stream.Duplex) =>
       this.handleClientError(error, socket),
@@ -174,6 +172,17 @@
     });
   }
 
+  private refuseTunnel(socket: stream.Duplex): void {
+    // Node.js has handed the socket over. A connection with unread bytes would be reset at its end.
+    socket.resume();
+    const connection = this.connections.get(socket);
+    if (connection !== undefined && connection.size > 0) connection.closeAfterwards();
+    else {
+      const detail = 'the method CONNECT is not supported';
+      this.refuseOnSocket(socket, 'malformed-request', detail);
+    }
+  }
+
   private refuseClient(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
     const connection = this.connections.get(socket);
     const reading = connection?.reading;
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -219,3 +219,11 @@
   await nodeEvents.once(socket, 'close');
   expect(statuses()).toEqual(['200', '200']);
 });
+
+// Guards against a refusal that the caller takes for the response to the request before.
+test('a request for a tunnel behind others closes the connection after their responses', async () => {
+  socket.write(`${get('/status/1')}CONNECT a:80 HTTP/1.1\r\nhost: a\r\n\r\n`);
+  await rig.reply(1, 200, OK, 'body-1');
+  await nodeEvents.once(socket, 'close');
+  expect(statuses()).toEqual(['200']);
+});
