Close the connection after a request that asks for another protocol

A caller that sends a request with 'Connection: upgrade' and 'Upgrade', and another one right behind it, got no answer to the second one and no end of the connection either. Node.js ends the parsing of what it has read at such a request, whether the upgrade is refused or not, and discards the rest. The response says now that the connection closes, so that the caller sends the other request again.

Found by reading, and seen with the deployed program: of two such requests in one write only the first one was answered, and the connection stayed open. The test failed before.

--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -151,7 +151,10 @@
     // The socket closed after the request was read, and nobody waits for the response.
     if (connection === undefined) return;
     const { context } = this;
-    connection.add(new callerExchange.CallerExchange(request, response, context, connection));
+    const exchange = new callerExchange.CallerExchange(request, response, context, connection);
+    // Node.js discards what it has read behind such a request.
+    if (request.headers.upgrade !== undefined) exchange.closeAfterwards();
+    connection.add(exchange);
   }
 
   private handleClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -227,3 +227,13 @@
   await nodeEvents.once(socket, 'close');
   expect(statuses()).toEqual(['200']);
 });
+
+// Guards against a request that is read and never answered.
+test('a request that asks for another protocol closes its connection', async () => {
+  const headers = 'connection: upgrade\r\nupgrade: h2c\r\n';
+  socket.write(get('/status/1', headers) + get('/status/2'));
+  await rig.reply(1, 200, OK, 'body-1');
+  await until(() => socket.closed);
+  expect(bodies()).toEqual(['body-1']);
+  expect(received).toMatch(/^connection: close\r$/im);
+});
