Keep log lines that standard output did not take

Log lines were lost or cut in the middle without a trace: each write took all lines from the buffer, and neither its error nor the number of bytes that it wrote was read. Node.js makes a pipe of standard output non-blocking, so that a write to a full pipe fails with EAGAIN or writes a part. log.dropped only told of lines beyond the buffer.

What was not written now stays the first to be written with the next line, and counts towards the limit of the buffer. It is not tried again without a new line: a timer for that would keep a process alive that has stopped and whose log nobody reads.

--- a/src/node/telemetry/BoundedLogStream.ts
+++ b/src/node/telemetry/BoundedLogStream.ts
@@ -9,21 +9,27 @@
 /** Time for which lines are collected into one write, in milliseconds. */
 const FLUSH_MS = 50;
 
-/** Writes bytes, and calls back once they have been written. */
-export type WriteBytes = (bytes: Buffer, onWritten: (error: Error | null) => void) => void;
+/** Writes bytes, or the first of them, and calls back with how many were written. */
+export type WriteBytes = (
+  bytes: Buffer,
+  onWritten: (error: Error | null, count: number) => void,
+) => void;
 
-/** Writes bytes before it returns. Throws if they cannot be written. */
-export type WriteBytesNow = (bytes: Buffer) => void;
+/** Writes bytes, or the first of them, and returns how many. Throws if none can be written. */
+export type WriteBytesNow = (bytes: Buffer) => number;
 
 /**
- * Log stream that never blocks. Lines beyond the buffer limit are dropped while the destination
- * does not accept writes, and a log line reports their number.
+ * Log stream that never blocks. Lines wait while the destination does not accept writes. Those beyond
+ * the buffer limit are dropped, and a log line reports their number.
  */
 export class BoundedLogStream extends stream.Writable {
   private buffered: string[] = [];
 
   private bufferedBytes = 0;
 
+  /** The rest of the lines that were taken from the buffer. */
+  private unwritten: Buffer = Buffer.alloc(0);
+
   private dropped = 0;
 
   private isWriting = false;
@@ -45,41 +51,55 @@
 
   // eslint-disable-next-line no-underscore-dangle
   public override _write(line: string, _encoding: string, callback: () => void): void {
-    if (this.bufferedBytes + line.length > MAX_BUFFERED_BYTES) this.dropped += 1;
+    const waitingBytes = this.bufferedBytes + this.unwritten.length;
+    if (waitingBytes + line.length > MAX_BUFFERED_BYTES) this.dropped += 1;
     else {
       this.buffered.push(line);
       this.bufferedBytes += line.length;
-      this.timer ??= this.clock.setTimer(FLUSH_MS, () => this.flush());
     }
+    this.timer ??= this.clock.setTimer(FLUSH_MS, () => this.flush());
     callback();
   }
 
-  /** Writes the buffered lines, unless a write is in progress. */
+  /** Writes the lines that wait, unless a write is in progress. */
   public flush(): void {
-    this.timer?.dispose();
-    this.timer = undefined;
-    if (this.isWriting || this.buffered.length === 0) return;
-    const bytes = this.takeBuffered();
+    this.disposeTimer();
+    if (this.isWriting || !this.takeLines()) return;
     this.isWriting = true;
-    this.writeBytes(bytes, () => {
-      // An error means that the reader is gone, and there is no other place to report it.
+    this.writeBytes(this.unwritten, (error, count) => {
       this.isWriting = false;
+      // A retry without a new line would keep a process alive that has stopped.
+      if (error !== null) return;
+      this.unwritten = this.unwritten.subarray(count);
       this.flush();
     });
   }
 
-  /** Writes the buffered lines before it returns, for a process that is about to end. */
+  /** Writes the lines that wait before it returns, for a process that is about to end. */
   public flushNow(): void {
-    this.timer?.dispose();
-    this.timer = undefined;
-    if (this.buffered.length === 0) return;
+    this.disposeTimer();
+    // Nobody is told any longer what becomes of a write in progress.
+    if (this.isWriting) this.unwritten = Buffer.alloc(0);
     try {
-      this.writeBytesNow(this.takeBuffered());
+      while (this.takeLines()) {
+        this.unwritten = this.unwritten.subarray(this.writeBytesNow(this.unwritten));
+      }
     } catch {
       // The reader is gone or does not read, and there is no other place to report it.
     }
   }
 
+  private disposeTimer(): void {
+    this.timer?.dispose();
+    this.timer = undefined;
+  }
+
+  /** Takes the lines in the buffer if all earlier ones are written. Returns whether any wait. */
+  private takeLines(): boolean {
+    if (this.unwritten.length === 0) this.unwritten = this.takeBuffered();
+    return this.unwritten.length > 0;
+  }
+
   private takeBuffered(): Buffer {
     const lines = this.buffered;
     if (this.dropped > 0) {
--- a/src/node/telemetry/ProcessEndLog.test.ts
+++ b/src/node/telemetry/ProcessEndLog.test.ts
@@ -19,6 +19,7 @@
     () => undefined,
     (bytes) => {
       written += bytes.toString();
+      return bytes.length;
     },
     clock,
   );
