Listen for peers before callers are served

Callers saw their requests cut off: the daemon listened for callers first, loaded the modules of the fleet and listened for peers then.

All addresses are opened before callers are served, so that a start that fails has served nobody. The modules of the fleet are still loaded after that: the peer address is held by a plain listener, whose connections wait unread and are handed to the gRPC server once it is there. Serving on without the address was ruled out: peers that cannot reach a daemon would not count it when they divide limits, and a wrong address would not end the start. A peer address in use now delays callers for up to five seconds, as each other address does.

--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -29,6 +29,7 @@
 import * as gracefulStop from './GracefulStop';
 import * as bodyBudgets from './makeBodyBudget';
 import * as pauseDetector from './PauseDetector';
+import * as peerListener from './peer/PeerListener';
 import type * as callerProtocol from './server/CallerProtocol';
 import * as callerServer from './server/CallerServer';
 import * as readinessServer from './server/ReadinessServer';
@@ -93,6 +94,8 @@
 
   private readonly opener: addressOpener.AddressOpener;
 
+  private readonly peerListener = new peerListener.PeerListener();
+
   private readonly tableBuilder: tableBuilder.TableBuilder;
 
   private readonly fleetShares: fleetShares.FleetShares;
@@ -228,7 +231,7 @@
   }
 
   /**
-   * Starts watching the directory, listens on the addresses in the settings and joins the fleet.
+   * Starts watching the directory, listens on all addresses in the settings and joins the fleet.
    * Calls are refused as `not-ready` until a configuration is active. Rejects with a `StartError`
    * after closing what was opened.
    */
@@ -243,10 +246,11 @@
   }
 
   private async open(): Promise<void> {
-    const { callerAddress, readinessAddress, failureDomain } = this.options;
+    const { callerAddress, peerAddress, readinessAddress, failureDomain } = this.options;
     this.watcher.start();
     const isOpen =
       (await this.opener.open('readinessAddress', readinessAddress, this.readinessServer)) &&
+      (await this.opener.open('peerAddress', peerAddress, this.peerListener)) &&
       (await this.opener.open('callerAddress', callerAddress, this.callerServer));
     if (!isOpen) return;
     this.pauseDetector.start();
@@ -259,7 +263,10 @@
     // Node.js needs the file extension to load the compiled module.
     // eslint-disable-next-line import-x/extensions
     const { RoutedFleet } = await import('./fleet/RoutedFleet.js');
-    if (this.stage !== 'running') return;
+    if (this.stage !== 'running') {
+      this.peerListener.dispose();
+      return;
+    }
     const fleet = new RoutedFleet(
       this.options,
       this.directory,
@@ -278,9 +285,7 @@
       this.clock,
       this.restraints,
     );
-    const { peerAddress } = this.options;
-    const peers = { listen: () => fleet.listen() };
-    if (!(await this.opener.open('peerAddress', peerAddress, peers))) return;
+    this.peerListener.handOver((socket) => fleet.receive(socket));
     fleet.start();
     this.facts.start();
   }
@@ -351,6 +356,7 @@
     this.forwarding.dispose();
     this.fleetShares.dispose();
     this.facts?.dispose();
+    this.peerListener.dispose();
     this.fleet?.dispose();
     this.watcher.dispose();
     this.directory.dispose();
--- a/src/node/fleet/RoutedFleet.test.ts
+++ b/src/node/fleet/RoutedFleet.test.ts
@@ -5,6 +5,8 @@
 import type * as directoryTypes from '../../common/directory/Types';
 import * as seededRandom from '../../common/SeededRandom';
 import * as freePorts from '../../standin/FreePorts';
+import * as peerListener from '../peer/PeerListener';
+import * as addressFormat from '../settings/Addresses';
 import * as systemClock from '../SystemClock';
 import * as routedFleet from './RoutedFleet';
 
@@ -15,6 +17,7 @@
   readonly directory: directoryModule.Directory;
   readonly confirmation: confirmationModule.Confirmation;
   readonly fleet: routedFleet.RoutedFleet;
+  readonly listener: peerListener.PeerListener;
 }
 
 const MEMBERS = 5;
@@ -33,7 +36,9 @@
     clock,
     new seededRandom.SeededRandom(seed),
   );
-  return { address, directory, confirmation, fleet };
+  const listener = new peerListener.PeerListener();
+  listener.handOver((socket) => fleet.receive(socket));
+  return { address, directory, confirmation, fleet, listener };
 }
 
 async function eventually(check: () => boolean): Promise<void> {
@@ -51,12 +56,17 @@
   const addresses = (await freePorts.freePorts(MEMBERS)).map((port) => `127.0.0.1:${port}`);
   const seeds = addresses.slice(0, 1);
   members = addresses.map((address, index) => make(address, seeds, index + 1));
-  await Promise.all(members.map(({ fleet }) => fleet.listen()));
+  const opened = members.map(({ address, listener }) => {
+    const { host, port } = addressFormat.split(address);
+    return listener.listen(host, port);
+  });
+  await Promise.all(opened);
   members.forEach(({ fleet }) => fleet.start());
 });
 
 afterEach(() => {
-  members.forEach(({ fleet, directory }) => {
+  members.forEach(({ fleet, directory, listener }) => {
+    listener.dispose();
     fleet.dispose();
     directory.dispose();
   });
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -1,3 +1,5 @@
+import type * as net from 'node:net';
+
 import type * as bunyan from 'bunyan';
 
 import type * as confirmationModule from '../../common/directory/Confirmation';
@@ -101,9 +103,9 @@
     this.setSeedPeers(options.seedPeers);
   }
 
-  /** Listens for peers. Rejects if the address cannot be used. */
-  public listen(): Promise<void> {
-    return this.server.listen(this.options.peerAddress);
+  /** Serves a connection of a peer. */
+  public receive(socket: net.Socket): void {
+    this.server.receive(socket);
   }
 
   /** Starts exchanging with peers. */
--- /dev/null
+++ b/src/node/peer/PeerListener.ts
@@ -0,0 +1,48 @@
+import * as net from 'node:net';
+
+import type * as types from '../../common/Types';
+import * as listening from '../server/listen';
+
+/**
+ * Listens for the connections of peers. They wait unread until the server that speaks the protocol
+ * of peers takes them, since loading its modules takes a while.
+ */
+export class PeerListener implements types.IDisposable {
+  private readonly server = net.createServer({ pauseOnConnect: true }, (socket) =>
+    this.accept(socket),
+  );
+
+  private waiting: net.Socket[] = [];
+
+  private receive: ((socket: net.Socket) => void) | undefined;
+
+  /** Starts listening. Rejects if the address cannot be used, and may be called again after that. */
+  public listen(host: string, port: number): Promise<void> {
+    return listening.listen(this.server, host, port);
+  }
+
+  /** Hands over the connections that wait, and each one from now on. */
+  public handOver(receive: (socket: net.Socket) => void): void {
+    this.receive = receive;
+    const { waiting } = this;
+    this.waiting = [];
+    waiting.forEach((socket) => this.accept(socket));
+  }
+
+  /** Stops listening, and closes the connections that wait. */
+  public dispose(): void {
+    this.server.close();
+    this.waiting.forEach((socket) => socket.destroy());
+    this.waiting = [];
+  }
+
+  private accept(socket: net.Socket): void {
+    if (this.receive === undefined) {
+      this.waiting.push(socket);
+      return;
+    }
+    // An HTTP/2 session takes over the reads of a socket, but does not start them.
+    socket.read(0);
+    this.receive(socket);
+  }
+}
--- a/src/node/peer/PeerServer.ts
+++ b/src/node/peer/PeerServer.ts
@@ -1,3 +1,5 @@
+import type * as net from 'node:net';
+
 import * as grpc from '@grpc/grpc-js';
 
 import type * as forwardTypes from '../forwarding/Types';
@@ -48,6 +50,10 @@
     'grpc.max_receive_message_length': peerClient.MAX_MESSAGE_BYTES,
   });
 
+  private readonly injector = this.server.createConnectionInjector(
+    grpc.ServerCredentials.createInsecure(),
+  );
+
   /**
    * Messages whose handler is absent fail as unimplemented.
    * @param keys Handler of messages about request keys.
@@ -91,6 +97,11 @@
     });
   }
 
+  /** Serves a connection that was accepted elsewhere. */
+  public receive(socket: net.Socket): void {
+    this.injector.injectConnection(socket);
+  }
+
   public close(): Promise<void> {
     return new Promise((resolve) => {
       this.server.tryShutdown(() => resolve());
--- a/src/node/server/listen.ts
+++ b/src/node/server/listen.ts
@@ -1,7 +1,8 @@
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 
 /** Starts listening. Rejects if the address cannot be used, and may be called again after that. */
-export function listen(server: http.Server, host: string, port: number): Promise<void> {
+export function listen(server: net.Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     const end = (error?: Error) => {
       server.removeListener('listening', end);
--- a/src/platform/DeployedProgram.test.ts
+++ b/src/platform/DeployedProgram.test.ts
@@ -34,6 +34,8 @@
 
 const SAMPLE_INTERVAL_MS = 5;
 
+const SEND_INTERVAL_MS = 200;
+
 const LARGE_CHUNK = Buffer.from(`10000\r\n${'x'.repeat(65_536)}\r\n`);
 
 /** Chunks of one byte. */
@@ -219,6 +221,41 @@
   await daemon.waitUntilReady();
 });
 
+/** Sends a request, and returns whether it was accepted and got no answer. */
+async function isCutOff(): Promise<boolean> {
+  try {
+    await send('/y/1');
+    return false;
+  } catch (error) {
+    return (error as NodeJS.ErrnoException).code !== 'ECONNREFUSED';
+  }
+}
+
+/** Sends requests until the daemon ends. Returns how many were accepted and got no answer. */
+async function countCutOff(): Promise<number> {
+  const sent: Promise<boolean>[] = [];
+  while (daemon.child.isRunning) {
+    sent.push(isCutOff());
+    await timers.setTimeout(SEND_INTERVAL_MS);
+  }
+  return (await Promise.all(sent)).filter((isCut) => isCut).length;
+}
+
+// Guards against a daemon that serves callers before it has its address for peers, and ends without it.
+test('a peer address that stays in use cuts off no request', async () => {
+  await daemon.child.kill();
+  const holder = await holdPort();
+  respond = () => undefined;
+  const [callerPort, readinessPort] = (await freePorts.freePorts(2)) as [number, number];
+  daemon = await startDaemon([callerPort, readinessPort, portOf(holder)]);
+  try {
+    expect(await countCutOff()).toBe(0);
+    expect(await daemon.child.exited).toBe(3);
+  } finally {
+    holder.close();
+  }
+});
+
 // Guards against an event of a connection that has no listener, and ends the program.
 test('connections that ask for a tunnel and are reset do not end the program', async () => {
   const { callerPort: port } = daemon.options;
