Let an error in one exchange end that exchange, not the process

The messages of peers, the interval of exchanges and the push of urgent facts ran where nothing catches an error: gRPC calls handlers from a promise that it does not wait for, and a timer has no caller.

Such an error is logged as a failed exchange now, the peer gets a reply without records, and the next exchange begins.

--- a/src/node/fleet/ExchangeLoop.ts
+++ b/src/node/fleet/ExchangeLoop.ts
@@ -35,12 +35,14 @@
   public constructor(
     private readonly agent: gossipAgent.GossipAgent,
     private readonly antiEntropy: fleetTypes.IPeerSync,
-    private readonly peers: fleetTypes.IPeerSender,
+    private readonly peers: Pick<fleetTypes.IPeerSender, 'exchange'>,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
   ) {
     // The facts of one message are added one by one; the microtask pushes them together.
-    this.urgentListener = agent.onUrgent(() => queueMicrotask(() => this.pushUrgent()));
+    this.urgentListener = agent.onUrgent(() =>
+      queueMicrotask(() => this.contain(() => this.pushUrgent())),
+    );
   }
 
   public get counts(): IExchangeCounts {
@@ -86,10 +88,8 @@
   public receive(request: peer.ExchangeRequest): peer.ExchangeReply {
     this.received += 1;
     const message = this.decode(request);
-    if (message === undefined) return exchangeMessages.toWire(this.agent.emptyMessage);
-    const reply = this.agent.receive(message);
-    this.syncWithSender(message).catch((error: Error) => this.logFailure(error));
-    return exchangeMessages.toWire(reply);
+    const reply = message === undefined ? undefined : this.contain(() => this.reply(message));
+    return exchangeMessages.toWire(reply ?? this.agent.emptyMessage);
   }
 
   public dispose(): void {
@@ -97,13 +97,29 @@
     this.urgentListener.dispose();
   }
 
+  private reply(message: gossipAgent.IExchangeMessage): gossipAgent.IExchangeMessage {
+    const reply = this.agent.receive(message);
+    this.syncWithSender(message).catch((error: Error) => this.logFailure(error));
+    return reply;
+  }
+
   private scheduleExchange(): void {
     this.timer = this.clock.setTimer(gossipAgent.EXCHANGE_INTERVAL_MS, () => {
-      this.exchangeNow();
+      this.contain(() => this.exchangeNow());
       this.scheduleExchange();
     });
   }
 
+  /** Runs a step whose error concerns one exchange only, and must not end the process. */
+  private contain<T>(step: () => T): T | undefined {
+    try {
+      return step();
+    } catch (error) {
+      this.logFailure(error as Error);
+      return undefined;
+    }
+  }
+
   private send(outgoing: gossipAgent.IOutgoingMessage | undefined): void {
     outgoing?.targets.forEach((target) => {
       this.exchange(target, outgoing.message).catch((error: Error) => this.logFailure(error));
