Check the directory of a peer before it is applied

A directory from a peer with a revision that is no exact integer ended the process (status 1) within half a second: the revision was adopted, and the next exchange could not be encoded in its timer, where nothing catches errors ("invalid uint64: 1e+300", "NaN cannot be converted to a BigInt"). A configuration without a part was adopted before it failed, and failed again whenever it was applied later.

Only the addresses of servers were checked; the rest of the JSON was taken as what a daemon of this version writes. Now it has a schema. As before, servers that cannot be used are left out; a directory whose revision or configuration cannot be used changes nothing, is logged, and the next read or another peer delivers it.

Shown with the deployed program and a peer that sends such directories: the process ended. Of the new tests, four failed before (1e300, 5.5, "5", a configuration without routes). The test's servers get the fields that each registration has, which the schema now asks for; what the tests expect of them is unchanged. A daemon of this version sends no such directory, so that this is not known to be the cause of the incident.

--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -1,3 +1,6 @@
+import * as util from 'node:util';
+import * as zlib from 'node:zlib';
+
 import * as bunyan from 'bunyan';
 
 import * as confirmationModule from '../../common/directory/Confirmation';
@@ -9,21 +12,30 @@
 
 const ADDRESS = '10.0.0.2:1';
 
+const gzip = util.promisify(zlib.gzip);
+
 let clock: manualClock.ManualClock;
 let peerDirectory: directoryModule.Directory;
 let isReachable: boolean;
 let isReader: boolean;
 
+/** Directory that the peer sends in place of its own. */
+let sentText: string | undefined;
+
+function serverOf(id: string, address: string): directoryTypes.IRegistration {
+  return {
+    ...{ id, address, service: 'reads', failureDomain: 'a', slots: 3 },
+    ...{ state: 'ready', startedAtMs: 0 },
+  };
+}
+
 beforeEach(() => {
   clock = new manualClock.ManualClock();
   peerDirectory = new directoryModule.Directory(clock);
   isReachable = true;
   isReader = false;
-  const server = {
-    id: '1',
-    address: '10.0.0.1:80',
-    state: 'ready',
-  } as directoryTypes.IRegistration;
+  sentText = undefined;
+  const server = serverOf('1', '10.0.0.1:80');
   peerDirectory.apply([{ kind: 'server', revision: 5, server }], 5);
 });
 
@@ -41,10 +53,12 @@
     clock,
   );
   const peers = {
-    fetchTable: async (_address: string, request: peer.FetchTableRequest) =>
-      isReachable
-        ? { ok: true as const, value: await sender.reply(request) }
-        : { ok: false as const, error: new Error('unreachable') },
+    fetchTable: async (_address: string, request: peer.FetchTableRequest) => {
+      if (!isReachable) return { ok: false as const, error: new Error('unreachable') };
+      const reply = await sender.reply(request);
+      const compressedText = sentText === undefined ? reply.compressedText : await gzip(sentText);
+      return { ok: true as const, value: { ...reply, compressedText } };
+    },
   };
   const sync = new directorySync.DirectorySync(
     directory,
@@ -74,8 +88,7 @@
 
 // Guards against an odd entry that a daemon of an earlier version passes on to all others.
 test('a server of a peer with an address out of range is left out', async () => {
-  const odd = { id: '2', address: '10.0.0.1:70000', state: 'ready' };
-  const server = odd as directoryTypes.IRegistration;
+  const server = serverOf('2', '10.0.0.1:70000');
   peerDirectory.apply([{ kind: 'server', revision: 6, server }], 6);
   const { directory, sync } = make();
   await sync.syncFrom(ADDRESS, { version: 6, hash: '', ageMs: 20 });
@@ -83,6 +96,26 @@
   expect(directory.revision).toBe(6);
 });
 
+// Guards against a process that ends when it sends on a revision, or applies a configuration again.
+test.each([
+  '{"records":[],"revision":1e300}',
+  '{"records":[],"revision":5.5}',
+  '{"records":[],"revision":"5"}',
+  '{"records":[],"revision":null}',
+  '{"records":[{"kind":"server-removed","id":"1","revision":"x"}],"revision":-1}',
+  '{"records":[{"kind":"configuration","revision":5,"configuration":{"version":9}}],"revision":5}',
+  '{"records":null,"revision":5}',
+  'null',
+])('a directory of a peer that is malformed changes nothing: %s', async (content) => {
+  const { directory, sync } = make();
+  for (const kind of ['changes', 'listing']) {
+    sentText = `{"kind":"${kind}","content":${content}}`;
+    await sync.syncFrom(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+    expect(directory.revision).toBe(0);
+    expect(directory.configuration).toBeUndefined();
+  }
+});
+
 test('a peer without a confirmation of its own confirms nothing', async () => {
   const { confirmation, sync } = make();
   await sync.syncFrom(ADDRESS, { version: 5, hash: '' });
@@ -114,11 +147,7 @@
 test('a daemon that lacks some changes receives only these', async () => {
   const { directory, sync } = make();
   await sync.syncFrom(ADDRESS, { version: 5, hash: '', ageMs: 20 });
-  const server = {
-    id: '2',
-    address: '10.0.0.2:80',
-    state: 'ready',
-  } as directoryTypes.IRegistration;
+  const server = serverOf('2', '10.0.0.2:80');
   peerDirectory.apply([{ kind: 'server-removed', revision: 6, id: '1' }], 6);
   peerDirectory.apply([{ kind: 'server', revision: 7, server }], 7);
   const replaceSpy = jest.spyOn(directory, 'replace');
--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -5,13 +5,12 @@
 
 import type * as confirmationModule from '../../common/directory/Confirmation';
 import * as directoryModule from '../../common/directory/Directory';
-import type * as directoryTypes from '../../common/directory/Types';
 import type * as gossipAgent from '../../common/membership/GossipAgent';
 import type * as types from '../../common/Types';
 import type * as fleetTypes from '../fleet/Types';
 import type * as peer from '../peer/generated/peer';
-import * as addresses from '../settings/Addresses';
 import * as names from '../telemetry/Names';
+import * as relayedDirectory from './RelayedDirectory';
 
 const gzip = util.promisify(zlib.gzip);
 const gunzip = util.promisify(zlib.gunzip);
@@ -30,24 +29,6 @@
  */
 const LOCAL_READ_GRACE_MS = 400;
 
-/** Whether a record of a peer, which may run an earlier version, names no server out of range. */
-function isUsable(record: directoryTypes.DirectoryRecord): boolean {
-  return record.kind !== 'server' || addresses.isAddress(record.server.address);
-}
-
-type RelayedContent =
-  | { readonly kind: 'changes'; readonly content: directoryTypes.IDirectoryChanges }
-  | { readonly kind: 'listing'; readonly content: directoryTypes.IDirectoryListing };
-
-/** Reply to a peer with an older directory, sent as gzipped JSON. */
-type RelayedDirectory = RelayedContent & {
-  /**
-   * Remaining grace period for servers whose entries expired during an outage of the directory
-   * service, in milliseconds. Absent in replies of earlier versions.
-   */
-  readonly graceRemainingMs?: number;
-};
-
 /** A reply, kept because many peers ask for the same changes at the same moment. */
 interface ICachedReply {
   readonly newerThan: number;
@@ -106,13 +87,14 @@
   private async compose(newerThan: number): Promise<peer.FetchTableReply> {
     const { directory } = this;
     const changes = directory.changesSince(newerThan);
-    const relayed: RelayedContent =
-      changes === undefined
-        ? { kind: 'listing', content: directory.listing }
-        : { kind: 'changes', content: changes };
-    const message: RelayedDirectory = { ...relayed, graceRemainingMs: directory.graceRemainingMs };
+    const content = changes ?? directory.listing;
+    const message: relayedDirectory.IRelayedDirectory = {
+      kind: changes === undefined ? 'listing' : 'changes',
+      content,
+      graceRemainingMs: directory.graceRemainingMs,
+    };
     const compressedText = await gzip(JSON.stringify(message));
-    return { version: relayed.content.revision, compressedText };
+    return { version: content.revision, compressedText };
   }
 
   private async catchUp(address: string, version: number): Promise<void> {
@@ -139,13 +121,11 @@
     try {
       const maxOutputLength = MAX_DIRECTORY_BYTES;
       const text = await gunzip(fetched.value.compressedText, { maxOutputLength });
-      const relayed = JSON.parse(text.toString('utf8')) as RelayedDirectory;
-      const { kind } = relayed;
-      const records = relayed.content.records.filter(isUsable);
-      const content = { ...relayed.content, records };
-      if (records.length < relayed.content.records.length)
-        this.logger.warn({ address }, 'servers in the directory of a peer cannot be used');
-      this.directory.startGracePeriod(Math.min(relayed.graceRemainingMs ?? 0, MAX_GRACE_MS));
+      const relayed = relayedDirectory.parse(text.toString('utf8'));
+      const { kind, content, graceRemainingMs = 0, omitted } = relayed;
+      if (omitted > 0)
+        this.logger.warn({ address, omitted }, 'servers in the directory of a peer cannot be used');
+      this.directory.startGracePeriod(Math.min(graceRemainingMs, MAX_GRACE_MS));
       if (kind === 'changes') this.directory.apply(content.records, content.revision);
       else this.directory.replace(content);
       const { revision } = this.directory;
