Replace reasons of a refusal that this version does not know

A peer that refused a forwarded call with a reason such as `__proto__` ended the process that had forwarded it (status 1), with all its requests in progress: the status of the refusal was looked up by the reason and was an object, and writeHead threw in the callback of the reply, where nothing catches errors ("Invalid status code: [object Object]").

The reason was taken from the message as it was. Now one that this version does not know is replaced: what the peer says about whether the request was run still holds.

--- a/src/node/forwarding/ForwardMessages.ts
+++ b/src/node/forwarding/ForwardMessages.ts
@@ -3,6 +3,7 @@
 import type * as callTypes from '../../common/call/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as peer from '../peer/generated/peer';
+import * as refusals from '../server/Refusals';
 import type * as forwardTypes from './Types';
 
 /** Range of the status of a final answer. */
@@ -114,6 +115,14 @@
   }
 }
 
+/** Returns the reason of a refusal, or `fallback` for one that this version does not know. */
+function reasonOf<TKind extends keyof typeof refusals.STATUSES>(
+  text: string,
+  fallback: TKind,
+): TKind {
+  return Object.hasOwn(refusals.STATUSES, text) ? (text as TKind) : fallback;
+}
+
 /** Decodes a reply. A reply that says neither, or has an unusable answer, is taken as lost. */
 export function fromReply({ answered, refused }: peer.ForwardReply): forwardTypes.ForwardResult {
   if (answered?.answer !== undefined) {
@@ -126,9 +135,9 @@
   const { detail, dispatched, retryAfterMs } = refused;
   if (refused.notRun && refused.cannotHelp) return { kind: 'cannot-help', detail };
   if (refused.notRun) {
-    const reason = refused.reason as callTypes.NotRunKind;
+    const reason = reasonOf<callTypes.NotRunKind>(refused.reason, 'no-backend-server');
     return { kind: 'outcome', outcome: { kind: 'not-run', reason, detail, retryAfterMs } };
   }
-  const reason = refused.reason as callTypes.UnknownOutcomeKind;
+  const reason = reasonOf<callTypes.UnknownOutcomeKind>(refused.reason, 'connection-lost');
   return { kind: 'outcome', outcome: { kind: 'unknown', reason, detail, dispatched } };
 }
