Close connections with many requests ahead while the daemon holds too many in all

Callers could end the process by the requests that they send ahead, for want of memory: reading stops at 16 waiting requests of a connection, but one read delivers thousands of small ones, each with a few kilobytes of objects. Connections with fewer requests are not affected.

The test failed before: no connection was closed.

--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -25,6 +25,12 @@
  */
 const REFUSAL_LINGER_MS = 1_000;
 
+/**
+ * Requests without a response, on all connections, above which a connection with many of them is
+ * closed. One read delivers thousands of small requests, each of which takes a few kilobytes.
+ */
+export const MAX_EXCHANGES = 6_000;
+
 /** Dependencies of a caller server. */
 export interface ICallerServerContext extends callerExchange.IExchangeContext {
   /** Issues request keys. If undefined, no keys are issued. */
@@ -149,7 +155,12 @@
     }
     const connection = this.connections.get(request.socket);
     // The socket closed after the request was read, and nobody waits for the response.
-    if (connection === undefined) return;
+    if (connection === undefined || request.socket.destroyed) return;
+    const isAhead = connection.size >= callerConnection.MAX_WAITING_EXCHANGES;
+    if (isAhead && this.exchangesInFlight >= MAX_EXCHANGES) {
+      request.socket.destroy();
+      return;
+    }
     const { context } = this;
     const exchange = new callerExchange.CallerExchange(request, response, context, connection);
     // Node.js discards what it has read behind such a request.
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net';
 
 import * as callerConnection from './CallerConnection';
+import * as callerServer from './CallerServer';
 import * as callerServerRig from './testing/CallerServerRig';
 
 const OK = ['content-type', 'text/plain'];
@@ -237,3 +238,18 @@
   expect(bodies()).toEqual(['body-1']);
   expect(received).toMatch(/^connection: close\r$/im);
 });
+
+// Guards against callers that together fill the memory with requests that they send ahead.
+test('the requests read ahead on all connections are bounded, and others are still served', async () => {
+  const sockets = Array.from({ length: 10 }, () => rig.connect());
+  const ahead = post('/lodgement/1', 'x') + post('/lodgement/2', 'x').repeat(900);
+  sockets.forEach((pipelining) => pipelining.resume().write(ahead));
+  await until(() => sockets.some(({ closed }) => closed));
+  await settle();
+  expect(rig.server.exchangesInFlight).toBeLessThanOrEqual(callerServer.MAX_EXCHANGES);
+  socket.write(get('/status/3'));
+  await until(() => rig.transport.attempts.at(-1)?.call.path === '/3');
+  await rig.reply(rig.transport.attempts.length, 200, OK, 'body-3');
+  await until(() => bodies().length === 1);
+  sockets.forEach((pipelining) => pipelining.destroy());
+});
