Refuse a malformed or late request only once the responses before it are written

A caller that reads slowly could get the refusal of a later request in place of a response, and lose the rest of an answer. The refusal of a malformed request, and of one whose head is late, was written to the socket at once if all earlier requests had an answer. But Node.js still holds back the answers behind one that is being written, so that the refusal overtook them, and a second later the connection was closed under the answer that was being written.

The connection now counts as idle when its last response is written, and closes after that one. The same applies if the last response waits for an earlier one, whose end would have closed the connection before it.

Seen with the deployed program: an answer of 9 MB and a second one to a caller that reads 2 s late and sends bytes that are no request got 200 and 400 in place of 200 and 200; with half a head, the first answer ended after 4.2 MB. Both tests failed before, with 400 in place of 200, and with 4 MB of 24 MB.

--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -30,6 +30,9 @@
 
   private arrivals = 0;
 
+  /** The request that was added last, until its response is written. */
+  private last: callerExchange.CallerExchange | undefined;
+
   /** Position of the last request that has a response, which may wait for earlier ones. */
   private lastAnswered = 0;
 
@@ -60,6 +63,11 @@
     return this.exchanges.length;
   }
 
+  /** Whether a request has no response yet, or bytes of one still wait to be written. */
+  public get hasResponsesDue(): boolean {
+    return this.size > 0 || this.last !== undefined;
+  }
+
   /** The request whose body is being read, if any. */
   public get reading(): callerExchange.CallerExchange | undefined {
     return this.exchanges.find((exchange) => exchange.isReading);
@@ -79,6 +87,7 @@
       return;
     }
     this.exchanges.push(exchange);
+    this.last = exchange;
     this.arrivals += 1;
     this.positions.set(exchange, this.arrivals);
     this.beginNext();
@@ -95,6 +104,9 @@
     this.begun.delete(exchange);
     this.lastAnswered = Math.max(this.lastAnswered, this.positions.get(exchange) ?? 0);
     this.positions.delete(exchange);
+    exchange.onceWritten(() => {
+      if (this.last === exchange) this.last = undefined;
+    });
     if (this.size === 0) this.bytesWhenIdle = this.socket.bytesRead;
     if (closesConnection) {
       this.discard(later);
@@ -116,8 +128,9 @@
 
   /** Closes the connection after the requests that have been read. */
   public closeAfterwards(): void {
+    if (this.isClosing) return;
     this.isClosing = true;
-    this.exchanges.at(-1)?.closeAfterwards();
+    this.last?.closeAfterwards();
   }
 
   /** Runs no request that is read from now on, and answers none. */
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -171,6 +171,14 @@
   public closeAfterwards(): void {
     this.closing = true;
     this.response.shouldKeepAlive = false;
+    // The headers of the response may already state that the connection stays open.
+    if (this.ended) this.onceWritten(() => this.request.socket.destroySoon());
+  }
+
+  /** Calls back once all bytes of the response were handed to the operating system. */
+  public onceWritten(callback: () => void): void {
+    if (this.response.writableFinished) callback();
+    else this.response.once('finish', callback);
   }
 
   private cancel(detail: string): void {
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -190,7 +190,7 @@
     // Node.js has handed the socket over. A connection with unread bytes would be reset at its end.
     socket.resume();
     const connection = this.connections.get(socket);
-    if (connection !== undefined && connection.size > 0) connection.closeAfterwards();
+    if (connection?.hasResponsesDue === true) connection.closeAfterwards();
     else {
       const detail = 'the method CONNECT is not supported';
       this.refuseOnSocket(socket, 'malformed-request', detail);
@@ -204,8 +204,8 @@
       socket.destroy();
     } else if (reading !== undefined) {
       reading.refuseBody(`the body is malformed (${error.code ?? error.message})`);
-    } else if (connection !== undefined && connection.size > 0) {
-      // The caller would take bytes written now for the response to the request in flight.
+    } else if (connection?.hasResponsesDue === true) {
+      // The caller would take bytes written now for the response to an earlier request.
       connection.closeAfterwards();
     } else if (error.code === 'HPE_HEADER_OVERFLOW') {
       const detail = `the headers exceed ${this.maxHeaderBytes} bytes`;
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -1,5 +1,6 @@
 import * as nodeEvents from 'node:events';
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 
 import * as callerConnection from './CallerConnection';
 import * as callerServer from './CallerServer';
@@ -10,6 +11,9 @@
 /** Size, in bytes, of a body that is not written together with its headers. */
 const LARGE_BODY_BYTES = 20_000;
 
+/** Size, in bytes, of a body that does not fit into the buffers of the operating system. */
+const UNREAD_BODY_BYTES = 24 * 1024 * 1024;
+
 let rig: callerServerRig.CallerServerRig;
 let socket: net.Socket;
 let received: string;
@@ -253,3 +257,31 @@
   await until(() => bodies().length === 1);
   sockets.forEach((pipelining) => pipelining.destroy());
 });
+
+// Guards against a refusal that the caller takes for the response to a request before.
+test('a malformed request behind unread responses closes the connection after them', async () => {
+  socket.pause().write(get('/status/1') + get('/status/2'));
+  await rig.reply(1, 200, OK, 'z'.repeat(UNREAD_BODY_BYTES));
+  await rig.reply(2, 200, OK, 'body-2');
+  socket.write('NONSENSE\r\n\r\n');
+  await settle();
+  socket.resume();
+  await nodeEvents.once(socket, 'close');
+  expect(statuses()).toEqual(['200', '200']);
+  expect(bodies()).toEqual(['body-2']);
+});
+
+// Guards against an answer that is cut off because of the request after it.
+test('a header timeout behind an unread response closes the connection after it', async () => {
+  rig.server.setTimeouts(10, 60_000);
+  socket.pause().write(get('/status/1'));
+  await rig.reply(1, 200, OK, 'z'.repeat(UNREAD_BODY_BYTES));
+  socket.write('GET /status/2');
+  // Node.js checks for header timeouts once a second.
+  await timers.setTimeout(2_500);
+  rig.clock.advance(5_000);
+  socket.resume();
+  await nodeEvents.once(socket, 'close');
+  expect(statuses()).toEqual(['200']);
+  expect(received.split('z')).toHaveLength(UNREAD_BODY_BYTES + 1);
+});
