Handle a SIGHUP at every moment of the start

A SIGHUP that arrived before the settings had been read ended the process: the handler was registered after that, and the default action ends it. A change of the settings file in the same time was not noticed either until the next one. Requests were not lost, but the daemon was.

SettingsWatch is started before the settings are read, and applies what it noticed once the daemon is there. The launcher handles the signal from its first statement, since compiling the bundle comes before. The milliseconds in which Node.js itself starts remain.

Two tests of the deployed program failed before.

--- a/src/platform/DeployedProgram.test.ts
+++ b/src/platform/DeployedProgram.test.ts
@@ -114,11 +114,15 @@
   return reply.statusCode;
 }
 
-function startDaemon(ports: readonly number[]): Promise<deployedDaemon.DeployedDaemon> {
+function startDaemon(
+  ports: readonly number[],
+  nodeParameters: readonly string[] = [],
+): Promise<deployedDaemon.DeployedDaemon> {
   const [callerPort, readinessPort, peerPort] = ports as [number, number, number];
   return deployedDaemon.DeployedDaemon.start(deploy, {
     ...{ name: 'daemon', folder, callerPort, readinessPort, peerPort, storeAddress },
     seedPorts: [peerPort],
+    nodeParameters,
   });
 }
 
@@ -256,6 +260,28 @@
   }
 });
 
+/** Scripts that run before the program and send it a SIGHUP during its start. */
+const PRELOADED = {
+  'while the bundle is loaded': `
+    const fs = require('node:fs');
+    const read = fs.readFileSync;
+    fs.readFileSync = (file, ...parameters) => {
+      if (file.endsWith('edge.js')) process.kill(process.pid, 'SIGHUP');
+      return read(file, ...parameters);
+    };`,
+  'while the settings are read': `setImmediate(() => process.kill(process.pid, 'SIGHUP'));`,
+};
+
+// Guards against a program that a change of its settings ends during the start.
+test.each(Object.entries(PRELOADED))('a SIGHUP does not end the program: %s', async (_, script) => {
+  await daemon.child.kill();
+  const file = path.join(folder, 'preloaded.js');
+  await fs.writeFile(file, script);
+  daemon = await startDaemon(await freePorts.freePorts(3), ['--require', file]);
+  await daemon.waitUntilReady();
+  expect(await send('/x/1')).toBe(200);
+});
+
 // Guards against an event of a connection that has no listener, and ends the program.
 test('connections that ask for a tunnel and are reset do not end the program', async () => {
   const { callerPort: port } = daemon.options;
--- a/src/platform/launch.ts
+++ b/src/platform/launch.ts
@@ -12,6 +12,9 @@
 const BUNDLE_FILE = path.join(__dirname, 'edge.js');
 const CACHE_FILE = `${BUNDLE_FILE}.cache`;
 
+// The bundle handles this signal. Until it runs, the default action would end the process.
+process.on('SIGHUP', () => undefined);
+
 const isWritingCache = process.argv.includes('--write-cache');
 const source = fs.readFileSync(BUNDLE_FILE, 'utf8');
 const cachedData =
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -7,6 +7,7 @@
 import * as errorStop from '../node/ErrorStop';
 import * as routedDaemon from '../node/RoutedDaemon';
 import * as routedSettings from '../node/settings/RoutedSettings';
+import * as settingsWatch from '../node/settings/SettingsWatch';
 import * as startError from '../node/StartError';
 import * as systemClock from '../node/SystemClock';
 import * as systemRandom from '../node/SystemRandom';
@@ -28,9 +29,6 @@
   process.exitCode = exitCode;
 }
 
-/** Interval at which the settings file is polled for changes, in milliseconds. */
-const SETTINGS_POLL_INTERVAL_MS = 5_000;
-
 type LoadedSettings = types.Result<routedSettings.RoutedSettings, string>;
 
 async function readSettings(path: string): Promise<LoadedSettings> {
@@ -46,7 +44,11 @@
   return { ok: false, error: lines.join('\n') };
 }
 
-async function run(path: string, settings: routedSettings.RoutedSettings): Promise<void> {
+async function run(
+  path: string,
+  settings: routedSettings.RoutedSettings,
+  watch: settingsWatch.SettingsWatch,
+): Promise<void> {
   const clock = new systemClock.SystemClock();
   const stream = new boundedLogStream.BoundedLogStream(
     (bytes, onWritten) => fs.write(process.stdout.fd, bytes, onWritten),
@@ -93,12 +95,9 @@
     source.setBaseUrl(loaded.value.directoryUrl);
     daemon.reload(loaded.value);
   };
-  const reloadOrLog = () => {
-    reload().catch((error: Error) => logger.error({ err: error }, 'settings reload failed'));
-  };
-  process.on('SIGHUP', reloadOrLog);
-  // The platform may change the file without sending a signal, and has no file notifications.
-  fs.watchFile(path, { interval: SETTINGS_POLL_INTERVAL_MS, persistent: false }, reloadOrLog);
+  watch.apply(() =>
+    reload().catch((error: Error) => logger.error({ err: error }, 'settings reload failed')),
+  );
   try {
     await daemon.start();
   } catch (error) {
@@ -112,8 +111,10 @@
   // The build runs the program once to write its code cache.
   if (process.argv.includes('--write-cache')) return;
   const path = process.env[SETTINGS_VARIABLE] ?? '';
+  const watch = new settingsWatch.SettingsWatch(path, process);
+  watch.start();
   const settings = await readSettings(path);
-  if (settings.ok) await run(path, settings.value);
+  if (settings.ok) await run(path, settings.value, watch);
   else fail(settings.error, EXIT_BAD_SETTINGS);
 }
 
