Keep serve running when the reader of its log is gone

`lavenderspar serve` ended with status 1, and with it all calls in flight, at the first log line after the reader of standard output had ended: bunyan wrote to process.stdout, whose EPIPE has no listener. A trial showed it for 'shutdown started', and each other line does the same. The program of the platform was not affected, since it writes the descriptor itself.

Both now use the same bounded stream. The lines that wait are written on exit.

--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -7,6 +7,7 @@
 import * as settings from '../../node/settings/Settings';
 import * as systemClock from '../../node/SystemClock';
 import * as systemRandom from '../../node/SystemRandom';
+import * as logStream from '../../node/telemetry/makeOutputLogStream';
 import * as processEndLog from '../../node/telemetry/ProcessEndLog';
 import * as exitCodes from '../ExitCodes';
 import * as readSettings from './readSettings';
@@ -28,15 +29,15 @@
 }
 
 async function run(options: settings.Settings): Promise<void> {
+  const clock = new systemClock.SystemClock();
+  const stream = logStream.makeOutputLogStream(clock);
   const logger = bunyan.createLogger({
     name: 'lavenderspar',
     level: options.logLevel,
+    stream,
     serializers: { err: bunyan.stdSerializers.err },
   });
-  const clock = new systemClock.SystemClock();
   const instance = new daemon.Daemon(options, logger, clock, new systemRandom.SystemRandom());
-  // Standard output of this logger is written synchronously.
-  const stream = { flushNow: () => undefined };
   new processEndLog.ProcessEndLog(process, logger, stream, clock, () => instance).start();
   const stoppable = { stopGrace: undefined, stop: () => instance.stop() };
   new errorStop.ErrorStop(process, stoppable, clock).start();
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,4 +1,3 @@
-import * as fs from 'node:fs';
 import * as fsPromises from 'node:fs/promises';
 
 import * as bunyan from 'bunyan';
@@ -11,7 +10,7 @@
 import * as startError from '../node/StartError';
 import * as systemClock from '../node/SystemClock';
 import * as systemRandom from '../node/SystemRandom';
-import * as boundedLogStream from '../node/telemetry/BoundedLogStream';
+import * as logStream from '../node/telemetry/makeOutputLogStream';
 import * as processEndLog from '../node/telemetry/ProcessEndLog';
 import * as platformBackendProtocol from './PlatformBackendProtocol';
 import * as platformCallerProtocol from './PlatformCallerProtocol';
@@ -50,13 +49,7 @@
   watch: settingsWatch.SettingsWatch,
 ): Promise<void> {
   const clock = new systemClock.SystemClock();
-  const stream = new boundedLogStream.BoundedLogStream(
-    (bytes, onWritten) => fs.write(process.stdout.fd, bytes, onWritten),
-    // Only a synchronous write is complete before the process is gone.
-    // eslint-disable-next-line n/no-sync
-    (bytes) => fs.writeSync(process.stdout.fd, bytes),
-    clock,
-  );
+  const stream = logStream.makeOutputLogStream(clock);
   const logger = bunyan.createLogger({
     name: 'lavenderspar',
     level: settings.logLevel,
