Serve connections that are established when a stop ends accepting

Callers that had just connected to a stopping daemon got a reset instead of an answer: the listener was closed while the operating system held connections that Node.js had not accepted yet (it accepts one in each turn of the event loop), and a stop with no request in progress at that moment closed connections whose first request was about to arrive.

Connections are now accepted until a turn brings none, and the listener is closed in the same turn. A connection that has brought no request counts as busy for half a second, within the grace period.

'connections that are established when accepting ends are served' failed before with ECONNRESET. Connections that are established between the last turn and the close are still reset, since Node.js can't close a listener without it; the length of that time was not measured.

--- a/src/node/Daemon.ts
+++ b/src/node/Daemon.ts
@@ -209,7 +209,8 @@
 
   private async finishCalls(): Promise<void> {
     const closed = this.callerServer.close();
-    while (this.callerServer.exchangesInFlight > 0 || this.runner.inFlight > 0) {
+    const { callerServer: server, runner } = this;
+    while (server.expectsRequests || server.exchangesInFlight > 0 || runner.inFlight > 0) {
       // This ends, since every call ends by its deadline.
       await this.wait(DRAIN_CHECK_INTERVAL_MS);
     }
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -321,7 +321,7 @@
       beginDraining: () => this.beginDraining(),
       closeToCallers: () => this.closeToCallers(),
       get isBusy() {
-        return server.exchangesInFlight + forwarding.handler.inFlight > 0;
+        return server.expectsRequests || server.exchangesInFlight + forwarding.handler.inFlight > 0;
       },
       endRequests: () => server.endForStop(),
       get hasUnsentBytes() {
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -31,6 +31,12 @@
  */
 export const MAX_EXCHANGES = 6_000;
 
+/** Time for the first request on a connection that a caller opened during a stop, in milliseconds. */
+const FIRST_REQUEST_MS = 500;
+
+/** Limit on the turns of the event loop in which established connections are accepted at a stop. */
+const MAX_ACCEPTING_TURNS = 1_000;
+
 /** Dependencies of a caller server. */
 export interface ICallerServerContext extends callerExchange.IExchangeContext {
   /** Issues request keys. If undefined, no keys are issued. */
@@ -41,6 +47,11 @@
 export class CallerServer {
   private readonly connections = new Map<stream.Duplex, callerConnection.CallerConnection>();
 
+  /** Connections on which no request has arrived, with the monotonic time at which they opened. */
+  private readonly openedMs = new Map<stream.Duplex, number>();
+
+  private acceptedCount = 0;
+
   private readonly server: http.Server;
 
   private readonly keyEndpoint: keyEndpoint.KeyEndpoint | undefined;
@@ -98,9 +109,19 @@
     this.server.keepAliveTimeout = idleMs;
   }
 
-  /** Stops accepting connections, closes idle ones, and resolves when all others are closed. */
-  public close(): Promise<void> {
-    return new Promise((resolve) => {
+  /** Whether callers have connections on which their first request is about to arrive. */
+  public get expectsRequests(): boolean {
+    const sinceMs = this.context.clock.monotonicMs() - FIRST_REQUEST_MS;
+    return this.server.listening || [...this.openedMs.values()].some((ms) => ms > sinceMs);
+  }
+
+  /**
+   * Stops accepting connections, closes idle ones, and resolves when all others are closed. Those that
+   * are already established are accepted first: the operating system would reset them.
+   */
+  public async close(): Promise<void> {
+    await this.acceptEstablished();
+    await new Promise<void>((resolve) => {
       // `http.Server.close` closes connections on which a response is still being written.
       net.Server.prototype.close.call(this.server, () => resolve());
       this.connections.forEach((connection) => connection.closeIfIdle());
@@ -133,7 +154,19 @@
     });
   }
 
+  /** Accepts connections until a turn of the event loop brings none. Each turn accepts one. */
+  private async acceptEstablished(): Promise<void> {
+    for (let turn = 0; turn < MAX_ACCEPTING_TURNS && this.server.listening; turn += 1) {
+      const { acceptedCount } = this;
+      // Runs right after the sockets were read, so that hardly any time is left for new ones.
+      await new Promise(setImmediate);
+      if (this.acceptedCount === acceptedCount) return;
+    }
+  }
+
   private trackConnection(socket: net.Socket): void {
+    this.acceptedCount += 1;
+    this.openedMs.set(socket, this.context.clock.monotonicMs());
     const connection = new callerConnection.CallerConnection(socket, this.context.budget);
     this.connections.set(socket, connection);
     // Node.js removes its own listener when it hands a socket over, as for CONNECT. The end of the
@@ -141,11 +174,13 @@
     socket.on('error', () => socket.destroy());
     socket.once('close', () => {
       this.connections.delete(socket);
+      this.openedMs.delete(socket);
       connection.abandon();
     });
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.openedMs.delete(request.socket);
     if (
       this.keyEndpoint !== undefined &&
       request.url?.startsWith(keyEndpoint.RESERVED_PREFIX) === true
--- a/src/node/server/StoppingDaemon.test.ts
+++ b/src/node/server/StoppingDaemon.test.ts
@@ -48,6 +48,34 @@
   expect(await response).toMatch(/^HTTP\/1.1 200 /);
 });
 
+// Guards against callers whose connection is reset though it was established before the stop.
+test('connections that are established when accepting ends are served', async () => {
+  const sockets = Array.from({ length: 20 }, () => rig.connect());
+  await new Promise(process.nextTick);
+  const closed = rig.server.close();
+  expect(rig.server.expectsRequests).toBe(true);
+  const replies = sockets.map(async (socket) => {
+    socket.write('GET /unknown/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n');
+    const [bytes] = (await nodeEvents.once(socket, 'data')) as [Buffer];
+    return bytes.toString('latin1').slice(0, 12);
+  });
+  expect(new Set(await Promise.all(replies))).toEqual(new Set(['HTTP/1.1 404']));
+  await closed;
+  expect(rig.server.expectsRequests).toBe(false);
+});
+
+test('a connection on which no request arrives delays a stop only for a moment', async () => {
+  const socket = rig.connect();
+  await nodeEvents.once(socket, 'connect');
+  const closed = rig.server.close();
+  for (let turn = 0; turn < 10; turn += 1) await new Promise(setImmediate);
+  expect(rig.server.expectsRequests).toBe(true);
+  rig.clock.advance(500);
+  expect(rig.server.expectsRequests).toBe(false);
+  socket.destroy();
+  await closed;
+});
+
 // Guards against pipelined requests of which only the first gets a response.
 test('at the end of a stop each request gets a response, in order', async () => {
   const response = rig.exchange(get('/status/a', 60_000) + get('/lodgement/b', 60_000));
