Keep listening after a connection that cannot be accepted

Once a server listened, its listener for errors was removed. Node.js reports an error of accept there, for example when the kernel has no buffer left or a firewall refuses the connection, and without a listener the error ended the process with status 1.

The error is logged and the server goes on. This covers all addresses of both daemons except the peer address of `serve`, on which gRPC listens itself and offers no way to add a listener.

--- a/src/cli/commands/inspect.test.ts
+++ b/src/cli/commands/inspect.test.ts
@@ -21,7 +21,7 @@
     clock,
   );
   server = new operatorServer.OperatorServer(daemonDiagnostics);
-  await server.listen('127.0.0.1', 0);
+  await server.listen('127.0.0.1', 0, () => undefined);
 });
 
 afterEach(async () => {
--- a/src/node/AddressOpener.ts
+++ b/src/node/AddressOpener.ts
@@ -1,6 +1,7 @@
 import type * as bunyan from 'bunyan';
 
 import type * as types from '../common/Types';
+import type * as listening from './server/listen';
 import * as addresses from './settings/Addresses';
 import * as startError from './StartError';
 
@@ -14,7 +15,8 @@
 
 /** A server that listens on an address. May be asked again after it has failed. */
 export interface IListeningServer {
-  listen(host: string, port: number): Promise<void>;
+  /** @param onError Called for errors after that. */
+  listen(host: string, port: number, onError: listening.ErrorListener): Promise<void>;
 }
 
 /**
@@ -35,10 +37,12 @@
    */
   public async open(setting: string, address: string, server: IListeningServer): Promise<boolean> {
     const { host, port } = addresses.split(address);
+    const onError = (error: Error) =>
+      this.logger.error({ setting, address, err: error }, 'connection not accepted');
     const endMs = this.clock.monotonicMs() + IN_USE_TIMEOUT_MS;
     for (let tries = 1; !this.isDisposed; tries += 1) {
       try {
-        await server.listen(host, port);
+        await server.listen(host, port, onError);
         return true;
       } catch (error) {
         const { message } = error as Error;
--- a/src/node/fleet/RoutedFleet.test.ts
+++ b/src/node/fleet/RoutedFleet.test.ts
@@ -58,7 +58,7 @@
   members = addresses.map((address, index) => make(address, seeds, index + 1));
   const opened = members.map(({ address, listener }) => {
     const { host, port } = addressFormat.split(address);
-    return listener.listen(host, port);
+    return listener.listen(host, port, () => undefined);
   });
   await Promise.all(opened);
   members.forEach(({ fleet }) => fleet.start());
--- a/src/node/peer/PeerListener.test.ts
+++ b/src/node/peer/PeerListener.test.ts
@@ -19,7 +19,7 @@
     fetchTable: () => Promise.reject(new Error('not part of the test')),
   });
   client = new peerClient.PeerClient();
-  await listener.listen('127.0.0.1', port);
+  await listener.listen('127.0.0.1', port, () => undefined);
 });
 
 afterEach(() => {
--- a/src/node/peer/PeerListener.ts
+++ b/src/node/peer/PeerListener.ts
@@ -17,8 +17,8 @@
   private receive: ((socket: net.Socket) => void) | undefined;
 
   /** Starts listening. Rejects if the address cannot be used, and may be called again after that. */
-  public listen(host: string, port: number): Promise<void> {
-    return listening.listen(this.server, host, port);
+  public listen(host: string, port: number, onError: listening.ErrorListener): Promise<void> {
+    return listening.listen(this.server, host, port, onError);
   }
 
   /** Hands over the connections that wait, and each one from now on. */
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -93,8 +93,8 @@
   }
 
   /** Starts listening. Rejects if the address cannot be used. */
-  public listen(host: string, port: number): Promise<void> {
-    return listening.listen(this.server, host, port);
+  public listen(host: string, port: number, onError: listening.ErrorListener): Promise<void> {
+    return listening.listen(this.server, host, port, onError);
   }
 
   /** Actual port, for a server that listens on port 0. */
--- a/src/node/server/OperatorServer.test.ts
+++ b/src/node/server/OperatorServer.test.ts
@@ -41,7 +41,7 @@
   server = new operatorServer.OperatorServer(
     new diagnostics.Diagnostics(() => daemonState, rig.clock),
   );
-  await server.listen('127.0.0.1', 0);
+  await server.listen('127.0.0.1', 0, () => undefined);
 });
 
 afterEach(() => server.close());
--- a/src/node/server/OperatorServer.ts
+++ b/src/node/server/OperatorServer.ts
@@ -63,8 +63,8 @@
   }
 
   /** Starts listening. Rejects if the address cannot be used. */
-  public listen(host: string, port: number): Promise<void> {
-    return listening.listen(this.server, host, port);
+  public listen(host: string, port: number, onError: listening.ErrorListener): Promise<void> {
+    return listening.listen(this.server, host, port, onError);
   }
 
   /** Stops listening and closes all connections immediately. */
--- a/src/node/server/testing/CallerServerRig.ts
+++ b/src/node/server/testing/CallerServerRig.ts
@@ -91,7 +91,7 @@
   }
 
   public listen(): Promise<void> {
-    return this.server.listen('127.0.0.1', 0);
+    return this.server.listen('127.0.0.1', 0, () => undefined);
   }
 
   public async close(): Promise<void> {
