Take all steps of a stop although one fails

An error in a step of the stop, such as the message that tells the fleet, ended the stop at that point. After an error that nothing caught, where the state may be inconsistent, the process then exited at once and cut the requests in progress. After a SIGTERM it went on listening until it was killed, and a failed step while calls were awaited was an unhandled rejection.

Each step is now contained: its error is logged, the others follow at their time, and the stop rejects with the first error at its end, so that the exit code stays 1.

--- a/src/node/GracefulStop.ts
+++ b/src/node/GracefulStop.ts
@@ -33,6 +33,8 @@
   readonly hasUnsentBytes: boolean;
   /** Closes everything. */
   release(): Promise<void>;
+  /** Called with the error of each step that fails. */
+  onStepFailed(error: Error): void;
 }
 
 /**
@@ -42,6 +44,8 @@
 export class GracefulStop {
   private readonly startMs: number;
 
+  private readonly errors: Error[] = [];
+
   /** @param graceMs Time within which the process must end, in milliseconds. */
   public constructor(
     private readonly graceMs: number,
@@ -58,18 +62,32 @@
     };
   }
 
-  /** Resolves when everything is closed. */
+  /**
+   * Resolves when everything is closed. A step that fails cuts no request short: the others follow at
+   * their time, and the first error is thrown after them.
+   */
   public async run(): Promise<void> {
     const { parts } = this;
-    parts.beginDraining();
+    await this.attempt(() => parts.beginDraining());
     await this.wait(this.graceMs * DRAIN_FRACTION);
-    const closed = parts.closeToCallers();
+    const closed = this.attempt(() => parts.closeToCallers());
     await this.waitWhile(() => parts.isBusy, this.times.endMs);
-    parts.endRequests();
+    await this.attempt(() => parts.endRequests());
     const closeAtMs = this.startMs + this.graceMs - CLOSE_RESERVE_MS;
     await this.waitWhile(() => parts.hasUnsentBytes, closeAtMs);
-    await parts.release();
+    await this.attempt(() => parts.release());
     await closed;
+    const [error] = this.errors;
+    if (error !== undefined) throw error;
+  }
+
+  private async attempt(step: () => Promise<void> | void): Promise<void> {
+    try {
+      await step();
+    } catch (error) {
+      this.errors.push(error as Error);
+      this.parts.onStepFailed(error as Error);
+    }
   }
 
   private async waitWhile(condition: () => boolean, untilMs: number): Promise<void> {
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -328,6 +328,7 @@
         return server.hasUnsentBytes;
       },
       release: () => this.release(),
+      onStepFailed: (error) => this.logger.error({ err: error }, 'a step of the stop failed'),
     };
   }
 
