Be ready only once callers can connect

Since the peer address is opened before that of callers, a daemon whose peer port was in use answered its readiness check with 200 as soon as it had a configuration, while connections of callers were refused for up to five seconds: in a run of the deployed program, 200 with a refused connection from 0.3 s after its start on. The platform's balancer sends callers to it meanwhile.

The phase now stays `starting` until the caller address is open. The test failed before; it is StartReadiness.test.ts.

--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -108,6 +108,8 @@
 
   private table: tableTypes.ITable | undefined;
 
+  private isOpenToCallers = false;
+
   private readonly readyEmitter = new emitter.Emitter<void>();
 
   private stage: 'running' | 'draining' | 'stopping' = 'running';
@@ -217,7 +219,7 @@
   /** Lifecycle phase. Calls are served while `ready` and `draining`. */
   public get phase(): serverTypes.Phase {
     if (this.stage !== 'running') return this.stage;
-    return this.table === undefined ? 'starting' : 'ready';
+    return this.table === undefined || !this.isOpenToCallers ? 'starting' : 'ready';
   }
 
   /** Time that a graceful stop takes at most, in milliseconds. */
@@ -253,6 +255,7 @@
       (await this.opener.open('peerAddress', peerAddress, this.peerListener)) &&
       (await this.opener.open('callerAddress', callerAddress, this.callerServer));
     if (!isOpen) return;
+    this.isOpenToCallers = true;
     this.pauseDetector.start();
     this.logger.info({ callerAddress, failureDomain }, 'daemon started');
     await this.joinFleet();
