Let a silent peer not keep a stopped process alive

A daemon with a connection on its peer address whose other side did not close it logged that it had stopped, and its process went on until it was killed: for 60 s in a trial. gRPC closes a session before it destroys it, and Node.js only half-closes the socket of a closed session, and then waits for the peer. A peer that is paused or cut off does not answer.

The sockets no longer keep the process alive once the listener is disposed, so that it ends when all else is closed, with code 0. Both cases of SilentPeer.test.ts, with the deployed program, failed before; the one of a peer that got a SIGSTOP is the one that can occur between machines.

--- a/src/node/peer/PeerListener.ts
+++ b/src/node/peer/PeerListener.ts
@@ -9,11 +9,13 @@
  */
 export class PeerListener implements types.IDisposable {
   private readonly server = net.createServer({ pauseOnConnect: true }, (socket) =>
-    this.accept(socket),
+    this.track(socket),
   );
 
   private waiting: net.Socket[] = [];
 
+  private readonly open = new Set<net.Socket>();
+
   private receive: ((socket: net.Socket) => void) | undefined;
 
   /** Starts listening. Rejects if the address cannot be used, and may be called again after that. */
@@ -29,13 +31,24 @@
     waiting.forEach((socket) => this.accept(socket));
   }
 
-  /** Stops listening, and closes the connections that wait. */
+  /**
+   * Stops listening, and closes the connections that wait. Those that were handed over are left to the
+   * one that has them, but do not keep the process alive.
+   */
   public dispose(): void {
     this.server.close();
+    // An HTTP/2 session that is closed waits for a peer, which may be silent, to close its side.
+    this.open.forEach((socket) => socket.unref());
     this.waiting.forEach((socket) => socket.destroy());
     this.waiting = [];
   }
 
+  private track(socket: net.Socket): void {
+    this.open.add(socket);
+    socket.once('close', () => this.open.delete(socket));
+    this.accept(socket);
+  }
+
   private accept(socket: net.Socket): void {
     if (this.receive === undefined) {
       this.waiting.push(socket);
