Send the replies to forwarded calls before a stop ends

A caller whose request was forwarded to a stopping daemon got 'outcome unknown' although the server had answered: the stop waited until the call had its outcome, and then closed the connections of peers while the reply was still being sent.

The stop now closes the gRPC server gracefully, within the time that it already has for the last bytes of responses to callers. A peer that doesn't read delays the end up to then, not beyond.

'replies to forwarded calls are sent before the fleet is left' gets 'lost' without that step.

--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -319,16 +319,16 @@
   }
 
   private stoppingParts(): gracefulStop.IStoppingParts {
-    const { callerServer: server, forwarding } = this;
+    const { callerServer: server, forwarding, fleet } = this;
     return {
       beginDraining: () => this.beginDraining(),
       closeToCallers: () => this.closeToCallers(),
       get isBusy() {
         return server.expectsRequests || server.exchangesInFlight + forwarding.handler.inFlight > 0;
       },
-      endRequests: () => server.endForStop(),
+      endRequests: () => this.endRequests(),
       get hasUnsentBytes() {
-        return server.hasUnsentBytes;
+        return server.hasUnsentBytes || fleet?.hasUnsentReplies === true;
       },
       release: () => this.release(),
       onStepFailed: (error) => this.logger.error({ err: error }, 'a step of the stop failed'),
@@ -354,6 +354,12 @@
     return this.callerServer.close();
   }
 
+  private endRequests(): void {
+    this.callerServer.endForStop();
+    this.peerListener.dispose();
+    this.fleet?.finishReplies();
+  }
+
   private async release(): Promise<void> {
     this.opener.dispose();
     this.pauseDetector.dispose();
--- a/src/node/fleet/RoutedFleet.test.ts
+++ b/src/node/fleet/RoutedFleet.test.ts
@@ -5,6 +5,9 @@
 import type * as directoryTypes from '../../common/directory/Types';
 import * as seededRandom from '../../common/SeededRandom';
 import * as freePorts from '../../standin/FreePorts';
+import type * as forwardTypes from '../forwarding/Types';
+import * as peer from '../peer/generated/peer';
+import * as peerClient from '../peer/PeerClient';
 import * as peerListener from '../peer/PeerListener';
 import * as addressFormat from '../settings/Addresses';
 import * as systemClock from '../SystemClock';
@@ -22,9 +25,16 @@
 
 const MEMBERS = 5;
 
+const LARGE_BODY_BYTES = 4 * 1024 * 1024;
+
 let members: IMember[];
 
-function make(address: string, seedPeers: readonly string[], seed: number): IMember {
+function make(
+  address: string,
+  seedPeers: readonly string[],
+  seed: number,
+  calls?: forwardTypes.IForwardHandler,
+): IMember {
   const clock = new systemClock.SystemClock();
   const directory = new directoryModule.Directory(clock);
   const confirmation = new confirmationModule.Confirmation(clock, () => 2_000);
@@ -35,6 +45,7 @@
     bunyan.createLogger({ name: 'test', streams: [] }),
     clock,
     new seededRandom.SeededRandom(seed),
+    calls,
   );
   const listener = new peerListener.PeerListener();
   listener.handOver((socket) => fleet.receive(socket));
@@ -81,6 +92,38 @@
   member.confirmation.confirm();
 }
 
+// Guards against a call that was run for a peer, and whose answer a stop cuts off.
+test('replies to forwarded calls are sent before the fleet is left', async () => {
+  const [port] = (await freePorts.freePorts(1)) as [number];
+  const address = `127.0.0.1:${port}`;
+  const answer = { status: 200, headers: [], body: Buffer.alloc(LARGE_BODY_BYTES) };
+  let onReplied: () => void = () => undefined;
+  const replied = new Promise<void>((resolve) => {
+    onReplied = resolve;
+  });
+  const { fleet, listener, directory } = make(address, [], 1, {
+    forward: (_request, onReply) => {
+      onReply(peer.ForwardReply.fromPartial({ answered: { answer, server: 'a' } }));
+      onReplied();
+      return { cancel: () => undefined };
+    },
+  });
+  members.push({ ...(members[0] as IMember), fleet, listener, directory });
+  await listener.listen('127.0.0.1', port);
+  const client = new peerClient.PeerClient();
+  const request = peer.ForwardRequest.fromPartial({ requestId: '1', remainingMs: 60_000 });
+  const kind = new Promise((resolve) => {
+    client.forward(address, request, (result) => resolve(result.kind));
+  });
+  await replied;
+  listener.dispose();
+  fleet.finishReplies();
+  await eventually(() => !fleet.hasUnsentReplies);
+  fleet.dispose();
+  expect(await kind).toBe('reply');
+  client.dispose();
+});
+
 test('members discover each other through one seed peer', async () => {
   await eventually(() => members.every(({ fleet }) => fleet.members.count === MEMBERS));
 });
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -45,6 +45,8 @@
 
   private readonly server: peerServer.PeerServer;
 
+  private isFinishing = false;
+
   public constructor(
     private readonly options: IRoutedFleetOptions,
     directory: directoryModule.Directory,
@@ -160,6 +162,20 @@
     this.loop.pushUrgent();
   }
 
+  /** Takes no further messages, and sends the replies to the earlier ones. */
+  public finishReplies(): void {
+    this.isFinishing = true;
+    const end = () => {
+      this.isFinishing = false;
+    };
+    this.server.close().then(end, end);
+  }
+
+  /** Whether replies wait to be sent after `finishReplies`. They do for long if a peer is silent. */
+  public get hasUnsentReplies(): boolean {
+    return this.isFinishing;
+  }
+
   /** Handles a pause of the process: marks all members as suspected and exchanges with a peer. */
   public onPaused(): void {
     this.members.suspectAll();
