Keep log lines that are written at once during another write

An error that nothing caught writes the log at once, and the process then goes on for the time of a graceful stop. If a write was in progress at that moment, the rest that it had not taken was discarded, and its end counted its bytes off the lines that had come after it, which lost or cut them: the very lines that tell of the error, when the reader of the log is slow.

The write in progress now keeps its own bytes, and what it does not take is written before what waits after it. The three cases of the new test failed before. A line that was taken in part can still be torn by lines that are written at once meanwhile; no byte is lost.

--- a/src/node/fleet/RoutedFleet.test.ts
+++ b/src/node/fleet/RoutedFleet.test.ts
@@ -109,7 +109,7 @@
     },
   });
   members.push({ ...(members[0] as IMember), fleet, listener, directory });
-  await listener.listen('127.0.0.1', port);
+  await listener.listen('127.0.0.1', port, () => undefined);
   const client = new peerClient.PeerClient();
   const request = peer.ForwardRequest.fromPartial({ requestId: '1', remainingMs: 60_000 });
   const kind = new Promise((resolve) => {
--- a/src/node/telemetry/BoundedLogStream.test.ts
+++ b/src/node/telemetry/BoundedLogStream.test.ts
@@ -14,6 +14,11 @@
 let stream: boundedLogStream.BoundedLogStream;
 let output: string;
 
+/** Ends the write in progress, if writes do not end at once. */
+let endWrite: (() => void) | undefined;
+
+let endsAtOnce: boolean;
+
 /** Number of bytes that the destination accepts. */
 let room: number;
 
@@ -36,6 +41,8 @@
 beforeEach(() => {
   output = '';
   tries = 0;
+  endsAtOnce = true;
+  endWrite = undefined;
   clock = new manualClock.ManualClock();
   const write: boundedLogStream.WriteBytes = (bytes, onWritten) => {
     let count = 0;
@@ -45,7 +52,8 @@
       onWritten(error as Error, 0);
       return;
     }
-    onWritten(null, count);
+    if (endsAtOnce) onWritten(null, count);
+    else endWrite = () => onWritten(null, count);
   };
   stream = new boundedLogStream.BoundedLogStream(write, accept, clock);
 });
@@ -94,3 +102,23 @@
   clock.advance(60_000);
   expect(tries).toBe(1);
 });
+
+// Guards against lines that are lost, or cut in the middle, when the process goes on after an error.
+test.each([
+  [5, 0],
+  [LINE.length, 0],
+  [5, 1_000],
+])('no line is lost if all are written during a write: room for %i, then %i', (before, during) => {
+  endsAtOnce = false;
+  room = before;
+  writeLines(1);
+  room = during;
+  stream.write(LINE);
+  stream.flushNow();
+  room = 1_000;
+  endsAtOnce = true;
+  endWrite?.();
+  writeLines(1);
+  const sorted = (text: string) => [...text].sort().join('');
+  expect(sorted(output)).toBe(sorted(LINE.repeat(3)));
+});
--- a/src/node/telemetry/BoundedLogStream.ts
+++ b/src/node/telemetry/BoundedLogStream.ts
@@ -30,9 +30,10 @@
   /** The rest of the lines that were taken from the buffer. */
   private unwritten: Buffer = Buffer.alloc(0);
 
-  private dropped = 0;
+  /** Bytes of the write in progress. */
+  private writing: Buffer | undefined;
 
-  private isWriting = false;
+  private dropped = 0;
 
   private timer: types.IDisposable | undefined;
 
@@ -51,7 +52,7 @@
 
   // eslint-disable-next-line no-underscore-dangle
   public override _write(line: string, _encoding: string, callback: () => void): void {
-    const waitingBytes = this.bufferedBytes + this.unwritten.length;
+    const waitingBytes = this.bufferedBytes + this.unwritten.length + (this.writing?.length ?? 0);
     if (waitingBytes + line.length > MAX_BUFFERED_BYTES) this.dropped += 1;
     else {
       this.buffered.push(line);
@@ -64,22 +65,24 @@
   /** Writes the lines that wait, unless a write is in progress. */
   public flush(): void {
     this.disposeTimer();
-    if (this.isWriting || !this.takeLines()) return;
-    this.isWriting = true;
-    this.writeBytes(this.unwritten, (error, count) => {
-      this.isWriting = false;
+    if (this.writing !== undefined || !this.takeLines()) return;
+    const bytes = this.unwritten;
+    this.writing = bytes;
+    this.unwritten = Buffer.alloc(0);
+    this.writeBytes(bytes, (error, count) => {
+      this.writing = undefined;
+      this.unwritten = Buffer.concat([bytes.subarray(count), this.unwritten]);
       // A retry without a new line would keep a process alive that has stopped.
-      if (error !== null) return;
-      this.unwritten = this.unwritten.subarray(count);
-      this.flush();
+      if (error === null) this.flush();
     });
   }
 
-  /** Writes the lines that wait before it returns, for a process that is about to end. */
+  /**
+   * Writes the lines that wait before it returns, for a process that may be about to end. Those of a
+   * write in progress are left to it.
+   */
   public flushNow(): void {
     this.disposeTimer();
-    // Nobody is told any longer what becomes of a write in progress.
-    if (this.isWriting) this.unwritten = Buffer.alloc(0);
     try {
       while (this.takeLines()) {
         this.unwritten = this.unwritten.subarray(this.writeBytesNow(this.unwritten));
