Contain the exchanges that a pause, a start and a stop begin

The timer and the microtask of the exchange loop contained the error of a message that cannot be composed, but its public methods threw it at their callers: after a pause of the process at the next request of a caller, whose handler calls the detector of pauses, and at the first step of a stop. Found by reading. The error is now contained and logged where the message is composed, for all of them. Both cases of the new test failed before.

--- a/src/node/fleet/ExchangeLoop.test.ts
+++ b/src/node/fleet/ExchangeLoop.test.ts
@@ -65,3 +65,13 @@
   expect(loop.receive(requestOf(false))).toMatchObject({ members: [], facts: [] });
   expect(logged).toHaveLength(1);
 });
+
+// Guards against a request after a pause, or a stop, that ends with the error of an exchange.
+test.each(['exchangeNow', 'pushUrgent'] as const)(
+  'a message that cannot be composed is logged, not thrown at the caller of %s',
+  (method) => {
+    isBroken = true;
+    loop[method]();
+    expect(logged).toHaveLength(1);
+  },
+);
--- a/src/node/fleet/ExchangeLoop.ts
+++ b/src/node/fleet/ExchangeLoop.ts
@@ -40,9 +40,7 @@
     private readonly clock: types.IClock,
   ) {
     // The facts of one message are added one by one; the microtask pushes them together.
-    this.urgentListener = agent.onUrgent(() =>
-      queueMicrotask(() => this.contain(() => this.pushUrgent())),
-    );
+    this.urgentListener = agent.onUrgent(() => queueMicrotask(() => this.pushUrgent()));
   }
 
   public get counts(): IExchangeCounts {
@@ -62,12 +60,12 @@
   /** Exchanges with a random peer immediately, unless too many exchanges are pending. */
   public exchangeNow(): void {
     if (this.pending >= MAX_PENDING) return;
-    this.send(this.agent.beginExchange());
+    this.contain(() => this.send(this.agent.beginExchange()));
   }
 
   /** Sends pending urgent facts, or that this daemon is leaving, to a few peers immediately. */
   public pushUrgent(): void {
-    this.send(this.agent.takeUrgentMessage());
+    this.contain(() => this.send(this.agent.takeUrgentMessage()));
   }
 
   /** Sends the state of this daemon to `targets`, outside the limit on pending exchanges. */
@@ -105,7 +103,7 @@
 
   private scheduleExchange(): void {
     this.timer = this.clock.setTimer(gossipAgent.EXCHANGE_INTERVAL_MS, () => {
-      this.contain(() => this.exchangeNow());
+      this.exchangeNow();
       this.scheduleExchange();
     });
   }
