Leave out facts whose sequence no further fact can exceed

A daemon raises its sequence to that of a fact with its own address as origin, as after a restart with its clock set back. Such facts are left out, as member records with such an incarnation are.

--- a/src/node/fleet/ExchangeMessages.test.ts
+++ b/src/node/fleet/ExchangeMessages.test.ts
@@ -1,4 +1,4 @@
-import type * as peer from '../peer/generated/peer';
+import * as peer from '../peer/generated/peer';
 import * as exchangeMessages from './ExchangeMessages';
 
 function recordOf(address: string): peer.MemberRecord {
@@ -33,6 +33,21 @@
   expect(decoded?.members.map(({ address }) => address)).toEqual(['10.0.0.3:1']);
 });
 
+// Guards against messages that no peer can decode, since a fact of this daemon has a later sequence.
+test('a fact whose sequence cannot be followed by another is left out', () => {
+  const fact = {
+    kind: peer.FactKind.FACT_KIND_DRAINING,
+    subject: 's',
+    origin: '10.0.0.2:1',
+    ageMs: 0,
+    lifetimeMs: 1,
+    details: [],
+  };
+  const facts = [Number.MAX_SAFE_INTEGER, 7].map((sequence) => ({ ...fact, sequence }));
+  const decoded = exchangeMessages.fromWire({ ...messageOf('10.0.0.1:1', []), facts });
+  expect(decoded?.facts.map(({ sequence }) => sequence)).toEqual([7]);
+});
+
 // Guards against a process that ends when it sends on what it was told.
 test('an age that has grown beyond its field since it was received is limited', () => {
   const message = exchangeMessages.fromWire(messageOf('10.0.0.1:1', []));
--- a/src/node/fleet/ExchangeMessages.ts
+++ b/src/node/fleet/ExchangeMessages.ts
@@ -56,11 +56,15 @@
   };
 }
 
-/** Omits facts of a kind that this version does not know. */
+/**
+ * Omits facts of a kind that this version does not know, and those whose sequence the next fact of
+ * their origin cannot exceed.
+ */
 function decodeFacts(records: readonly peer.FactRecord[]): membershipTypes.IFact[] {
   return records.flatMap((record) => {
     const kind = FROM_WIRE.get(record.kind);
-    return kind === undefined ? [] : [{ ...record, kind }];
+    const canBeFollowed = kind !== undefined && record.sequence < Number.MAX_SAFE_INTEGER;
+    return canBeFollowed ? [{ ...record, kind }] : [];
   });
 }
 
