Wait for the replies to forwarded calls for a part of a second only

The end of all connections cannot be awaited with a silent peer among them, and gRPC does not tell which replies were sent. The wait is now limited to 300 ms.

--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -21,6 +21,12 @@
 import * as exchangeMessages from './ExchangeMessages';
 import * as memberSync from './MemberSync';
 
+/**
+ * Time to send the replies to forwarded calls at a stop, in milliseconds. A silent peer keeps its
+ * connection open, so that the end of all connections cannot be awaited.
+ */
+const REPLY_FLUSH_MS = 300;
+
 /** Identity of a daemon and its seed peers. Addresses are IP address and port. */
 export interface IRoutedFleetOptions {
   readonly peerAddress: string;
@@ -45,7 +51,7 @@
 
   private readonly server: peerServer.PeerServer;
 
-  private isFinishing = false;
+  private flushTimer: types.IDisposable | undefined;
 
   public constructor(
     private readonly options: IRoutedFleetOptions,
@@ -164,16 +170,14 @@
 
   /** Takes no further messages, and sends the replies to the earlier ones. */
   public finishReplies(): void {
-    this.isFinishing = true;
-    const end = () => {
-      this.isFinishing = false;
-    };
+    this.flushTimer = this.clock.setTimer(REPLY_FLUSH_MS, () => this.endFlush());
+    const end = () => this.endFlush();
     this.server.close().then(end, end);
   }
 
-  /** Whether replies wait to be sent after `finishReplies`. They do for long if a peer is silent. */
+  /** Whether replies may still wait to be sent after `finishReplies`. */
   public get hasUnsentReplies(): boolean {
-    return this.isFinishing;
+    return this.flushTimer !== undefined;
   }
 
   /** Handles a pause of the process: marks all members as suspected and exchanges with a peer. */
@@ -204,4 +208,9 @@
     const own = { address, failureDomain };
     return new relayAgent.RelayAgent(own, this.confirmation, fleet, this.clock);
   }
+
+  private endFlush(): void {
+    this.flushTimer?.dispose();
+    this.flushTimer = undefined;
+  }
 }
