Let a peer that does not reply delay the changes of others only briefly

What callers may see: a change that is confirmed is not in force in time at a daemon that has asked a peer which was lost a moment ago.

Cause: a daemon fetched from one peer at a time, and dropped what other peers reported meanwhile. A fetch from a lost peer lasts 1 s, after which the change waited for the next notice, up to a second more, at each of up to three hops.

Change: fetches take turns. Of those that wait the latest is kept, and one without a result holds up the next one for 250 ms at most.

--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -19,9 +19,18 @@
 let isReachable: boolean;
 let isReader: boolean;
 
+/** Address of a peer that takes messages and never replies. */
+const HUNG_ADDRESS = '10.0.0.3:1';
+
+/** Time for which a peer without a reply may delay the changes of others, in milliseconds. */
+const HANG_LIMIT_MS = 300;
+
 /** Directory that the peer sends in place of its own. */
 let sentText: string | undefined;
 
+/** Reply of the peer to the first fetch, in place of its directory at that time. */
+let firstReply: Promise<peer.FetchTableReply> | undefined;
+
 function serverOf(id: string, address: string): directoryTypes.IRegistration {
   return {
     ...{ id, address, service: 'reads', failureDomain: 'a', slots: 3 },
@@ -35,6 +44,7 @@
   isReachable = true;
   isReader = false;
   sentText = undefined;
+  firstReply = undefined;
   const server = serverOf('1', '10.0.0.1:80');
   peerDirectory.apply([{ kind: 'server', revision: 5, server }], 5);
 });
@@ -53,9 +63,11 @@
     clock,
   );
   const peers = {
-    fetchTable: async (_address: string, request: peer.FetchTableRequest) => {
+    fetchTable: async (address: string, request: peer.FetchTableRequest) => {
+      if (address === HUNG_ADDRESS) await new Promise(() => {});
       if (!isReachable) return { ok: false as const, error: new Error('unreachable') };
-      const reply = await sender.reply(request);
+      const reply = await (firstReply ?? sender.reply(request));
+      firstReply = undefined;
       const compressedText = sentText === undefined ? reply.compressedText : await gzip(sentText);
       return { ok: true as const, value: { ...reply, compressedText } };
     },
@@ -68,7 +80,7 @@
     logger,
     clock,
   );
-  return { directory, confirmation, sync };
+  return { directory, confirmation, sync, sender };
 }
 
 test('a daemon with an older directory fetches the newer one from a peer', async () => {
@@ -116,6 +128,33 @@
   }
 });
 
+// Guards against a change that is late because a peer that was just lost is asked for it first.
+test('a peer that does not reply delays the changes of another one only briefly', async () => {
+  const { directory, confirmation, sync } = make();
+  sync.syncFrom(HUNG_ADDRESS, { version: 5, hash: '', ageMs: 20 }).catch(() => undefined);
+  const synced = sync.syncFrom(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  clock.advance(HANG_LIMIT_MS);
+  await synced;
+  expect(directory.revision).toBe(5);
+  expect(confirmation.ageMs).toBe(20 + HANG_LIMIT_MS);
+});
+
+// Guards against a change that waits for the next notice since an earlier one is being fetched.
+test('a change reported during a fetch is fetched after it', async () => {
+  const { directory, sync, sender } = make();
+  const older = await sender.reply({ newerThan: 0 });
+  let sendOlder: () => void = () => undefined;
+  firstReply = new Promise((resolve) => {
+    sendOlder = () => resolve(older);
+  });
+  const first = sync.syncFrom(ADDRESS, { version: 5, hash: '', ageMs: 20 });
+  peerDirectory.apply([{ kind: 'server', revision: 6, server: serverOf('2', '10.0.0.2:80') }], 6);
+  const second = sync.syncFrom(ADDRESS, { version: 6, hash: '', ageMs: 20 });
+  sendOlder();
+  await Promise.all([first, second]);
+  expect(directory.revision).toBe(6);
+});
+
 test('a peer without a confirmation of its own confirms nothing', async () => {
   const { confirmation, sync } = make();
   await sync.syncFrom(ADDRESS, { version: 5, hash: '' });
--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -10,6 +10,7 @@
 import type * as fleetTypes from '../fleet/Types';
 import type * as peer from '../peer/generated/peer';
 import * as names from '../telemetry/Names';
+import * as fetchTurns from './FetchTurns';
 import * as relayedDirectory from './RelayedDirectory';
 
 const gzip = util.promisify(zlib.gzip);
@@ -41,7 +42,7 @@
  * up to date.
  */
 export class DirectorySync implements fleetTypes.IPeerSync {
-  private fetching = false;
+  private readonly turns: fetchTurns.FetchTurns;
 
   private cachedReply: ICachedReply | undefined;
 
@@ -53,7 +54,9 @@
     private readonly peers: Pick<fleetTypes.IPeerSender, 'fetchTable'>,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
-  ) {}
+  ) {
+    this.turns = new fetchTurns.FetchTurns(clock);
+  }
 
   /**
    * Fetches the directory of a peer with a newer revision, unless this daemon's own read delivers
@@ -98,14 +101,11 @@
   }
 
   private async catchUp(address: string, version: number): Promise<void> {
-    if (this.fetching) return;
-    this.fetching = true;
-    try {
-      if (this.isReader()) await this.waitForLocalRead();
+    if (this.isReader()) await this.waitForLocalRead();
+    if (version <= this.directory.revision) return;
+    await this.turns.run(async () => {
       if (version > this.directory.revision) await this.fetch(address);
-    } finally {
-      this.fetching = false;
-    }
+    });
   }
 
   private waitForLocalRead(): Promise<void> {
