--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -393,6 +393,8 @@
       configurationVersion: configuration.version,
       revision,
       servers: servers.length,
+      // Time since the directory was last known to be up to date.
+      confirmedMs: Math.round(this.confirmation.ageMs),
     };
     if (previousVersion === undefined) this.readyEmitter.fire();
     if (previousVersion === configuration.version) this.logger.debug(fields, 'servers changed');
--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -116,8 +116,10 @@
 
   private async fetch(address: string): Promise<void> {
     const before = this.directory.revision;
+    const startMs = this.clock.monotonicMs();
     const fetched = await this.peers.fetchTable(address, { newerThan: before });
     if (!fetched.ok || fetched.value.compressedText.length === 0) return;
+    const receivedMs = this.clock.monotonicMs();
     try {
       const maxOutputLength = MAX_DIRECTORY_BYTES;
       const text = await gunzip(fetched.value.compressedText, { maxOutputLength });
@@ -129,7 +131,12 @@
       if (kind === 'changes') this.directory.apply(content.records, content.revision);
       else this.directory.replace(content);
       const { revision } = this.directory;
-      const fields = { event: names.DIRECTORY_RELAYED, address, kind, before, revision };
+      const cost = {
+        bytes: fetched.value.compressedText.length,
+        fetchMs: Math.round(receivedMs - startMs),
+        applyMs: Math.round(this.clock.monotonicMs() - receivedMs),
+      };
+      const fields = { event: names.DIRECTORY_RELAYED, address, kind, before, revision, ...cost };
       this.logger.info(fields, 'directory synced from peer');
     } catch (error) {
       this.logger.warn({ err: error, address }, 'failed to decode directory from peer');
--- a/src/node/directory/DirectoryWatcher.ts
+++ b/src/node/directory/DirectoryWatcher.ts
@@ -167,7 +167,7 @@
     this.hasListed = true;
     this.handleRecovery();
     if (result.value.isRestored === true) this.handleRestoredCopy(result.value.revision);
-    this.directory.replace(result.value);
+    this.applyRead(result.value, () => this.directory.replace(result.value));
     if (!mayBeStale) this.recordSuccess(startMs);
     return 0;
   }
@@ -181,13 +181,27 @@
     this.mustList = false;
     const { records, revision } = result.value;
     this.handleRecovery();
-    this.directory.apply(records, revision);
+    this.applyRead(result.value, () => this.directory.apply(records, revision));
     // A watch without changes confirms the directory up to the end of the watch, because the store
     // would have reported any change.
     this.recordSuccess(records.length > 0 ? startMs : this.clock.monotonicMs());
     return records.length > 0 ? COALESCING_DELAY_MS : 0;
   }
 
+  /** Applies what a read returned, and logs what a configuration in it took. */
+  private applyRead(
+    read: nodeTypes.Read<directoryTypes.IDirectoryChanges>,
+    apply: () => void,
+  ): void {
+    const startMs = this.clock.monotonicMs();
+    apply();
+    if (!read.records.some(({ kind }) => kind === 'configuration')) return;
+    const applyMs = Math.round(this.clock.monotonicMs() - startMs);
+    const { revision, cost } = read;
+    const fields = { event: names.DIRECTORY_READ, revision, ...cost, applyMs };
+    this.logger.info(fields, 'configuration read');
+  }
+
   /** Ends an outage, if any. Must be called before the content of a successful read is applied. */
   private handleRecovery(): void {
     if (this.consecutiveFailures === 0) return;
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -19,6 +19,7 @@
 export const PROCESS_PAUSED = 'process.paused';
 export const UNCAUGHT_ERROR = 'process.uncaught_error';
 export const PROCESS_ENDED = 'process.ended';
+export const DIRECTORY_READ = 'directory.read';
 export const DIRECTORY_RELAYED = 'directory.relayed';
 export const DIRECTORY_LOST = 'directory.lost';
 export const DIRECTORY_REGAINED = 'directory.regained';
--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -438,6 +438,7 @@
       (port) => `127.0.0.1:${port}`,
     ) as [string, string, string];
     const [callerAddress, peerAddress] = others;
+    const clock = new ScaledClock(SPEEDUP);
     const second = new routedDaemon.RoutedDaemon(
       {
         ...settings,
@@ -445,12 +446,12 @@
         [taken]: settings[taken],
       },
       {
-        source: new storeClient.StoreClient(storeUrl),
+        source: new storeClient.StoreClient(storeUrl, clock),
         callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
         backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
       },
       bunyan.createLogger({ name: 'test', streams: [] }),
-      new ScaledClock(SPEEDUP),
+      clock,
       new seededRandom.SeededRandom(2),
     );
     await expect(second.start()).rejects.toThrow(taken);
--- a/src/platform/StoreClient.test.ts
+++ b/src/platform/StoreClient.test.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 
+import * as systemClock from '../node/SystemClock';
 import * as storeClient from './StoreClient';
 
 const PIECE = ' '.repeat(64 * 1024);
@@ -24,7 +25,8 @@
   server = http.createServer((_request, response) => respond(response));
   await nodeEvents.once(server.listen(0, '127.0.0.1'), 'listening');
   const { port } = server.address() as net.AddressInfo;
-  client = new storeClient.StoreClient(`http://127.0.0.1:${port}`);
+  const clock = new systemClock.SystemClock();
+  client = new storeClient.StoreClient(`http://127.0.0.1:${port}`, clock);
 }
 
 afterEach(async () => {
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -37,8 +37,9 @@
   storeRevision: zod.int(),
 });
 
-/** A reply with the era of the store, which its header tells. */
-type IStoreReply = Readonly<zod.infer<typeof REPLY>> & storeRevisions.IStoreState;
+/** A reply with the era of the store, which its header tells, and its size in bytes. */
+type IStoreReply = Readonly<zod.infer<typeof REPLY>> &
+  storeRevisions.IStoreState & { readonly bytes: number };
 
 /** Era of a store that was never restored, and of one that does not tell. */
 const FIRST_ERA = 0;
@@ -78,7 +79,10 @@
   private listedEra: number | undefined;
 
   /** @param baseUrl Scheme, IP address and port. */
-  public constructor(private baseUrl: string) {}
+  public constructor(
+    private baseUrl: string,
+    private readonly clock: types.IClock,
+  ) {}
 
   /** Sets the base URL of subsequent reads. */
   public setBaseUrl(baseUrl: string): void {
@@ -87,8 +91,9 @@
 
   public async list(
     mayBeStale: boolean,
-  ): Promise<types.Result<directoryTypes.IDirectoryListing, Failure>> {
+  ): Promise<types.Result<nodeTypes.Read<directoryTypes.IDirectoryListing>, Failure>> {
     const items: unknown[] = [];
+    let bytes = 0;
     let state: storeRevisions.IStoreState | undefined;
     let after = '';
     for (let page = 0; page < MAX_PAGES; page += 1) {
@@ -99,14 +104,14 @@
       if (!reply.ok) return reply;
       const { era, storeRevision } = reply.value;
       items.push(...(reply.value.items ?? []));
+      bytes += reply.value.bytes;
       // Pages are read one by one. A watch from the first page's revision returns later changes.
       state ??= { era, storeRevision: mayBeStale ? newestRevision(reply.value) : storeRevision };
       if (era !== state.era) return unavailable('the store was restored during the listing');
       const last = lastKeyOf(reply.value);
       if (reply.value.truncated !== true || last === undefined) {
-        const records = recordDecoder.decodeItems(items, state);
-        const revision = storeRevisions.toRevision(state);
-        return { ok: true, value: { records, revision, isRestored: this.advanceEra(era) } };
+        const content = this.decode(items, state, bytes);
+        return { ok: true, value: { ...content, isRestored: this.advanceEra(era) } };
       }
       after = last;
     }
@@ -116,18 +121,16 @@
   public async watch(
     revision: number,
     waitMs: number,
-  ): Promise<types.Result<directoryTypes.IDirectoryChanges, Failure>> {
+  ): Promise<types.Result<nodeTypes.Read<directoryTypes.IDirectoryChanges>, Failure>> {
     const known = storeRevisions.toStoreState(revision);
     const query = { prefix: '', after: `${known.storeRevision}`, waitMs: `${waitMs}` };
     const reply = await this.read('kv-watch', query, waitMs + WATCH_TIMEOUT_MARGIN_MS);
     if (!reply.ok) return reply;
-    const { era, storeRevision, events } = reply.value;
+    const { era, storeRevision, events, bytes } = reply.value;
     // The revisions of another era say nothing about the changes that this daemon lacks.
     if (era > known.era) return { ok: false, error: { kind: 'history-lost' } };
     if (era < known.era) return unavailable(`the reply is of era ${era}, before ${known.era}`);
-    const state = { era, storeRevision };
-    const records = recordDecoder.decodeItems(events ?? [], state);
-    return { ok: true, value: { records, revision: storeRevisions.toRevision(state) } };
+    return { ok: true, value: this.decode(events ?? [], { era, storeRevision }, bytes) };
   }
 
   public reset(): void {
@@ -136,6 +139,17 @@
     this.agent = StoreClient.makeAgent();
   }
 
+  private decode(
+    items: readonly unknown[],
+    state: storeRevisions.IStoreState,
+    bytes: number,
+  ): nodeTypes.Read<directoryTypes.IDirectoryChanges> {
+    const startMs = this.clock.monotonicMs();
+    const records = recordDecoder.decodeItems(items, state);
+    const decodeMs = Math.round(this.clock.monotonicMs() - startMs);
+    return { records, revision: storeRevisions.toRevision(state), cost: { bytes, decodeMs } };
+  }
+
   /** Returns whether the era of a complete listing is later than that of the one before. */
   private advanceEra(era: number): boolean {
     const isRestored = this.listedEra !== undefined && era > this.listedEra;
@@ -159,17 +173,17 @@
         method: 'GET',
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const text = (await readBody.readBody(reply.body, MAX_REPLY_BYTES)).toString();
+      const body = await readBody.readBody(reply.body, MAX_REPLY_BYTES);
       if (reply.statusCode === STATUS_GONE) return { ok: false, error: { kind: 'history-lost' } };
       if (reply.statusCode !== STATUS_OK) return unavailable(`status ${reply.statusCode}`);
-      const parsed = REPLY.safeParse(JSON.parse(text));
+      const parsed = REPLY.safeParse(JSON.parse(body.toString()));
       if (!parsed.success)
         return unavailable(`malformed reply: ${parsed.error.issues[0]?.message}`);
       const { storeRevision } = parsed.data;
       const era = eraOf(reply.headers);
       if (era === undefined || !storeRevisions.isValid({ era, storeRevision }))
         return unavailable('malformed reply: its era or revision is no number in range');
-      return { ok: true, value: { ...parsed.data, era } };
+      return { ok: true, value: { ...parsed.data, era, bytes: body.length } };
     } catch (error) {
       return unavailable((error as Error).message);
     }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -56,7 +56,7 @@
     stream,
     serializers: { err: bunyan.stdSerializers.err },
   });
-  const source = new storeClient.StoreClient(settings.directoryUrl);
+  const source = new storeClient.StoreClient(settings.directoryUrl, clock);
   const daemon = new routedDaemon.RoutedDaemon(
     settings,
     {
--- a/src/platform/testing/PlatformDaemon.ts
+++ b/src/platform/testing/PlatformDaemon.ts
@@ -51,15 +51,16 @@
   );
   if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
   const settings = parsed.value;
+  const clock = options.clock ?? new systemClock.SystemClock();
   const daemon = new routedDaemon.RoutedDaemon(
     settings,
     {
-      source: new storeClient.StoreClient(directoryUrl),
+      source: new storeClient.StoreClient(directoryUrl, clock),
       callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
       backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
     },
     bunyan.createLogger({ name: 'test', streams: [] }),
-    options.clock ?? new systemClock.SystemClock(),
+    clock,
     new seededRandom.SeededRandom(1),
   );
   return { settings, daemon };
