--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -1,9 +1,9 @@
 import * as zod from 'zod';
 
 import type * as directoryTypes from '../common/directory/Types';
-import * as durations from '../common/Durations';
 import type * as routingTypes from '../common/routing/Types';
 import * as addresses from '../node/settings/Addresses';
+import * as ruleDecoder from './RuleDecoder';
 import * as storeRevisions from './StoreRevisions';
 import * as wireNames from './WireNames';
 
@@ -19,13 +19,6 @@
 /** An item of the store, or the event of its deletion. */
 export type IStoreItem = Readonly<zod.infer<typeof ITEM>>;
 
-const DURATION = zod.string().transform((text, context) => {
-  const durationMs = durations.parseDuration(text);
-  if (durationMs !== undefined) return durationMs;
-  context.addIssue({ code: 'custom', message: 'expected a duration such as 1500ms' });
-  return zod.NEVER;
-});
-
 /** Version of the configuration, encoded as eight hexadecimal digits. */
 const VERSION = zod
   .string()
@@ -41,37 +34,16 @@
 /** Latest time that a date can have, in Unix milliseconds. */
 const MAX_TIME_MS = 8.64e15;
 
-const SPLIT = zod
-  .array(zod.object({ service: zod.string(), weight: zod.number().min(0) }))
-  .min(1)
-  .refine((parts) => parts.some(({ weight }) => weight > 0), 'no part has a weight');
-
-const RULE = zod.object({
-  name: zod.string(),
-  kind: zod.enum(['idempotent', 'non_idempotent']),
-  // Latency objective: time within which an answer is fully useful.
-  aim: DURATION,
-  match: zod.object({
-    prefix: zod.string().regex(/^\/(.*\/)?$/s, 'expected slashes at both ends'),
-  }),
-  action: zod.object({
-    service: zod.string().optional(),
-    split: SPLIT.optional(),
-    timeout: DURATION,
-    maxAttempts: COUNT,
-  }),
-});
-
 const CONFIGURATION = zod.object({
   configVersion: VERSION,
   limits: zod.object({
     maxHeaderBytes: POSITIVE,
     maxBodyBytes: POSITIVE,
-    headerTimeout: DURATION,
-    idleTimeout: DURATION,
+    headerTimeout: ruleDecoder.DURATION,
+    idleTimeout: ruleDecoder.DURATION,
   }),
   // Hosts with their routes.
-  listeners: zod.array(zod.object({ host: zod.string(), policy: zod.array(RULE) })),
+  listeners: zod.array(zod.object({ host: zod.string(), policy: ruleDecoder.RULES })),
   // Services.
   clusters: zod.array(
     zod.object({ name: zod.string(), healthPath: zod.string(), maxConns: COUNT }),
@@ -90,13 +62,11 @@
   seq: zod.int().min(0).optional(),
 });
 
-type Rule = zod.infer<typeof RULE>;
-
 function describeError(error: zod.ZodError): string {
   return error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`).join('; ');
 }
 
-function toRoute(host: string, rule: Rule): routingTypes.IRoute {
+function toRoute(host: string, rule: ruleDecoder.Rule): routingTypes.IRoute {
   const { service, split, timeout, maxAttempts } = rule.action;
   return {
     name: rule.name,
--- /dev/null
+++ b/src/platform/RuleDecoder.ts
@@ -0,0 +1,88 @@
+import * as zod from 'zod';
+
+import * as durations from '../common/Durations';
+
+/** Duration in the platform's format, in milliseconds. */
+export const DURATION = zod.string().transform((text, context) => {
+  const durationMs = durations.parseDuration(text);
+  if (durationMs !== undefined) return durationMs;
+  context.addIssue({ code: 'custom', message: 'expected a duration such as 1500ms' });
+  return zod.NEVER;
+});
+
+/** A prefix begins and ends with a slash. */
+const PREFIX = /^\/(.*\/)?$/s;
+
+const SPLIT = zod
+  .array(zod.object({ service: zod.string(), weight: zod.number().min(0) }))
+  .min(1)
+  .refine((parts) => parts.some(({ weight }) => weight > 0), 'no part has a weight');
+
+/** Rules of any form. */
+export const SCHEMA = zod.object({
+  name: zod.string(),
+  kind: zod.enum(['idempotent', 'non_idempotent']),
+  // Latency objective: time within which an answer is fully useful.
+  aim: DURATION,
+  match: zod.object({ prefix: zod.string().regex(PREFIX, 'expected slashes at both ends') }),
+  action: zod.object({
+    service: zod.string().optional(),
+    split: SPLIT.optional(),
+    timeout: DURATION,
+    maxAttempts: zod.int().min(1),
+  }),
+});
+
+/** Rule of the operators' configuration. Durations are in milliseconds. */
+export type Rule = zod.infer<typeof SCHEMA>;
+
+function readDuration(value: unknown): number | undefined {
+  return typeof value === 'string' ? durations.parseDuration(value) : undefined;
+}
+
+/** Reads a valid rule with one service, the usual form; returns undefined for any other value. */
+function readUsualRule(value: unknown): Rule | undefined {
+  const { name, kind, aim, match, action } = Object(value);
+  const { prefix } = Object(match);
+  const { service, split, timeout, maxAttempts } = Object(action);
+  const aimMs = readDuration(aim);
+  const timeoutMs = readDuration(timeout);
+  const isUsual =
+    typeof name === 'string' &&
+    (kind === 'idempotent' || kind === 'non_idempotent') &&
+    typeof prefix === 'string' &&
+    PREFIX.test(prefix) &&
+    typeof service === 'string' &&
+    split === undefined &&
+    Number.isSafeInteger(maxAttempts) &&
+    maxAttempts >= 1;
+  if (!isUsual || aimMs === undefined || timeoutMs === undefined) return undefined;
+  return {
+    name,
+    kind,
+    aim: aimMs,
+    match: { prefix },
+    action: { service, timeout: timeoutMs, maxAttempts },
+  };
+}
+
+/**
+ * Rules of one host. A configuration may have thousands, and the schema takes many times as long as
+ * the direct way, so that only rules of an unusual form and those with a fault pass it.
+ */
+export const RULES = zod.unknown().transform((value, context): readonly Rule[] => {
+  if (!Array.isArray(value)) {
+    context.addIssue({ code: 'custom', message: 'expected a list of rules' });
+    return zod.NEVER;
+  }
+  return value.map((candidate, index) => {
+    const usual = readUsualRule(candidate);
+    if (usual !== undefined) return usual;
+    const parsed = SCHEMA.safeParse(candidate);
+    if (parsed.success) return parsed.data;
+    parsed.error.issues.forEach(({ path, message }) =>
+      context.addIssue({ code: 'custom', path: [index, ...path], message }),
+    );
+    return zod.NEVER;
+  });
+});
