--- a/src/node/directory/FetchTurns.ts
+++ b/src/node/directory/FetchTurns.ts
@@ -1,7 +1,7 @@
 import type * as types from '../../common/Types';
 
 /** Time after which a fetch without a result no longer holds up the next one, in milliseconds. */
-const MAX_HOLD_MS = 250;
+const MAX_HOLD_MS = 750;
 
 /**
  * Lets fetches take turns, so that a change that several peers report is fetched once. Of the
