--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -13,6 +13,12 @@
 /** Delay of a notice, in milliseconds, so that a change and its confirmation travel together. */
 const NOTICE_DELAY_MS = 5;
 
+/**
+ * Further delay of a notice of a change to followers for which this daemon stands by, in
+ * milliseconds. Those that prefer it are served first, and the others mostly know the change by then.
+ */
+const STANDBY_DELAY_MS = 200;
+
 /** Advance of the confirmation that followers are notified of, as a share of its maximum age. */
 const NOTICE_ADVANCE_SHARE = 0.3;
 
@@ -62,6 +68,8 @@
 
   private noticeTimer: types.IDisposable | undefined;
 
+  private standbyTimer: types.IDisposable | undefined;
+
   private lateTimer: types.IDisposable | undefined;
 
   /** Whether the pending notice is of a change, which all subscribers want. */
@@ -122,6 +130,7 @@
   public dispose(): void {
     this.renewTimer?.dispose();
     this.noticeTimer?.dispose();
+    this.standbyTimer?.dispose();
     this.lateTimer?.dispose();
   }
 
@@ -140,12 +149,19 @@
 
   private scheduleNotice(): void {
     this.noticeTimer ??= this.clock.setTimer(NOTICE_DELAY_MS, () => {
-      const { addresses, confirmedAddresses } = this.subscribers;
-      const recipients = this.hasChanged ? addresses : confirmedAddresses;
       this.noticeTimer = undefined;
+      if (this.hasChanged) this.scheduleStandbyNotice();
       this.hasChanged = false;
       this.noticedTimeMs = this.confirmation.timeMs;
-      this.fleet.notify(recipients);
+      this.fleet.notify(this.subscribers.confirmedAddresses);
+    });
+  }
+
+  private scheduleStandbyNotice(): void {
+    this.standbyTimer ??= this.clock.setTimer(STANDBY_DELAY_MS, () => {
+      this.standbyTimer = undefined;
+      const { addresses, confirmedAddresses } = this.subscribers;
+      this.fleet.notify(addresses.filter((address) => !confirmedAddresses.includes(address)));
     });
   }
 
--- a/src/common/directory/RelayTree.ts
+++ b/src/common/directory/RelayTree.ts
@@ -7,7 +7,7 @@
 const MIN_READERS = 2;
 
 /** Daemons per relay; bounds the notices that one relay sends. */
-const DAEMONS_PER_RELAY = 16;
+const DAEMONS_PER_RELAY = 10;
 
 /** Daemons up to which the readers notify all others, without relays. */
 const MAX_DAEMONS_WITHOUT_RELAYS = 32;
