--- a/src/common/directory/RelayAgent.test.ts
+++ b/src/common/directory/RelayAgent.test.ts
@@ -65,6 +65,18 @@
   expect(fleet.daemons.filter(({ revision }) => revision < 2)).toEqual([]);
 });
 
+// Guards against a change that is late since relays first notify followers that have another source.
+test('a change is first told to the followers that have no other daemon before this one', () => {
+  const fleet = fleetOf(119);
+  fleet.notices.clear();
+  fleet.publish(2);
+  fleet.advance(100);
+  expect(fleet.daemons.filter(({ revision }) => revision < 2)).toEqual([]);
+  const sent = [...fleet.notices.values()].reduce((sum, count) => sum + count, 0);
+  // One notice each, and at most a fifth more for the confirmations of that time.
+  expect(sent).toBeLessThanOrEqual(1.2 * fleet.daemons.length);
+});
+
 // Guards against changes that are lost with the daemons that relay them.
 test('a change reaches all survivors in time although more than half of the daemons failed', () => {
   const fleet = fleetOf(312);
