Time out a read of the store that makes no progress, not one that takes long

The store allows values of 1 MiB, which take 1.1 s at 10 Mbit/s and 1.6 s at 7 Mbit/s in base64, beside all other traffic of the VM. Such a configuration would never be read, and the failed read is repeated after up to 3 s.

Change: the first bytes of a reply are due as before, then further ones every 1.5 s, and all of it within 6 s of the first ones.

--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -438,7 +438,6 @@
       (port) => `127.0.0.1:${port}`,
     ) as [string, string, string];
     const [callerAddress, peerAddress] = others;
-    const clock = new ScaledClock(SPEEDUP);
     const second = new routedDaemon.RoutedDaemon(
       {
         ...settings,
@@ -446,12 +445,12 @@
         [taken]: settings[taken],
       },
       {
-        source: new storeClient.StoreClient(storeUrl, clock),
+        source: new storeClient.StoreClient(storeUrl, new systemClock.SystemClock()),
         callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
         backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
       },
       bunyan.createLogger({ name: 'test', streams: [] }),
-      clock,
+      new ScaledClock(SPEEDUP),
       new seededRandom.SeededRandom(2),
     );
     await expect(second.start()).rejects.toThrow(taken);
--- a/src/platform/StoreClient.test.ts
+++ b/src/platform/StoreClient.test.ts
@@ -11,6 +11,9 @@
 /** Chunks of one byte. */
 const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(8_192));
 
+/** Interval of the pieces of a slow reply, in milliseconds. */
+const PIECE_INTERVAL_MS = 200;
+
 /** Longest time that a watch waits, in milliseconds. */
 const WATCH_MS = 30_000;
 
@@ -79,3 +82,28 @@
     else expect(listed.error.kind).toBe('unavailable');
   },
 );
+
+/** Sends a listing of `pieces` pieces, one each `PIECE_INTERVAL_MS`, and ends it if `isWhole`. */
+function sendSlowly(response: http.ServerResponse, pieces: number, isWhole: boolean): void {
+  response.writeHead(200);
+  response.write('{"items":[],"truncated":false,"storeRevision":7');
+  let sent = 0;
+  const timer = setInterval(() => {
+    sent += 1;
+    if (sent <= pieces) response.write(' ');
+    else if (isWhole) response.end('}');
+    if (sent > pieces || response.destroyed) clearInterval(timer);
+  }, PIECE_INTERVAL_MS);
+}
+
+// Guards against a configuration that is never read because it is large and the link slow.
+test('a reply that takes long but arrives steadily is read', async () => {
+  await serve((response) => sendSlowly(response, 12, true));
+  expect(await client.list(false)).toMatchObject({ ok: true, value: { revision: 7 } });
+});
+
+// Guards against a read without end of a store that has fallen silent within its reply.
+test('a reply that stops midway fails', async () => {
+  await serve((response) => sendSlowly(response, 1, false));
+  expect(await client.list(false)).toMatchObject({ ok: false, error: { kind: 'unavailable' } });
+});
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -7,10 +7,15 @@
 import * as readBody from '../node/readBody';
 import * as recordDecoder from './RecordDecoder';
 import * as storeRevisions from './StoreRevisions';
+import * as transferLimit from '../node/TransferLimit';
 import * as wireNames from './WireNames';
 
+/** Time until the first bytes of a reply, and from then on without further ones, in milliseconds. */
 const READ_TIMEOUT_MS = 1_500;
 
+/** Time for the whole of a reply after its first bytes, in milliseconds. */
+const TRANSFER_TIMEOUT_MS = 6_000;
+
 /** Time added to the wait time of a watch to get its timeout, in milliseconds. */
 const WATCH_TIMEOUT_MARGIN_MS = 1_000;
 
@@ -166,13 +171,19 @@
     query: Readonly<Record<string, string>>,
     timeoutMs: number,
   ): Promise<types.Result<IStoreReply, Failure>> {
+    const limit = new transferLimit.TransferLimit(
+      { firstByteMs: timeoutMs, stallMs: READ_TIMEOUT_MS, totalMs: TRANSFER_TIMEOUT_MS },
+      this.clock,
+    );
     try {
       const reply = await this.agent.request({
         origin: this.baseUrl,
         path: `/v1/${operation}?${new URLSearchParams(query).toString()}`,
         method: 'GET',
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: limit.signal,
       });
+      limit.recordBytes();
+      reply.body.on('data', () => limit.recordBytes());
       const body = await readBody.readBody(reply.body, MAX_REPLY_BYTES);
       if (reply.statusCode === STATUS_GONE) return { ok: false, error: { kind: 'history-lost' } };
       if (reply.statusCode !== STATUS_OK) return unavailable(`status ${reply.statusCode}`);
@@ -186,6 +197,8 @@
       return { ok: true, value: { ...parsed.data, era, bytes: body.length } };
     } catch (error) {
       return unavailable((error as Error).message);
+    } finally {
+      limit.dispose();
     }
   }
 }
--- a/src/platform/testing/PlatformDaemon.ts
+++ b/src/platform/testing/PlatformDaemon.ts
@@ -51,16 +51,15 @@
   );
   if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
   const settings = parsed.value;
-  const clock = options.clock ?? new systemClock.SystemClock();
   const daemon = new routedDaemon.RoutedDaemon(
     settings,
     {
-      source: new storeClient.StoreClient(directoryUrl, clock),
+      source: new storeClient.StoreClient(directoryUrl, new systemClock.SystemClock()),
       callerProtocol: new platformCallerProtocol.PlatformCallerProtocol(),
       backendProtocol: new platformBackendProtocol.PlatformBackendProtocol(),
     },
     bunyan.createLogger({ name: 'test', streams: [] }),
-    clock,
+    options.clock ?? new systemClock.SystemClock(),
     new seededRandom.SeededRandom(1),
   );
   return { settings, daemon };
