Tell followers only what has changed in a configuration

Cause: each change of a large configuration cost every daemon the whole of it again.

Change: a daemon that asks a peer names its version. The digest of the older routes has to match, and changes of a version that is no longer active are not applied, nor what came with them, so that the next notice fetches them again.

--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -227,6 +227,39 @@
   expect((await sync.reply(request)).compressedConfiguration).toBe(received);
 });
 
+// Guards against the cost of 1,440 routes for each daemon whenever one of them changes.
+test('a peer with a recent configuration gets only what has changed since', async () => {
+  publishConfiguration(3, 6);
+  const { directory, sync, sender } = make();
+  await sync.syncFrom(ADDRESS, { version: 6, hash: '', ageMs: 20 });
+  const [route] = configurationOf(4).routes as [routingTypes.IRoute];
+  const routes = [route, { ...route, prefix: '/added/' }];
+  const configuration = { ...configurationOf(4), routes };
+  peerDirectory.apply([{ kind: 'configuration', revision: 7, configuration }], 7);
+  await sync.syncFrom(ADDRESS, { version: 7, hash: '', ageMs: 20 });
+  expect(directory.configuration).toEqual(configuration);
+  const request = { newerThan: 6, configurationVersion: 3 };
+  const sent = (await sender.reply(request)).compressedConfiguration as Uint8Array;
+  const { changes } = JSON.parse((await gunzip(sent)).toString());
+  expect(changes.routes).toEqual([{ from: 0, count: 1 }, { added: [routes[1]] }]);
+  expect((await sync.reply(request)).compressedConfiguration).toBe(sent);
+});
+
+// Guards against changes of a configuration that this daemon no longer has.
+test('changes of another version are not applied', async () => {
+  publishConfiguration(3, 6);
+  const { directory, sync, sender } = make();
+  await sync.syncFrom(ADDRESS, { version: 6, hash: '', ageMs: 20 });
+  publishConfiguration(4, 7);
+  firstReply = sender.reply({ newerThan: 6, configurationVersion: 3 });
+  await firstReply;
+  const newer = configurationOf(5);
+  directory.apply([{ kind: 'configuration', revision: 8, configuration: newer }], 6);
+  await sync.syncFrom(ADDRESS, { version: 7, hash: '', ageMs: 20 });
+  expect(directory.configuration).toBe(newer);
+  expect(directory.revision).toBe(6);
+});
+
 test('a peer gets the configuration only if it has an older one', async () => {
   publishConfiguration(3, 6);
   const { sender } = make();
--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -6,13 +6,14 @@
 import type * as confirmationModule from '../../common/directory/Confirmation';
 import * as directoryModule from '../../common/directory/Directory';
 import type * as directoryTypes from '../../common/directory/Types';
+import * as configurationChanges from '../../common/routing/ConfigurationChanges';
 import type * as gossipAgent from '../../common/membership/GossipAgent';
 import type * as types from '../../common/Types';
 import type * as fleetTypes from '../fleet/Types';
 import type * as peer from '../peer/generated/peer';
 import * as names from '../telemetry/Names';
 import * as fetchTurns from './FetchTurns';
-import * as packedConfiguration from './PackedConfiguration';
+import * as relayedConfigurations from './RelayedConfigurations';
 import * as relayedDirectory from './RelayedDirectory';
 
 const gzip = util.promisify(zlib.gzip);
@@ -52,7 +53,7 @@
 export class DirectorySync implements fleetTypes.IPeerSync {
   private readonly turns: fetchTurns.FetchTurns;
 
-  private readonly packed = new packedConfiguration.PackedConfiguration();
+  private readonly configurations = new relayedConfigurations.RelayedConfigurations();
 
   private cachedReply: ICachedReply | undefined;
 
@@ -66,6 +67,7 @@
     private readonly clock: types.IClock,
   ) {
     this.turns = new fetchTurns.FetchTurns(clock);
+    directory.onChanged(() => this.configurations.record(directory.configuration));
   }
 
   /**
@@ -127,11 +129,11 @@
     return { version: revision, compressedText };
   }
 
-  /** Returns the packed configuration if it is newer than that of a peer. */
+  /** Returns the configuration, packed for a peer, if it is newer than that of the peer. */
   private async configurationFor(knownVersion: number): Promise<Uint8Array | undefined> {
     const active = this.directory.configurationRecord;
     if (active === undefined || active.configuration.version <= knownVersion) return undefined;
-    return this.packed.bytesOf(active);
+    return this.configurations.bytesFor(active, knownVersion);
   }
 
   private async catchUp(address: string, version: number): Promise<void> {
@@ -160,12 +162,13 @@
     try {
       const relayed = relayedDirectory.parse(await unpack(compressedText));
       // Applied with the changes or not at all: their revision says that all up to it are known.
-      const configuration = compressedConfiguration && {
-        record: relayedDirectory.parseConfiguration(await unpack(compressedConfiguration)),
-        bytes: compressedConfiguration,
-      };
-      this.applyRelayed(relayed, configuration?.record);
-      if (configuration !== undefined) this.keepPacked(configuration.record, configuration.bytes);
+      if (compressedConfiguration === undefined) this.applyRelayed(relayed);
+      else
+        this.applyWithConfiguration(
+          relayed,
+          compressedConfiguration,
+          await unpack(compressedConfiguration),
+        );
       const { kind, omitted } = relayed;
       if (omitted > 0)
         this.logger.warn({ address, omitted }, 'servers in the directory of a peer cannot be used');
@@ -182,9 +185,33 @@
     }
   }
 
+  /** Returns the whole configuration. Throws if changes are not those of the active one. */
+  private toRecord(
+    content: relayedDirectory.ConfigurationContent,
+  ): directoryTypes.ConfigurationRecord {
+    if (content.kind === 'configuration') return content;
+    const { revision, changes } = content;
+    const base = this.directory.configuration;
+    if (base === undefined) throw new RangeError('there is no configuration to change');
+    const configuration = configurationChanges.apply(base, changes);
+    return { kind: 'configuration', revision, configuration };
+  }
+
+  private applyWithConfiguration(
+    relayed: relayedDirectory.IRelayedDirectory,
+    bytes: Uint8Array,
+    text: string,
+  ): void {
+    const content = relayedDirectory.parseConfiguration(text);
+    const record = this.toRecord(content);
+    this.applyRelayed(relayed, record);
+    if (this.directory.configuration === record.configuration)
+      this.configurations.keep(content, bytes);
+  }
+
   private applyRelayed(
     { kind, content, graceRemainingMs = 0 }: relayedDirectory.IRelayedDirectory,
-    configuration: directoryTypes.ConfigurationRecord | undefined,
+    configuration?: directoryTypes.ConfigurationRecord,
   ): void {
     const { revision } = content;
     const records = configuration ? [configuration, ...content.records] : content.records;
@@ -192,13 +219,4 @@
     if (kind === 'changes') this.directory.apply(records, revision);
     else this.directory.replace({ records, revision });
   }
-
-  /** Keeps a configuration in the form in which it was received, if it is the active one. */
-  private keepPacked(
-    { configuration }: directoryTypes.ConfigurationRecord,
-    bytes: Uint8Array,
-  ): void {
-    if (this.directory.configuration === configuration)
-      this.packed.keep(configuration.version, bytes);
-  }
 }
--- a/src/node/directory/RelayedDirectory.ts
+++ b/src/node/directory/RelayedDirectory.ts
@@ -1,6 +1,7 @@
 import * as zod from 'zod';
 
 import type * as directoryTypes from '../../common/directory/Types';
+import type * as configurationChanges from '../../common/routing/ConfigurationChanges';
 import * as addresses from '../settings/Addresses';
 import * as relayedRoutes from './RelayedRoutes';
 
@@ -44,6 +45,24 @@
   configuration: CONFIGURATION,
 });
 
+const CONFIGURATION_CONTENT = zod.discriminatedUnion('kind', [
+  CONFIGURATION_RECORD,
+  zod.object({
+    kind: zod.literal('configuration-changes'),
+    revision: REVISION,
+    changes: CONFIGURATION.extend({
+      baseVersion: zod.int().min(0),
+      baseDigest: zod.string(),
+      routes: zod.array(
+        zod.union([
+          zod.object({ from: zod.int().min(0), count: COUNT }),
+          zod.object({ added: relayedRoutes.ROUTES }),
+        ]),
+      ),
+    }),
+  }),
+]);
+
 const RECORD = zod.discriminatedUnion('kind', [
   CONFIGURATION_RECORD,
   zod.object({ kind: zod.literal('server'), revision: REVISION, server: SERVER }),
@@ -59,6 +78,15 @@
 
 const CONFIGURATION_KIND = zod.object({ kind: zod.literal('configuration') });
 
+/** The configuration as sent to a peer: whole, or as changes of the version that the peer has. */
+export type ConfigurationContent =
+  | directoryTypes.ConfigurationRecord
+  | {
+      readonly kind: 'configuration-changes';
+      readonly revision: number;
+      readonly changes: configurationChanges.IConfigurationChanges;
+    };
+
 /** Directory, or changes of it, as sent to a peer in gzipped JSON. */
 export interface IRelayedDirectory {
   readonly kind: 'changes' | 'listing';
@@ -93,7 +121,7 @@
   return { kind, content: { records, revision }, graceRemainingMs, omitted };
 }
 
-/** Parses a configuration of a peer. Throws if it cannot be used. */
-export function parseConfiguration(text: string): directoryTypes.ConfigurationRecord {
-  return CONFIGURATION_RECORD.parse(JSON.parse(text));
+/** Parses a configuration of a peer, or changes of it. Throws if they cannot be used. */
+export function parseConfiguration(text: string): ConfigurationContent {
+  return CONFIGURATION_CONTENT.parse(JSON.parse(text));
 }
