--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -150,10 +150,13 @@
     });
   }
 
-  private async fetch(address: string): Promise<void> {
+  /** @param configurationVersion Version of which the peer may send changes; 0 for none. */
+  private async fetch(
+    address: string,
+    configurationVersion = this.directory.configuration?.version ?? 0,
+  ): Promise<void> {
     const before = this.directory.revision;
     const startMs = this.clock.monotonicMs();
-    const configurationVersion = this.directory.configuration?.version ?? 0;
     const request = { newerThan: before, configurationVersion };
     const fetched = await this.peers.fetchTable(address, request);
     if (!fetched.ok || fetched.value.compressedText.length === 0) return;
@@ -182,6 +185,8 @@
       this.logger.info(fields, 'directory synced from peer');
     } catch (error) {
       this.logger.warn({ err: error, address }, 'failed to decode directory from peer');
+      // The changes may not be those of the configuration here; the whole of it is.
+      if (compressedConfiguration && configurationVersion > 0) await this.fetch(address, 0);
     }
   }
 
