--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -263,10 +263,15 @@
 // Guards against a daemon that refuses the same changes again and again.
 test('the whole configuration is fetched if its changes do not apply', async () => {
   publishConfiguration(3, 6);
-  const { directory, sync } = make();
+  const { directory, sync, sender } = make();
+  // The peer sends changes only of versions that it has seen itself.
+  await sender.reply({ newerThan: 0, configurationVersion: 0 });
   const other = { ...configurationOf(3), routes: [] };
   directory.apply([{ kind: 'configuration', revision: 5, configuration: other }], 5);
   publishConfiguration(4, 7);
+  const offered = await sender.reply({ newerThan: 6, configurationVersion: 3 });
+  const text = (await gunzip(offered.compressedConfiguration as Uint8Array)).toString();
+  expect(JSON.parse(text).kind).toBe('configuration-changes');
   await sync.syncFrom(ADDRESS, { version: 7, hash: '', ageMs: 20 });
   expect(directory.configuration).toEqual(configurationOf(4));
   expect(directory.revision).toBe(7);
