--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -90,6 +90,8 @@
   readonly maxAttempts?: number | undefined;
   /** Version of the operators' configuration that routed the call. */
   readonly configurationVersion?: number | undefined;
+  /** Name of the route in that configuration. */
+  readonly route?: string | undefined;
 }
 
 /** Outcome of one attempt at a backend server. */
--- a/src/node/PauseDetector.test.ts
+++ b/src/node/PauseDetector.test.ts
@@ -61,3 +61,19 @@
   clock.advance(1_000);
   expect(gaps).toEqual([3_250]);
 });
+
+test('a check that comes late is reported as a delay, one on time is not', () => {
+  const clock = new manualClock.ManualClock();
+  const delays: number[] = [];
+  const detector = new pauseDetector.PauseDetector(
+    clock,
+    () => undefined,
+    (delayMs) => delays.push(delayMs),
+  );
+  detector.start();
+  clock.advance(1_000);
+  expect(delays).toEqual([]);
+  clock.pause(550);
+  clock.advance(0);
+  expect(delays).toEqual([300]);
+});
--- a/src/node/PauseDetector.ts
+++ b/src/node/PauseDetector.ts
@@ -2,10 +2,16 @@
 
 const CHECK_INTERVAL_MS = 250;
 
+/** Delay of a check above which it is reported, in milliseconds. */
+const DELAY_THRESHOLD_MS = 200;
+
 /** Gap between two checks above which the process counts as paused, in milliseconds. */
 const PAUSE_THRESHOLD_MS = 1_000;
 
-/** Detects that the process did not run for a while, for example while its VM was suspended. */
+/**
+ * Detects that the process did not run for a while, for example while its VM was suspended, and that
+ * it is short of processor time.
+ */
 export class PauseDetector implements types.IDisposable {
   private lastCheckMs: number;
 
@@ -13,10 +19,14 @@
 
   private timer: types.IDisposable | undefined;
 
-  /** @param onPaused Called with the length of a pause, before `check` returns. */
+  /**
+   * @param onPaused Called with the length of a pause, before `check` returns.
+   * @param onDelayed Called with the time by which a periodic check came late, if it is long.
+   */
   public constructor(
     private readonly clock: types.IClock,
     private readonly onPaused: (gapMs: number) => void,
+    private readonly onDelayed: (delayMs: number) => void = () => undefined,
   ) {
     this.lastCheckMs = clock.monotonicMs();
     this.lastCheckWallMs = clock.wallTime().getTime();
@@ -24,7 +34,11 @@
 
   public start(): void {
     this.check();
-    this.timer = this.clock.setTimer(CHECK_INTERVAL_MS, () => this.start());
+    const dueMs = this.clock.monotonicMs() + CHECK_INTERVAL_MS;
+    this.timer = this.clock.setTimer(CHECK_INTERVAL_MS, () => {
+      this.reportDelay(this.clock.monotonicMs() - dueMs);
+      this.start();
+    });
   }
 
   /**
@@ -45,4 +59,8 @@
   public dispose(): void {
     this.timer?.dispose();
   }
+
+  private reportDelay(delayMs: number): void {
+    if (delayMs > DELAY_THRESHOLD_MS) this.onDelayed(delayMs);
+  }
 }
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -182,8 +182,10 @@
       this.decisionLog,
     );
     this.forwarding = this.makeForwarding(observed);
-    this.pauseDetector = new pauseDetector.PauseDetector(clock, (gapMs) =>
-      this.resetAfterPause(gapMs),
+    this.pauseDetector = new pauseDetector.PauseDetector(
+      clock,
+      (gapMs) => this.resetAfterPause(gapMs),
+      (delayMs) => this.decisionLog.recordDelay(delayMs),
     );
     this.callerServer = this.makeCallerServer();
     this.readinessServer = new readinessServer.ReadinessServer(
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -68,7 +68,9 @@
 
   private readonly startWait: startWait.StartWait;
 
-  private tableVersion = 0;
+  private table: tableTypes.ITable | undefined;
+
+  private head: requestHead.IRequestHead | undefined;
 
   private service = '';
 
@@ -193,7 +195,7 @@
     const { daemonState } = this.context;
     const { table } = daemonState;
     // A daemon that is starting may already have a table, but requests do not use it yet.
-    if (daemonState.phase !== 'starting') this.tableVersion = table?.version ?? 0;
+    if (daemonState.phase !== 'starting') this.table = table;
     if (daemonState.phase === 'stopping') {
       return requestHead.notRun('shutting-down', 'the daemon is about to stop');
     }
@@ -211,6 +213,7 @@
     const head = protocol.readHead(this.request, table);
     if ('kind' in head) return head;
     this.service = head.service.name;
+    this.head = head;
     if (this.outlastsDaemon(head.timeoutMs)) {
       return requestHead.notRun('shutting-down', 'the daemon stops before the deadline');
     }
@@ -270,6 +273,7 @@
       objectiveAtMs: head.objectiveMs === undefined ? undefined : this.startMs + head.objectiveMs,
       maxAttempts: head.maxAttempts,
       configurationVersion: table.routes?.configurationVersion,
+      route: head.route,
       // Computed on demand: few calls need it, and the hash costs several microseconds.
       get fingerprint() {
         fingerprint ??= fingerprints.fingerprintOf(method, head.path, body);
@@ -336,12 +340,22 @@
       detail: refusal.detail,
       dispatched: refusal.kind === 'unknown' && refusal.dispatched,
       retryAfterMs: refusal.kind === 'not-run' ? refusal.retryAfterMs : undefined,
-      tableVersion: this.tableVersion,
+      tableVersion: this.table?.version ?? 0,
+      configurationVersion: this.table?.routes?.configurationVersion,
+      route: this.head?.route,
+      overdueMs: this.overdueMs,
     };
     this.context.observer.onRefused(record, this.context.clock.monotonicMs() - this.startMs);
     return record;
   }
 
+  /** Time by which the deadline of the request has passed, in milliseconds, if it has. */
+  private get overdueMs(): number | undefined {
+    if (this.head === undefined) return undefined;
+    const overdueMs = this.context.clock.monotonicMs() - this.startMs - this.head.timeoutMs;
+    return overdueMs > 0 ? Math.round(overdueMs) : undefined;
+  }
+
   private finish(): void {
     this.ended = true;
     this.startWait.dispose();
--- a/src/node/server/RequestHead.ts
+++ b/src/node/server/RequestHead.ts
@@ -32,6 +32,8 @@
   readonly depth: number;
   readonly retriesSpent: number;
   readonly requestKey: string | undefined;
+  /** Name of the route, if the request has one. */
+  readonly route?: string | undefined;
   /** Latency objective in milliseconds, if the route states one. */
   readonly objectiveMs?: number | undefined;
   /** Maximum number of servers that the call may be sent to, if the operators limit it. */
--- a/src/node/server/Types.ts
+++ b/src/node/server/Types.ts
@@ -43,6 +43,11 @@
   readonly retryAfterMs?: number | undefined;
   /** Version of the table that applied, or 0 if there was none. */
   readonly tableVersion: number;
+  /** Version of the operators' configuration that applied, and the route in it, if there was one. */
+  readonly configurationVersion?: number | undefined;
+  readonly route?: string | undefined;
+  /** Time by which the refusal came after the deadline of the request, in milliseconds. */
+  readonly overdueMs?: number | undefined;
 }
 
 /** Observes the outcomes of the requests of callers. */
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -115,6 +115,7 @@
       requestId: call.requestId,
       service,
       configurationVersion: call.configurationVersion,
+      route: call.route,
       tableVersion: call.table.version,
       status,
       server,
@@ -206,6 +207,11 @@
     });
   }
 
+  /** Logs that the process was short of processor time. */
+  public recordDelay(delayMs: number): void {
+    this.log(names.PROCESS_DELAYED, { delayMs: Math.round(delayMs) });
+  }
+
   private log(event: string, fields: Readonly<Record<string, unknown>>): void {
     const dropped = this.rateLimiter.admit(event);
     if (dropped === undefined) {
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -17,6 +17,7 @@
 export const DAEMON_READY = 'daemon.ready';
 export const SETTINGS_RELOADED = 'settings.reloaded';
 export const PROCESS_PAUSED = 'process.paused';
+export const PROCESS_DELAYED = 'process.delayed';
 export const UNCAUGHT_ERROR = 'process.uncaught_error';
 export const PROCESS_ENDED = 'process.ended';
 export const DIRECTORY_READ = 'directory.read';
--- a/src/platform/PlatformCallerProtocol.ts
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -103,6 +103,7 @@
       depth: 0,
       retriesSpent: 0,
       requestKey: undefined,
+      route: match.route.name,
       objectiveMs: match.route.objectiveMs,
       maxAttempts: match.route.maxAttempts,
       headers: ['host', host, ...headers.withoutHopByHop(list, DAEMON_REQUEST_HEADERS)],
