Refuse a route of a peer whose targets have no weight

The store's decoder refuses such a route, the schema of relayed routes took it. With one target the weight was ignored, with several the split had no target to choose. Found while the split was read; the test takes both forms, and fails before.

--- a/src/node/directory/RelayedRoutes.test.ts
+++ b/src/node/directory/RelayedRoutes.test.ts
@@ -44,3 +44,21 @@
   );
   expect(accepted).toBeGreaterThan(100);
 });
+
+// Guards against a route of a peer that matches requests and has no target for them.
+test.each([
+  ['one target', [0]],
+  ['two targets', [0, 0]],
+])('a route of a peer with %s and no weight is not usable', (_case, weights) => {
+  const route = {
+    name: 'r',
+    host: 'h',
+    prefix: '/',
+    targets: weights.map((weight, index) => ({ service: `${index}`, weight })),
+    idempotent: true,
+    timeoutMs: 1,
+    objectiveMs: 1,
+    maxAttempts: 1,
+  };
+  expect(relayedRoutes.ROUTES.safeParse([route]).success).toBe(false);
+});
--- a/src/node/directory/RelayedRoutes.ts
+++ b/src/node/directory/RelayedRoutes.ts
@@ -5,12 +5,16 @@
 
 const DURATION_MS = zod.number().min(0);
 
+const TARGETS = zod
+  .array(zod.object({ service: zod.string(), weight: zod.number().min(0) }))
+  .refine((targets) => targets.some(({ weight }) => weight > 0), 'no target has a weight');
+
 /** Routes of any form. */
 export const SCHEMA = zod.object({
   name: zod.string(),
   host: zod.string(),
   prefix: zod.string(),
-  targets: zod.array(zod.object({ service: zod.string(), weight: zod.number().min(0) })).min(1),
+  targets: TARGETS,
   idempotent: zod.boolean(),
   timeoutMs: DURATION_MS,
   objectiveMs: DURATION_MS,
@@ -34,6 +38,7 @@
     typeof prefix === 'string' &&
     typeof service === 'string' &&
     isAmount(weight) &&
+    weight > 0 &&
     typeof idempotent === 'boolean' &&
     isAmount(timeoutMs) &&
     isAmount(objectiveMs) &&
