Begin each split at a random step, and anew when its weights change

Callers: after a start, an added route or a new split, the first requests to each daemon went to the first parts, whatever their weights. And a part whose weight became 0 could still get a request, for the credit of the older weights: handled as only an older version allows.

Cause: only the first of the credits was drawn, from half of their range, and credits outlived the weights that they came from. Class: a choice by a state of each daemon that begins alike everywhere.

Now a split begins at a random step of its own round robin, which gives each part its weight as the chance of the first and of every later choice, and begins again when weights change. States of routes that are gone are dropped; they were kept for ever. Both tests failed on the former classes (four of five cases of the first, the one of 119 daemons passed; the second).

--- a/src/common/directory/TableBuilder.test.ts
+++ b/src/common/directory/TableBuilder.test.ts
@@ -1,6 +1,6 @@
 import * as seededRandom from '../SeededRandom';
 import type * as routingTypes from '../routing/Types';
-import * as weightedSplit from '../routing/WeightedSplit';
+import * as splitsModule from '../routing/Splits';
 import * as tableBuilder from './TableBuilder';
 import type * as directoryTypes from './Types';
 
@@ -27,7 +27,7 @@
 }
 
 function make(): tableBuilder.TableBuilder {
-  const splits = new weightedSplit.SplitStates(new seededRandom.SeededRandom(1));
+  const splits = new splitsModule.Splits(new seededRandom.SeededRandom(1));
   return new tableBuilder.TableBuilder(splits);
 }
 
--- a/src/common/directory/TableBuilder.ts
+++ b/src/common/directory/TableBuilder.ts
@@ -1,6 +1,6 @@
 import * as routeTable from '../routing/RouteTable';
 import type * as routingTypes from '../routing/Types';
-import type * as weightedSplit from '../routing/WeightedSplit';
+import type * as splits from '../routing/Splits';
 import type * as tableTypes from '../table/Types';
 import type * as directoryTypes from './Types';
 
@@ -69,7 +69,7 @@
   /** Routes and services of the last table, reused while only the servers change. */
   private cachedRoutes: ICachedRoutes | undefined;
 
-  public constructor(private readonly splits: weightedSplit.SplitStates) {}
+  public constructor(private readonly routeSplits: splits.Splits) {}
 
   public build(
     configuration: routingTypes.IConfiguration,
@@ -117,7 +117,7 @@
         toService(terms, configuration.limits, fleet),
       ]),
     );
-    const routes = new routeTable.RouteTable(configuration, services, this.splits);
+    const routes = new routeTable.RouteTable(configuration, services, this.routeSplits);
     return { configuration, retryFraction, checksPerSecond, services, routes };
   }
 }
--- a/src/common/routing/RouteTable.test.ts
+++ b/src/common/routing/RouteTable.test.ts
@@ -4,6 +4,7 @@
 import type * as tableTypes from '../table/Types';
 import * as routeTable from './RouteTable';
 import type * as routingTypes from './Types';
+import * as splitsModule from './Splits';
 import * as weightedSplit from './WeightedSplit';
 
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
@@ -21,11 +22,16 @@
   };
 }
 
+function splitRouteOf(weights: readonly number[]): routingTypes.IRoute {
+  const targets = weights.map((weight, index) => ({ service: `${index}`, weight }));
+  return { ...routeOf('h', '/', ''), targets };
+}
+
 function tableOf(routes: readonly routingTypes.IRoute[]): routeTable.RouteTable {
   const services = new Map(
     ['a', 'b'].map((name) => [name, { name, deadlineMs: 0 } as tableTypes.IServiceRow]),
   );
-  const splits = new weightedSplit.SplitStates(new seededRandom.SeededRandom(1));
+  const splits = new splitsModule.Splits(new seededRandom.SeededRandom(1));
   return new routeTable.RouteTable(
     { version: 3, routes, services: [], limits: LIMITS },
     services,
@@ -59,7 +65,7 @@
   fastCheck.assert(
     fastCheck.property(weights, fastCheck.integer({ min: 1, max: 300 }), (list, requests) => {
       fastCheck.pre(list.some((weight) => weight > 0));
-      const split = new weightedSplit.WeightedSplit(list, { credits: list.map(() => 0) });
+      const split = new weightedSplit.WeightedSplit(list);
       const counts = list.map(() => 0);
       for (let index = 0; index < requests; index += 1) counts[split.next()]! += 1;
       const total = list.reduce((sum, weight) => sum + weight, 0);
@@ -76,11 +82,60 @@
 
 // Guards against frequent configuration changes sending every request to the first target.
 test('a split continues across versions of the configuration', () => {
-  const splits = new weightedSplit.SplitStates(new seededRandom.SeededRandom(4));
+  const splits = new splitsModule.Splits(new seededRandom.SeededRandom(4));
+  const route = splitRouteOf([50, 50]);
   const counts = [0, 0];
   for (let version = 0; version < 100; version += 1) {
-    const split = new weightedSplit.WeightedSplit([50, 50], splits.stateOf('route'));
-    counts[split.next()]! += 1;
+    splits.update([route]);
+    counts[splits.of(route)!.next()]! += 1;
   }
   expect(counts).toEqual([50, 50]);
 });
+
+// Guards against daemons that all begin a split with the same targets.
+test.each([
+  [119, [0.75, 0.25]],
+  [312, [0.75, 0.25]],
+  [312, [0.5, 0.3, 0.2]],
+  [312, [0.34, 0.33, 0.33]],
+  [312, [0.9, 0.1]],
+])('the first requests to %d daemons are shared by weight: %j', (daemons, weights) => {
+  const route = splitRouteOf(weights);
+  const random = new seededRandom.SeededRandom(5);
+  const rounds = 100;
+  const requests = 200;
+  const counts = weights.map(() => 0);
+  for (let round = 0; round < rounds; round += 1) {
+    const fleet = Array.from({ length: daemons }, () => new splitsModule.Splits(random));
+    fleet.forEach((splits) => splits.update([route]));
+    for (let request = 0; request < requests; request += 1) {
+      const splits = fleet[Math.floor(random.next() * daemons)]!;
+      counts[splits.of(route)!.next()]! += 1;
+    }
+  }
+  const errors = weights.map((weight, index) => counts[index]! / (rounds * requests) - weight);
+  expect(Math.max(...errors.map(Math.abs))).toBeLessThan(0.05);
+});
+
+// Guards against a split that keeps what it owed under the weights of an earlier version.
+test('a target whose weight becomes 0 gets no further request', () => {
+  const splits = new splitsModule.Splits(new seededRandom.SeededRandom(2));
+  const chosen = new Set<number>();
+  for (let version = 0; version < 200; version += 1) {
+    const before = splitRouteOf([0.2, 0.4, 0.4]);
+    splits.update([before]);
+    splits.of(before)!.next();
+    const after = splitRouteOf([0, 0.5, 0.5]);
+    splits.update([after]);
+    chosen.add(splits.of(after)!.next());
+  }
+  expect([...chosen].sort()).toEqual([1, 2]);
+});
+
+test('splits of routes that are gone are not kept', () => {
+  const splits = new splitsModule.Splits(new seededRandom.SeededRandom(3));
+  const route = splitRouteOf([1, 1]);
+  splits.update([route]);
+  splits.update([]);
+  expect(splits.of(route)).toBeUndefined();
+});
--- a/src/common/routing/RouteTable.ts
+++ b/src/common/routing/RouteTable.ts
@@ -1,10 +1,12 @@
 import type * as tableTypes from '../table/Types';
-import * as weightedSplit from './WeightedSplit';
+import type * as splits from './Splits';
 import type * as routingTypes from './Types';
+import type * as weightedSplit from './WeightedSplit';
 
 interface ICompiledRoute {
   readonly route: routingTypes.IRoute;
-  readonly split: weightedSplit.WeightedSplit;
+  /** Chooses the target of each request, if there are several. */
+  readonly split: weightedSplit.WeightedSplit | undefined;
   /** Service settings of each target, in the order of the targets. */
   readonly services: readonly tableTypes.IServiceRow[];
 }
@@ -20,24 +22,22 @@
 
   /**
    * @param services Settings of the services. A route with a target not among them never matches.
-   * @param splitStates States of the splits by route name, kept across versions, so that frequent
-   * changes do not restart every split at its first target.
+   * @param routeSplits Splits of the routes, kept across versions, so that frequent changes do not
+   * begin every split anew.
    */
   public constructor(
     private readonly configuration: routingTypes.IConfiguration,
     services: ReadonlyMap<string, tableTypes.IServiceRow>,
-    splitStates: weightedSplit.SplitStates,
+    routeSplits: splits.Splits,
   ) {
+    routeSplits.update(configuration.routes);
     configuration.routes.forEach((route) => {
       const rows = route.targets.map(({ service }) => services.get(service));
       if (rows.some((row) => row === undefined)) return;
       const routes = this.routesByHost.get(route.host) ?? [];
       routes.push({
         route,
-        split: new weightedSplit.WeightedSplit(
-          route.targets.map(({ weight }) => weight),
-          splitStates.stateOf(route.name),
-        ),
+        split: routeSplits.of(route),
         services: (rows as tableTypes.IServiceRow[]).map((row) =>
           RouteTable.withRouteOverrides(route, row),
         ),
@@ -62,7 +62,7 @@
       .get(normalizeHost(host))
       ?.find(({ route }) => path.startsWith(route.prefix));
     if (matched === undefined) return undefined;
-    const service = matched.services[matched.split.next()] as tableTypes.IServiceRow;
+    const service = matched.services[matched.split?.next() ?? 0] as tableTypes.IServiceRow;
     return { route: matched.route, service };
   }
 
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -13,7 +13,7 @@
 import * as observedTransport from '../common/reach/ObservedTransport';
 import * as serverReach from '../common/reach/ServerReach';
 import * as serverRestraints from '../common/restraint/ServerRestraints';
-import * as weightedSplit from '../common/routing/WeightedSplit';
+import * as splits from '../common/routing/Splits';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../common/table/Types';
 import type * as types from '../common/Types';
@@ -127,7 +127,7 @@
   ) {
     this.decisionLog = new decisionLog.DecisionLog(logger, clock);
     this.opener = new addressOpener.AddressOpener(clock, logger);
-    this.tableBuilder = new tableBuilder.TableBuilder(new weightedSplit.SplitStates(random));
+    this.tableBuilder = new tableBuilder.TableBuilder(new splits.Splits(random));
     this.directory = new directoryModule.Directory(clock);
     this.confirmation = new confirmationModule.Confirmation(
       clock,
