Select the target of a split once for each request

Callers that pipeline: a request that waits behind another one on its connection read its route each time that it was looked at, and each reading advanced the split of the route. With weights of 1 and 2 and pairs of requests, 0 of 120 went to the first part. The test fails so before the change.

The head is read once for the routes of a version; only a newer version reads it again.

--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -70,7 +70,7 @@
 
   private table: tableTypes.ITable | undefined;
 
-  private head: requestHead.IRequestHead | undefined;
+  private accepted: IAccepted | undefined;
 
   private service = '';
 
@@ -208,16 +208,24 @@
       this.closeAfterwards();
       return requestHead.notRun('malformed-request', problem);
     }
-    const { protocol } = this.context;
-    this.service = protocol.serviceOf(this.request, table);
-    const head = protocol.readHead(this.request, table);
+    const head = this.readHead(table);
     if ('kind' in head) return head;
     this.service = head.service.name;
-    this.head = head;
+    this.accepted = { head, table };
     if (this.outlastsDaemon(head.timeoutMs)) {
       return requestHead.notRun('shutting-down', 'the daemon stops before the deadline');
     }
-    return { head, table };
+    return this.accepted;
+  }
+
+  /** Reads the head by the routes of the table, once, since each reading selects a target. */
+  private readHead(table: tableTypes.ITable): requestHead.IRequestHead | serverTypes.NotRun {
+    const { accepted, request } = this;
+    const isCurrent = table.routes !== undefined && accepted?.table.routes === table.routes;
+    if (isCurrent) return accepted.head;
+    const { protocol } = this.context;
+    this.service = protocol.serviceOf(request, table);
+    return protocol.readHead(request, table);
   }
 
   private outlastsDaemon(timeoutMs: number): boolean {
@@ -342,7 +350,7 @@
       retryAfterMs: refusal.kind === 'not-run' ? refusal.retryAfterMs : undefined,
       tableVersion: this.table?.version ?? 0,
       configurationVersion: this.table?.routes?.configurationVersion,
-      route: this.head?.route,
+      route: this.accepted?.head.route,
       overdueMs: this.overdueMs,
     };
     this.context.observer.onRefused(record, this.context.clock.monotonicMs() - this.startMs);
@@ -351,8 +359,9 @@
 
   /** Time by which the deadline of the request has passed, in milliseconds, if it has. */
   private get overdueMs(): number | undefined {
-    if (this.head === undefined) return undefined;
-    const overdueMs = this.context.clock.monotonicMs() - this.startMs - this.head.timeoutMs;
+    if (this.accepted === undefined) return undefined;
+    const { timeoutMs } = this.accepted.head;
+    const overdueMs = this.context.clock.monotonicMs() - this.startMs - timeoutMs;
     return overdueMs > 0 ? Math.round(overdueMs) : undefined;
   }
 
--- a/src/platform/Splits.test.ts
+++ b/src/platform/Splits.test.ts
@@ -1,3 +1,5 @@
+import * as net from 'node:net';
+
 import * as undici from 'undici';
 
 import type * as routedDaemon from '../node/RoutedDaemon';
@@ -26,8 +28,8 @@
 let daemon: routedDaemon.RoutedDaemon;
 let url: string;
 
-async function send() {
-  const response = await undici.request(`${url}/x/1`, {
+async function send(path = '/x/1') {
+  const response = await undici.request(`${url}${path}`, {
     headers: { host: platformRecords.HOST, 'request-id': 'a', 'request-deadline': '10000' },
   });
   await response.body.dump();
@@ -90,6 +92,35 @@
   expect([newRuns, oldRuns, refused]).toEqual([75, 225, 0]);
 });
 
+// Guards against a request that draws its part more than once while it waits behind another one.
+test('pipelined requests are shared by weight', async () => {
+  const split = [
+    { service: 'new', weight: 1 },
+    { service: 'old', weight: 2 },
+  ];
+  const rules = [
+    { ...RULE, split },
+    { prefix: '/y/', service: 'old' },
+  ];
+  store.put('op/config', platformRecords.makeConfiguration(2, rules));
+  await eventually(async () => (await send('/y/1')) === 200);
+  const before = [newServer.runs.length, oldServer.runs.length];
+  const socket = net.connect(Number(new URL(url).port), '127.0.0.1');
+  let received = '';
+  socket.setEncoding('latin1').on('data', (text: string) => {
+    received += text;
+  });
+  const countAnswers = () => received.split('HTTP/1.1 200').length - 1;
+  const request = `GET /x/1 HTTP/1.1\r\nhost: ${platformRecords.HOST}\r\nrequest-id: a\r\n\r\n`;
+  for (let pair = 1; pair <= 60; pair += 1) {
+    socket.write(request + request);
+    await eventually(async () => countAnswers() === 2 * pair);
+  }
+  socket.destroy();
+  const runs = [newServer.runs.length, oldServer.runs.length];
+  expect(runs.map((count, index) => count - before[index]!)).toEqual([40, 80]);
+});
+
 // Guards against requests that a part has no room for, and that are moved to the other part.
 test('what a full part refuses is not run by the other one', async () => {
   newServer.answer = 'shed';
