--- a/src/platform/RoutedDaemon.test.ts
+++ b/src/platform/RoutedDaemon.test.ts
@@ -316,6 +316,9 @@
     await publish(1, READS);
     const [leaving] = servers as [platformServer.PlatformServer];
     Object.assign(leaving, { answer, signals: { 'Server-Leaving': '1' } });
+    const hasSaidSo = () => leaving.runs.length + leaving.refusals + leaving.checks > 0;
+    for (let count = 0; count < 200 && !hasSaidSo(); count += 1) await send('/x/1');
+    expect(hasSaidSo()).toBe(true);
     for (let count = 0; count < 20; count += 1) await send('/x/1');
     const before = { runs: leaving.runs.length, checks: leaving.checks };
     leaving.signals = {};
