Let standbys read as soon as the readers of the directory seem to fail

A daemon that followed read the store only when its confirmation had expired after three quarters of the bound, then stopped again until the next one had; what was left was too short for a large configuration. A daemon that was refused itself, and each reader, had nobody else to learn from.

Class: a reserve that is sized for detection alone, without the time that the work after it takes.

The first followers stand by: they read once a confirmation is late by three quarters of its age, and go on until a member before them reads. While a confirmation is late and for 5 s after, each daemon, readers too, follows six members instead of two.

The test fails before at all four sizes.

--- a/src/common/directory/RelayAgent.test.ts
+++ b/src/common/directory/RelayAgent.test.ts
@@ -88,6 +88,28 @@
   expect(survivors.filter(({ revision }) => revision < 2)).toEqual([]);
 });
 
+// Guards against a change that is late everywhere because those that read are refused, and the others
+// begin to read when there is no time left for a large configuration.
+test.each([19, 41, 119, 312])(
+  'a large change reaches %i daemons in time while the readers are refused',
+  (size) => {
+    const fleet = fleetOf(size);
+    const random = new seededRandom.SeededRandom(3);
+    fleet.transferMs = 500;
+    fleet.daemons.forEach((daemon) => {
+      const isRefused = daemon.agent.readRole === 'reader' || random.next() < 0.35;
+      Object.assign(daemon, { isRefused });
+    });
+    for (let revision = 2; revision < 12; revision += 1) {
+      fleet.publish(revision);
+      fleet.advance(2_000);
+      const late = fleet.daemons.filter((daemon) => daemon.revision < revision);
+      expect(late.map(({ address, isRefused }) => ({ address, isRefused }))).toEqual([]);
+      fleet.advance(2_000 * random.next());
+    }
+  },
+);
+
 // Guards against a fleet of which each daemon reads while it knows only some of the members.
 test('after a start the daemons of an incomplete member list read rarely', () => {
   const fleet = new relayFleet.RelayFleet(312, new seededRandom.SeededRandom(1), 0.01);
--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -28,6 +28,21 @@
  */
 const LATE_SHARE = 2 / 3;
 
+/**
+ * Share of the maximum age after which a standby reads itself. It is longer than that after which
+ * all sources are asked, whose answers mostly make a read needless.
+ */
+const STANDBY_READ_SHARE = 3 / 4;
+
+/**
+ * Advance of the confirmation, in milliseconds, by which a standby knows that another daemon reads.
+ * What comes back of its own reads is later by the time on the way only.
+ */
+const FOREIGN_ADVANCE_MS = 100;
+
+/** Time for which more sources are followed after a confirmation was late, in milliseconds. */
+const FAILURE_MS = 5_000;
+
 /**
  * Time after the start, in milliseconds, in which the member list is incomplete, so that many
  * daemons take themselves for readers.
@@ -75,6 +90,12 @@
   /** Whether the pending notice is of a change, which all subscribers want. */
   private hasChanged = false;
 
+  /** Monotonic time until which more sources are followed. */
+  private failureEndMs = Number.NEGATIVE_INFINITY;
+
+  /** Latest confirmation that stems from a read of a member before this daemon, as monotonic time. */
+  private foreignTimeMs = Number.NEGATIVE_INFINITY;
+
   /** Confirmation that the subscribers were last notified of, as monotonic time. */
   private noticedTimeMs = Number.NEGATIVE_INFINITY;
 
@@ -94,11 +115,19 @@
   /** Whether this daemon has to read the directory service. */
   public get readRole(): directoryTypes.ReadRole {
     const { maxAgeMs, remainingMs } = this.confirmation;
-    if (!this.tree.isReader) return remainingMs === 0 ? 'fallback' : 'follower';
+    if (!this.tree.isReader) {
+      if (this.replacesReader) return 'reader';
+      return remainingMs === 0 ? 'fallback' : 'follower';
+    }
     if (!this.isDiscovering) return 'reader';
     return remainingMs < DISCOVERY_READ_SHARE * maxAgeMs ? 'reader' : 'follower';
   }
 
+  /** Whether a change is likely to come from an own read before it comes from a peer. */
+  public get expectsOwnRead(): boolean {
+    return this.readRole !== 'follower' && !this.isLate;
+  }
+
   /** Chooses sources now and periodically. */
   public start(): void {
     const live = this.fleet.statuses.filter(({ state }) => state === 'live');
@@ -110,12 +139,14 @@
   /** Returns which notices this daemon wants of the peer. */
   public noticeInterestIn(address: string): membershipTypes.NoticeInterest {
     if (!this.subscriptions.follows(address)) return 'none';
-    return this.subscriptions.isFirst(address) || this.isLate ? 'all' : 'changes';
+    const isWanted = this.subscriptions.isFirst(address) || this.isLate || this.hasFailed;
+    return isWanted ? 'all' : 'changes';
   }
 
   /** Processes the state that a peer reported. */
   public handleReport({ address, table, noticeInterest }: gossipAgent.IPeerReport): void {
     if (noticeInterest !== undefined) this.subscribers.update(address, noticeInterest);
+    if (table.ageMs !== undefined) this.recordForeignRead(address, table.ageMs);
     const isCurrent = table.ageMs !== undefined && table.ageMs < this.confirmation.maxAgeMs;
     // A source without a current directory is passed over like one that does not answer.
     if (isCurrent) this.subscriptions.recordMessage(address);
@@ -138,13 +169,47 @@
     return this.confirmation.ageMs >= LATE_SHARE * this.confirmation.maxAgeMs;
   }
 
+  /** Whether the confirmation is late, or was a short time ago, although readers were known. */
+  private get hasFailed(): boolean {
+    return this.clock.monotonicMs() < this.failureEndMs;
+  }
+
+  /** Whether the readers have been known for long enough to confirm the directory. */
+  private get isSettled(): boolean {
+    return this.elapsedMs >= DISCOVERY_MS + this.confirmation.maxAgeMs;
+  }
+
+  /**
+   * Whether this daemon reads in place of the readers. It goes on until a member before it reads, so
+   * that no further change waits until the confirmation is late.
+   */
+  private get replacesReader(): boolean {
+    if (!this.tree.isStandby || !this.isSettled) return false;
+    const sinceMs = this.clock.monotonicMs() - this.foreignTimeMs;
+    return sinceMs >= STANDBY_READ_SHARE * this.confirmation.maxAgeMs;
+  }
+
+  private recordForeignRead(address: string, ageMs: number): void {
+    const timeMs = this.clock.monotonicMs() - ageMs;
+    const isForeign = timeMs - this.confirmation.timeMs >= FOREIGN_ADVANCE_MS;
+    if (isForeign && this.tree.precedes(address)) this.foreignTimeMs = timeMs;
+  }
+
   private get isDiscovering(): boolean {
-    const elapsedMs = this.clock.monotonicMs() - this.startedMs;
-    return this.fleet.expectsPeers && elapsedMs < DISCOVERY_MS;
+    return this.fleet.expectsPeers && this.elapsedMs < DISCOVERY_MS;
+  }
+
+  private get elapsedMs(): number {
+    return this.clock.monotonicMs() - this.startedMs;
   }
 
   private askSources(): void {
-    this.fleet.notify(this.subscriptions.takeDue(this.tree.sources, this.isLate));
+    const { isLate, isSettled } = this;
+    if (isLate && isSettled) this.failureEndMs = this.clock.monotonicMs() + FAILURE_MS;
+    const { hasFailed } = this;
+    const { sources, standbySources } = this.tree;
+    const preferred = hasFailed ? [...sources, ...standbySources] : sources;
+    this.fleet.notify(this.subscriptions.takeDue(preferred, isLate, hasFailed));
   }
 
   private scheduleNotice(): void {
--- a/src/common/directory/RelayTree.ts
+++ b/src/common/directory/RelayTree.ts
@@ -9,6 +9,9 @@
 /** Daemons per relay; bounds the notices that one relay sends. */
 const DAEMONS_PER_RELAY = 10;
 
+/** Minimum number of daemons that read as soon as the readers seem to fail. */
+const MIN_STANDBYS = 8;
+
 /** Daemons up to which the readers notify all others, without relays. */
 const MAX_DAEMONS_WITHOUT_RELAYS = 32;
 
@@ -38,8 +41,12 @@
 
   private isReaderNow = true;
 
+  private isStandbyNow = false;
+
   private sourceAddresses: readonly string[] = [];
 
+  private standbyAddresses: readonly string[] = [];
+
   private peers: readonly IRelayMember[] = [];
 
   public constructor(private readonly own: IRelayMember) {}
@@ -49,6 +56,29 @@
     return this.isReaderNow;
   }
 
+  /**
+   * Whether this daemon reads the directory service as soon as the readers seem to fail, before all
+   * others do: the relays, or the first followers of the readers in a fleet without relays.
+   */
+  public get isStandby(): boolean {
+    return this.isStandbyNow;
+  }
+
+  /** Whether a member ranks before this daemon. */
+  public precedes(address: string): boolean {
+    const rank = this.ranks.get(address) ?? Number.POSITIVE_INFINITY;
+    return rank < (this.ranks.get(this.own.address) ?? Number.NEGATIVE_INFINITY);
+  }
+
+  /**
+   * Addresses of further members to follow while the readers seem to fail, most preferred first. Some
+   * of them may follow this daemon. A confirmation has the age of its read wherever it goes, so that a
+   * circle does not renew it.
+   */
+  public get standbySources(): readonly string[] {
+    return this.standbyAddresses;
+  }
+
   /** Addresses of the members that this daemon may follow, most preferred first. */
   public get sources(): readonly string[] {
     return this.sourceAddresses;
@@ -74,6 +104,13 @@
       ? ranked.slice(readerCount, readerCount + relayCount)
       : ranked.slice(0, this.isReaderNow ? 0 : readerCount);
     this.sourceAddresses = this.order(sources);
+    const standbyEnd = readerCount + Math.max(relayCount, MIN_STANDBYS);
+    this.isStandbyNow = position >= readerCount && position < standbyEnd;
+    this.standbyAddresses = this.order(
+      ranked
+        .slice(readerCount, standbyEnd)
+        .filter((member) => member.address !== this.own.address && !sources.includes(member)),
+    );
   }
 
   private rankMembers(peers: readonly IRelayMember[]): IRankedMember[] {
--- a/src/common/directory/Subscriptions.ts
+++ b/src/common/directory/Subscriptions.ts
@@ -3,6 +3,9 @@
 /** Sources that a daemon follows at the same time, so that the loss of one delays no change. */
 const FOLLOWED_SOURCES = 2;
 
+/** The same while the readers of the directory seem to fail, or have just failed. */
+const FOLLOWED_SOURCES_AT_FAILURE = 6;
+
 /** Silence of the first source, in milliseconds, after which this daemon asks it again. */
 const RENEW_AFTER_MS = 1_000;
 
@@ -53,15 +56,20 @@
    * Chooses the sources to follow, and returns those to ask for notices now.
    * @param preferred Addresses of the possible sources, most preferred first.
    * @param isLate Whether the directory should have been confirmed by now.
+   * @param hasFailed Whether that was so a short time ago, so that more sources are followed.
    */
-  public takeDue(preferred: readonly string[], isLate = false): readonly string[] {
+  public takeDue(
+    preferred: readonly string[],
+    isLate = false,
+    hasFailed = false,
+  ): readonly string[] {
     const known = new Set(preferred);
     [...this.contacts.keys()]
       .filter((address) => !known.has(address))
       .forEach((address) => this.contacts.delete(address));
     this.chosen = preferred
       .filter((address) => !this.isUnresponsive(address))
-      .slice(0, FOLLOWED_SOURCES);
+      .slice(0, hasFailed ? FOLLOWED_SOURCES_AT_FAILURE : FOLLOWED_SOURCES);
     const due = this.chosen.filter((address) => this.isDue(address, isLate));
     const nowMs = this.clock.monotonicMs();
     due.forEach((address) => {
--- a/src/common/testing/RelayFleet.ts
+++ b/src/common/testing/RelayFleet.ts
@@ -14,6 +14,9 @@
 
 const CHANGE_DEADLINE_MS = 2_000;
 
+/** Time until a daemon that the directory service refuses reads again, in milliseconds. */
+const BACKOFF_MS = 500;
+
 /** Daemon of a relay fleet. */
 export interface IRelayDaemon {
   readonly address: string;
@@ -22,6 +25,8 @@
   readonly agent: relayAgent.RelayAgent;
   revision: number;
   isUp: boolean;
+  /** Whether the directory service refuses its reads. */
+  isRefused: boolean;
 }
 
 /**
@@ -36,6 +41,9 @@
   /** Reads of the directory service. */
   public reads = 0;
 
+  /** Time that the transfer and the decoding of a change take, in milliseconds. */
+  public transferMs = 0;
+
   /** Notices by sender. */
   public readonly notices = new Map<string, number>();
 
@@ -90,7 +98,8 @@
       this.fleetOf(address),
       this.clock,
     );
-    const daemon = { address, failureDomain, confirmation, agent, revision: 0, isUp: true };
+    const state = { revision: 0, isUp: true, isRefused: false };
+    const daemon = { address, failureDomain, confirmation, agent, ...state };
     this.daemons.push(daemon);
     this.byAddress.set(address, daemon);
   }
@@ -152,13 +161,21 @@
       return;
     }
     this.reads += 1;
+    if (daemon.isRefused) {
+      this.clock.setTimer(BACKOFF_MS, () => this.read(daemon));
+      return;
+    }
     let isPending = true;
     const finish = () => {
       if (!isPending) return;
       isPending = false;
-      this.adopt(daemon, this.publishedRevision);
-      daemon.confirmation.confirm();
-      this.read(daemon);
+      const revision = this.publishedRevision;
+      const transferMs = revision > daemon.revision ? this.transferMs : 0;
+      this.clock.setTimer(transferMs, () => {
+        this.adopt(daemon, revision);
+        daemon.confirmation.confirm(transferMs);
+        this.read(daemon);
+      });
     };
     const isBehind = daemon.revision < this.publishedRevision;
     this.clock.setTimer(isBehind ? LATENCY_MS : WATCH_MS, finish);
--- a/src/node/directory/DirectorySync.ts
+++ b/src/node/directory/DirectorySync.ts
@@ -57,11 +57,11 @@
 
   private cachedReply: ICachedReply | undefined;
 
-  /** @param isReader Returns whether this daemon currently reads the directory service itself. */
+  /** @param expectsOwnRead Returns whether a change is likely to come from an own read first. */
   public constructor(
     private readonly directory: directoryModule.Directory,
     private readonly confirmation: confirmationModule.Confirmation,
-    private readonly isReader: () => boolean,
+    private readonly expectsOwnRead: () => boolean,
     private readonly peers: Pick<fleetTypes.IPeerSender, 'fetchTable'>,
     private readonly logger: bunyan,
     private readonly clock: types.IClock,
@@ -137,7 +137,7 @@
   }
 
   private async catchUp(address: string, version: number): Promise<void> {
-    if (this.isReader()) await this.waitForLocalRead();
+    if (this.expectsOwnRead()) await this.waitForLocalRead();
     if (version <= this.directory.revision) return;
     await this.turns.run(async () => {
       if (version > this.directory.revision) await this.fetch(address);
--- a/src/node/fleet/RoutedFleet.ts
+++ b/src/node/fleet/RoutedFleet.ts
@@ -85,7 +85,7 @@
     const sync = new directorySync.DirectorySync(
       directory,
       confirmation,
-      () => this.readRole !== 'follower',
+      () => this.relay.expectsOwnRead,
       this.client,
       logger,
       clock,
