Run a forwarded call only if the configuration here allows it

Callers: suspected only. A call that a peer runs for a daemon reaches the server from the peer. If the versions of the two differ, the server sees a newer version from the peer than the peer itself has, and then an older one in its next calls; or the peer, which is ahead, runs what only an older version allows. Both count as a machine that went back.

A forwarded call names the version that routed it.

--- a/src/common/routing/RouteTable.ts
+++ b/src/common/routing/RouteTable.ts
@@ -58,14 +58,23 @@
   }
 
   public match(host: string, path: string): routingTypes.IRouteMatch | undefined {
-    const matched = this.routesByHost
-      .get(normalizeHost(host))
-      ?.find(({ route }) => path.startsWith(route.prefix));
+    const matched = this.find(host, path);
     if (matched === undefined) return undefined;
     const service = matched.services[matched.split?.next() ?? 0] as tableTypes.IServiceRow;
     return { route: matched.route, service };
   }
 
+  public servicesOf(host: string, path: string): readonly string[] {
+    const targets = this.find(host, path)?.route.targets ?? [];
+    return targets.filter(({ weight }) => weight > 0).map(({ service }) => service);
+  }
+
+  private find(host: string, path: string): ICompiledRoute | undefined {
+    return this.routesByHost
+      .get(normalizeHost(host))
+      ?.find(({ route }) => path.startsWith(route.prefix));
+  }
+
   private static withRouteOverrides(
     route: routingTypes.IRoute,
     service: tableTypes.IServiceRow,
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -71,4 +71,6 @@
    * @param path Path without query.
    */
   match(host: string, path: string): IRouteMatch | undefined;
+  /** Returns the services that a request with this host and path may go to; none without a route. */
+  servicesOf(host: string, path: string): readonly string[];
 }
--- a/src/node/forwarding/ForwardHandler.ts
+++ b/src/node/forwarding/ForwardHandler.ts
@@ -1,6 +1,8 @@
 import type * as callTypes from '../../common/call/Types';
 import type * as serverReach from '../../common/reach/ServerReach';
+import type * as tableTypes from '../../common/table/Types';
 import type * as types from '../../common/Types';
+import * as headers from '../dispatch/Headers';
 import type * as peer from '../peer/generated/peer';
 import * as fingerprints from '../server/Fingerprints';
 import type * as serverTypes from '../server/Types';
@@ -10,6 +12,18 @@
 /** Calls of peers in progress at once, so that this daemon's own callers come first. */
 const MAX_CALLS = 256;
 
+/** Whether the routes of a table allow a call that a peer routed by its own. */
+function isAllowed(request: peer.ForwardRequest, table: tableTypes.ITable): boolean {
+  const { routes } = table;
+  const { configurationVersion } = request;
+  if (routes === undefined || configurationVersion === undefined) return true;
+  if (configurationVersion === routes.configurationVersion) return true;
+  if (configurationVersion > routes.configurationVersion) return false;
+  const host = headers.find(request.headers, 'host') ?? '';
+  const path = request.path.split('?', 1)[0] ?? request.path;
+  return routes.servicesOf(host, path).includes(request.service);
+}
+
 /** Runs calls for peers that do not reach the servers of a service. It forwards none of them. */
 export class ForwardHandler implements forwardTypes.IForwardHandler {
   private running = 0;
@@ -60,6 +74,8 @@
     if (phase !== 'ready') return `the daemon is ${phase}`;
     const service = table?.services.get(request.service);
     if (table === undefined || service === undefined) return 'the service is not known';
+    // Servers take a call for one of this daemon, whose callers must not see an older version again.
+    if (!isAllowed(request, table)) return 'the configuration here routes the call otherwise';
     if (!this.reach.isReachable(service.name)) return 'the service is out of reach here too';
     if (this.running >= MAX_CALLS) return `the daemon runs ${this.running} calls of peers`;
     return forwardMessages.toCall(request, table, service, this.clock.monotonicMs(), () =>
--- a/src/node/forwarding/ForwardMessages.ts
+++ b/src/node/forwarding/ForwardMessages.ts
@@ -26,6 +26,7 @@
     idempotent: call.service.idempotent,
     maxAttempts: call.maxAttempts,
     retriesSpent: call.retriesSpent,
+    configurationVersion: call.configurationVersion,
   };
 }
 
--- a/typings/lavenderspar.d.ts
+++ b/typings/lavenderspar.d.ts
@@ -201,6 +201,8 @@
    * @param path Path without query.
    */
   match(host: string, path: string): IRouteMatch | undefined;
+  /** Returns the services that a request with this host and path may go to; none without a route. */
+  servicesOf(host: string, path: string): readonly string[];
 }
 
 /** Validated table. Immutable: a call uses the same table from start to end. */
