Keep reading the directory while no other daemon does

A daemon that no peer tells of changes, since it is cut off from them or all readers and standbys are refused, read the store until its own read confirmed the directory, and then stopped until that confirmation had expired: for 1.9 s of each 3.9 s it could not learn of a change, and what was left of the bound was too short to read a large configuration.

Whether a daemon reads now follows from the last confirmation that another daemon's read brought. It begins a little sooner, at 0.85 of the age that a confirmation may have, and goes on until one comes.

The test fails before.

--- a/src/common/directory/RelayAgent.test.ts
+++ b/src/common/directory/RelayAgent.test.ts
@@ -110,6 +110,23 @@
   },
 );
 
+// Guards against a daemon that stops reading between two changes although no peer tells it of them.
+test('large changes reach daemons in time that are cut off from their peers', () => {
+  const fleet = fleetOf(119);
+  const random = new seededRandom.SeededRandom(4);
+  fleet.transferMs = 1_000;
+  fleet.daemons.forEach((daemon) => Object.assign(daemon, { isCut: random.next() < 0.35 }));
+  fleet.advance(3_000);
+  // The pauses cover the interval at which a daemon that reads now and then does so.
+  for (let revision = 2; revision < 42; revision += 1) {
+    fleet.publish(revision);
+    fleet.advance(2_000);
+    const late = fleet.daemons.filter((daemon) => daemon.revision < revision);
+    expect(late.map(({ address, isCut }) => ({ address, isCut }))).toEqual([]);
+    fleet.advance(revision * 60);
+  }
+});
+
 // Guards against a fleet of which each daemon reads while it knows only some of the members.
 test('after a start the daemons of an incomplete member list read rarely', () => {
   const fleet = new relayFleet.RelayFleet(312, new seededRandom.SeededRandom(1), 0.01);
--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -29,14 +29,16 @@
 const LATE_SHARE = 2 / 3;
 
 /**
- * Share of the maximum age after which a standby reads itself. It is longer than that after which
- * all sources are asked, whose answers mostly make a read needless.
+ * Shares of the maximum age of a confirmation by peers after which a daemon reads itself: first the
+ * standbys, and if that helps nobody, all others. They are longer than that after which all sources are
+ * asked, whose answers mostly make a read needless. What is left of the time within which a change must
+ * be active is for reading a large configuration.
  */
-const STANDBY_READ_SHARE = 3 / 4;
+const STANDBY_READ_SHARE = 0.7;
+const FALLBACK_READ_SHARE = 0.85;
 
 /**
- * Advance of the confirmation, in milliseconds, by which a standby knows that another daemon reads.
- * What comes back of its own reads is later by the time on the way only.
+ * Advance of the confirmation, in milliseconds, by which a daemon knows that another one reads. What comes back of its own reads is later by the time on the way only.
  */
 const FOREIGN_ADVANCE_MS = 100;
 
@@ -115,10 +117,7 @@
   /** Whether this daemon has to read the directory service. */
   public get readRole(): directoryTypes.ReadRole {
     const { maxAgeMs, remainingMs } = this.confirmation;
-    if (!this.tree.isReader) {
-      if (this.replacesReader) return 'reader';
-      return remainingMs === 0 ? 'fallback' : 'follower';
-    }
+    if (!this.tree.isReader) return this.isSettled ? this.settledRole : this.unsettledRole;
     if (!this.isDiscovering) return 'reader';
     return remainingMs < DISCOVERY_READ_SHARE * maxAgeMs ? 'reader' : 'follower';
   }
@@ -179,14 +178,20 @@
     return this.elapsedMs >= DISCOVERY_MS + this.confirmation.maxAgeMs;
   }
 
+  /** Role of a daemon that is not a reader while the readers may be unknown. */
+  private get unsettledRole(): directoryTypes.ReadRole {
+    return this.confirmation.remainingMs === 0 ? 'fallback' : 'follower';
+  }
+
   /**
-   * Whether this daemon reads in place of the readers. It goes on until a member before it reads, so
-   * that no further change waits until the confirmation is late.
+   * Role of a daemon that is not a reader. Once it reads, it goes on until a member before it does, so
+   * that no further change waits until the confirmation is late again.
    */
-  private get replacesReader(): boolean {
-    if (!this.tree.isStandby || !this.isSettled) return false;
+  private get settledRole(): directoryTypes.ReadRole {
+    const { maxAgeMs } = this.confirmation;
     const sinceMs = this.clock.monotonicMs() - this.foreignTimeMs;
-    return sinceMs >= STANDBY_READ_SHARE * this.confirmation.maxAgeMs;
+    if (this.tree.isStandby && sinceMs >= STANDBY_READ_SHARE * maxAgeMs) return 'reader';
+    return sinceMs >= FALLBACK_READ_SHARE * maxAgeMs ? 'fallback' : 'follower';
   }
 
   private recordForeignRead(address: string, ageMs: number): void {
--- a/src/common/testing/RelayFleet.ts
+++ b/src/common/testing/RelayFleet.ts
@@ -27,6 +27,8 @@
   isUp: boolean;
   /** Whether the directory service refuses its reads. */
   isRefused: boolean;
+  /** Whether it exchanges no messages with its peers. */
+  isCut: boolean;
 }
 
 /**
@@ -98,7 +100,7 @@
       this.fleetOf(address),
       this.clock,
     );
-    const state = { revision: 0, isUp: true, isRefused: false };
+    const state = { revision: 0, isUp: true, isRefused: false, isCut: false };
     const daemon = { address, failureDomain, confirmation, agent, ...state };
     this.daemons.push(daemon);
     this.byAddress.set(address, daemon);
@@ -131,7 +133,7 @@
 
   private deliver(from: string, to: string, onDelivered: () => void): void {
     const sender = this.byAddress.get(from);
-    if (sender?.isUp !== true) return;
+    if (sender?.isUp !== true || sender.isCut) return;
     [from, to].forEach((address) =>
       this.handled.set(address, (this.handled.get(address) ?? 0) + 1),
     );
@@ -140,7 +142,7 @@
     const noticeInterest = sender.agent.noticeInterestIn(to);
     this.clock.setTimer(LATENCY_MS, () => {
       const receiver = this.byAddress.get(to);
-      if (receiver?.isUp !== true) return;
+      if (receiver?.isUp !== true || receiver.isCut) return;
       receiver.agent.handleReport({ address: from, table, noticeInterest, lacksMembers: false });
       this.adopt(receiver, table.version);
       if (receiver.revision <= table.version) receiver.confirmation.confirm(ageMs + LATENCY_MS);
