--- a/src/common/directory/RelayAgent.test.ts
+++ b/src/common/directory/RelayAgent.test.ts
@@ -57,6 +57,18 @@
   expect(fleet.reads - before).toBeLessThanOrEqual(5 * 1.4 * readers);
 });
 
+// Guards against a whole directory that is fetched from a peer while the first own read of it goes on.
+test('daemons that start, and readers, wait for their own read; refused ones do not', () => {
+  const fleet = new relayFleet.RelayFleet(19, new seededRandom.SeededRandom(19));
+  expect(fleet.daemons.every(({ agent }) => agent.expectsOwnRead)).toBe(true);
+  fleet.advance(8_000);
+  const readers = fleet.daemons.filter(({ agent }) => agent.expectsOwnRead);
+  expect(readers).toHaveLength(2);
+  readers.forEach((daemon) => Object.assign(daemon, { isRefused: true }));
+  fleet.advance(1_200);
+  expect(readers.filter(({ agent }) => agent.expectsOwnRead)).toEqual([]);
+});
+
 // Guards against a change that takes effect too late at some daemons.
 test('a change reaches every daemon within a second of its publication', () => {
   const fleet = fleetOf(312);
--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -122,9 +122,12 @@
     return remainingMs < DISCOVERY_READ_SHARE * maxAgeMs ? 'reader' : 'follower';
   }
 
-  /** Whether a change is likely to come from an own read before it comes from a peer. */
+  /**
+   * Whether a change is likely to come from an own read before it comes from a peer: also at the start,
+   * when nothing has been confirmed yet, but not once own reads seem to fail.
+   */
   public get expectsOwnRead(): boolean {
-    return this.readRole !== 'follower' && !this.isLate;
+    return this.readRole !== 'follower' && !(this.isSettled && this.isLate);
   }
 
   /** Chooses sources now and periodically. */
