Audit in the soak whether changes are in force in time

Samples of the versions were only checked for one that fell. A sample of a daemon that has an older version 2 s after a newer one was published now counts, unless the store or the daemon had a fault in the last 3 s, or the daemon replied slowly.

--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -86,6 +86,9 @@
   /** Ends of daemon processes that nobody asked for, or with an exit code other than 0. */
   public readonly ownEnds: soakTypes.IOwnEnd[] = [];
 
+  /** Versions of the configuration, in the order of their publication. */
+  public readonly publications: soakTypes.IPublication[] = [];
+
   public storeRelay: tcpRelay.TcpRelay | undefined;
 
   private storeAddress = '';
@@ -138,6 +141,7 @@
   public publishConfiguration(): void {
     this.configurationVersion += 1;
     this.putConfiguration();
+    this.publications.push({ version: this.configurationVersion, atMs: performance.now() });
   }
 
   /** Restores the store from a copy. The configuration and the servers are then written again. */
--- a/src/soak/Types.ts
+++ b/src/soak/Types.ts
@@ -65,7 +65,22 @@
   readonly lastLines: readonly string[];
 }
 
-/** Summary of a soak run. The last eleven fields must be 0. */
+/** A version of the configuration, and when it was published. */
+export interface IPublication {
+  readonly version: number;
+  readonly atMs: number;
+}
+
+/** Version that a daemon had when it was asked, or later. */
+export interface IVersionSample {
+  /** Index of the daemon. */
+  readonly daemon: number;
+  readonly version: number;
+  /** Time at which it was asked. */
+  readonly atMs: number;
+}
+
+/** Summary of a soak run. The last twelve fields must be 0. */
 export interface ISoakResult {
   readonly seed: number;
   readonly faults: number;
@@ -79,6 +94,8 @@
   readonly cutInFlight: number;
   readonly workOnLeaving: number;
   readonly tableReversions: number;
+  /** Samples of daemons that had an older version of the configuration than they should have had. */
+  readonly lateVersions: number;
   readonly budgetOverruns: number;
   /** Requests to servers that had stated to the same daemon that they leave. */
   readonly requestsToLeaving: number;
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -6,7 +6,6 @@
 
 import * as seededRandom from '../common/SeededRandom';
 import type * as types from '../common/Types';
-import type * as deployedDaemon from '../platform/testing/DeployedDaemon';
 import * as restraintAudit from './RestraintAudit';
 import * as slowReaders from './SlowReaders';
 import * as soakAudit from './SoakAudit';
@@ -14,14 +13,14 @@
 import * as soakFleet from './SoakFleet';
 import * as soakLoad from './SoakLoad';
 import type * as soakTypes from './Types';
+import * as versionAudit from './VersionAudit';
+import * as versionMonitorModule from './VersionMonitor';
 import * as pauseModule from '../standin/pause';
 
 /** Default number of daemons, and the largest one, which take about 80 MB each. */
 const DEFAULT_DAEMONS = 3;
 const MAX_DAEMONS = 120;
 
-const VERSION_SAMPLE_INTERVAL_MS = 100;
-
 /** Maximum number of concurrent faults, and the duration of each, in milliseconds. */
 const MAX_FAULTS = 3;
 const MIN_FAULT_MS = 300;
@@ -34,37 +33,6 @@
   process.stderr.write(`${text}\n`);
 }
 
-/** Samples the active configuration version of each daemon process. */
-class ConfigurationVersionMonitor {
-  /** Number of samples in which a daemon process had a lower version than before. */
-  public reversions = 0;
-
-  private readonly highestVersions = new WeakMap<object, number>();
-
-  private stopped = false;
-
-  public constructor(private readonly fleet: soakFleet.SoakFleet) {}
-
-  public async run(): Promise<void> {
-    while (!this.stopped) {
-      await Promise.all(this.fleet.daemons.map((daemon, index) => this.sample(daemon, index)));
-      await pauseModule.pause(VERSION_SAMPLE_INTERVAL_MS);
-    }
-  }
-
-  public stop(): void {
-    this.stopped = true;
-  }
-
-  private async sample(daemon: deployedDaemon.DeployedDaemon, index: number): Promise<void> {
-    const version = await this.fleet.configurationVersionAt(index);
-    if (version === undefined || this.fleet.daemons[index] !== daemon) return;
-    const highest = this.highestVersions.get(daemon.child) ?? 0;
-    if (version < highest) this.reversions += 1;
-    this.highestVersions.set(daemon.child, Math.max(highest, version));
-  }
-}
-
 async function runFault(fault: soakFaults.IFault, index: number, durationMs: number) {
   logLine(`${fault.name} [${index}] for ${durationMs} ms`);
   await fault.begin(index);
@@ -130,7 +98,7 @@
     new seededRandom.SeededRandom(seed + 2),
   );
   const faults = new soakFaults.SoakFaults(fleet, balancerTargets);
-  const versionMonitor = new ConfigurationVersionMonitor(fleet);
+  const versionMonitor = new versionMonitorModule.VersionMonitor(fleet);
   try {
     await fleet.start(daemons);
     load.start();
@@ -152,8 +120,9 @@
     });
     const observed = { calls, arrivals, statements, limits, faultIntervals };
     const restraintViolations = restraintAudit.auditRestraints(observed);
-    const { ownEnds } = fleet;
-    logViolations({ ...violations, ...restraintViolations, ownEnds });
+    const { ownEnds, publications } = fleet;
+    const lateVersions = versionAudit.findLate(versionMonitor.behind, publications, faultIntervals);
+    logViolations({ ...violations, ...restraintViolations, lateVersions, ownEnds });
     const countOf = (end: soakTypes.CallOutcome) => calls.filter((call) => call.end === end).length;
     return {
       seed,
@@ -168,6 +137,7 @@
       cutInFlight: violations.cutInFlight.length,
       workOnLeaving: violations.workOnLeaving.length,
       tableReversions: versionMonitor.reversions,
+      lateVersions: lateVersions.length,
       budgetOverruns: violations.budgetOverruns,
       requestsToLeaving: restraintViolations.requestsToLeaving.length,
       disturbedPauses: restraintViolations.disturbedPauses.length,
@@ -182,12 +152,13 @@
 
 function countViolations(result: soakTypes.ISoakResult): number {
   const { wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving } = result;
-  const { tableReversions, budgetOverruns } = result;
+  const { tableReversions, lateVersions, budgetOverruns } = result;
   const { requestsToLeaving, disturbedPauses, limitOverruns, ownEnds } = result;
   return [
     ...[wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving],
     ...[
       tableReversions,
+      lateVersions,
       budgetOverruns,
       requestsToLeaving,
       disturbedPauses,
