--- a/src/common/directory/RelayAgent.test.ts
+++ b/src/common/directory/RelayAgent.test.ts
@@ -69,6 +69,15 @@
   expect(readers.filter(({ agent }) => agent.expectsOwnRead)).toEqual([]);
 });
 
+// Guards against a daemon that trusts its directory after its VM was suspended, which no clock counts.
+test('a daemon whose confirmation was discarded reads at once', () => {
+  const fleet = fleetOf(41);
+  fleet.advance(2_000);
+  const followers = fleet.daemons.filter(({ agent }) => agent.readRole === 'follower');
+  followers.forEach(({ confirmation }) => confirmation.reset());
+  expect(followers.filter(({ agent }) => agent.readRole === 'follower')).toEqual([]);
+});
+
 // Guards against a change that takes effect too late at some daemons.
 test('a change reaches every daemon within a second of its publication', () => {
   const fleet = fleetOf(312);
--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -117,7 +117,7 @@
   /** Whether this daemon has to read the directory service. */
   public get readRole(): directoryTypes.ReadRole {
     const { maxAgeMs, remainingMs } = this.confirmation;
-    if (!this.tree.isReader) return this.isSettled ? this.settledRole : this.unsettledRole;
+    if (!this.tree.isReader) return this.roleOfFollower;
     if (!this.isDiscovering) return 'reader';
     return remainingMs < DISCOVERY_READ_SHARE * maxAgeMs ? 'reader' : 'follower';
   }
@@ -181,17 +181,14 @@
     return this.elapsedMs >= DISCOVERY_MS + this.confirmation.maxAgeMs;
   }
 
-  /** Role of a daemon that is not a reader while the readers may be unknown. */
-  private get unsettledRole(): directoryTypes.ReadRole {
-    return this.confirmation.remainingMs === 0 ? 'fallback' : 'follower';
-  }
-
   /**
    * Role of a daemon that is not a reader. Once it reads, it goes on until a member before it does, so
    * that no further change waits until the confirmation is late again.
    */
-  private get settledRole(): directoryTypes.ReadRole {
-    const { maxAgeMs } = this.confirmation;
+  private get roleOfFollower(): directoryTypes.ReadRole {
+    const { maxAgeMs, remainingMs } = this.confirmation;
+    if (remainingMs === 0) return 'fallback';
+    if (!this.isSettled) return 'follower';
     const sinceMs = this.clock.monotonicMs() - this.foreignTimeMs;
     if (this.tree.isStandby && sinceMs >= STANDBY_READ_SHARE * maxAgeMs) return 'reader';
     return sinceMs >= FALLBACK_READ_SHARE * maxAgeMs ? 'fallback' : 'follower';
