--- a/src/common/directory/RelayAgent.ts
+++ b/src/common/directory/RelayAgent.ts
@@ -70,7 +70,8 @@
  * Passes changes of the directory, and confirmations that it is up to date, from the few daemons
  * that read it to all others. Each daemon asks two sources of its choice for notices, so that the
  * daemons need not agree on the members of the fleet. Both notify it of changes, and the first one
- * also confirms that there are none.
+ * also confirms that there are none. While confirmations are late, it asks more sources, and then
+ * reads itself.
  */
 export class RelayAgent implements types.IDisposable {
   private readonly tree: relayTree.RelayTree;
