Give routes with the same prefix splits of their own

Found in the read-through of these changes: splits were kept by host and prefix alone, so that of two routes with the same prefix one got the split of the other, which may select a target that it does not have. The test fails before.

--- a/src/common/routing/RouteTable.test.ts
+++ b/src/common/routing/RouteTable.test.ts
@@ -132,6 +132,18 @@
   expect([...chosen].sort()).toEqual([1, 2]);
 });
 
+// Guards against a route that is matched and has no target, since another one has the same prefix.
+test('routes with the same prefix have splits of their own', () => {
+  const split = { ...splitRouteOf([1, 1]), name: 'split' };
+  const targets = ['a', 'b', 'a'].map((service) => ({ service, weight: 1 }));
+  const table = tableOf([{ ...split, targets: targets.slice(0, 2) }, routeOf('h', '/', 'a')]);
+  const reversed = tableOf([routeOf('h', '/', 'a'), { ...split, targets }]);
+  for (let request = 0; request < 10; request += 1) {
+    expect(['a', 'b']).toContain(table.match('h', '/')?.service.name);
+    expect(reversed.match('h', '/')?.service.name).toBe('a');
+  }
+});
+
 test('splits of routes that are gone are not kept', () => {
   const splits = new splitsModule.Splits(new seededRandom.SeededRandom(3));
   const route = splitRouteOf([1, 1]);
--- a/src/common/routing/Splits.ts
+++ b/src/common/routing/Splits.ts
@@ -11,29 +11,32 @@
  * large fleet.
  */
 export class Splits {
-  private current: ReadonlyMap<string, weightedSplit.WeightedSplit> = new Map();
+  private byRoute: ReadonlyMap<routingTypes.IRoute, weightedSplit.WeightedSplit> = new Map();
+
+  /** The same splits by host and prefix, by which a later version finds them. */
+  private byMatch: ReadonlyMap<string, weightedSplit.WeightedSplit> = new Map();
 
   public constructor(private readonly random: types.IRandom) {}
 
-  /** Returns the split of a route, if it has one. */
+  /** Returns the split of one of the current routes, if it has one. */
   public of(route: routingTypes.IRoute): weightedSplit.WeightedSplit | undefined {
-    return this.current.get(Splits.keyOf(route));
+    return this.byRoute.get(route);
   }
 
   /** Sets the routes. The split of a route continues unless its weights change. */
   public update(routes: readonly routingTypes.IRoute[]): void {
-    const previous = this.current;
-    this.current = new Map(
-      routes
-        .filter(({ targets }) => targets.length > 1)
-        .map((route) => {
-          const key = Splits.keyOf(route);
-          const weights = route.targets.map(({ weight }) => weight);
-          const known = previous.get(key);
-          const isSame = known !== undefined && `${known.weights}` === `${weights}`;
-          return [key, isSame ? known : this.begin(weights)];
-        }),
-    );
+    const byRoute = routes
+      .filter(({ targets }) => targets.length > 1)
+      .map((route) => [route, this.continueOrBegin(route)] as const);
+    this.byRoute = new Map(byRoute);
+    this.byMatch = new Map(byRoute.map(([route, split]) => [Splits.keyOf(route), split]));
+  }
+
+  private continueOrBegin(route: routingTypes.IRoute): weightedSplit.WeightedSplit {
+    const weights = route.targets.map(({ weight }) => weight);
+    const known = this.byMatch.get(Splits.keyOf(route));
+    const isSame = known !== undefined && `${known.weights}` === `${weights}`;
+    return isSame ? known : this.begin(weights);
   }
 
   private begin(weights: readonly number[]): weightedSplit.WeightedSplit {
