Serve downloads and evacuations, and carry the priority of a route with its calls

Routes of the kind `download` were unknown, so that each daemon refused the whole configuration of the new deployments: they served nothing. Downloads are idempotent and have large answers. Operators' requests to evacuate a failure domain travel with the directory and take the weight of its servers away; they end with a removal or a later listing without them. The priority of a route is read, relayed to peers and carried with calls; what a server states of being cold is decoded.

A kind that is not known, or a priority that is no number, leaves the configuration in force.

--- a/src/common/call/ServerEligibility.ts
+++ b/src/common/call/ServerEligibility.ts
@@ -95,9 +95,12 @@
     return this.restraints?.restraintOf(row);
   }
 
-  /** Whether a server has not stated, since it was selected, that it leaves or wants a pause. */
+  /**
+   * Whether neither a server has stated, since it was selected, that it leaves or wants a pause, nor
+   * the table has taken its weight away.
+   */
   public wantsRequests({ row }: serverState.ServerState): boolean {
-    return this.restraints?.wantsRequests(row) ?? true;
+    return row.weight > 0 && (this.restraints?.wantsRequests(row) ?? true);
   }
 
   /** Whether a server that gets no requests because of its limit should be checked. */
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -86,6 +86,10 @@
   readonly fingerprint: string;
   /** Monotonic time of the latency objective in milliseconds, if there is one. */
   readonly objectiveAtMs?: number | undefined;
+  /** Rank among the calls of its service: the lower, the more urgent. Absent: the most urgent. */
+  readonly priority?: number | undefined;
+  /** Whether its answer is large, so that the transfer takes a part of the time. */
+  readonly hasLargeAnswer?: boolean | undefined;
   /** Maximum number of servers that the call may be sent to, if operators limit it. */
   readonly maxAttempts?: number | undefined;
   /** Version of the operators' configuration that routed the call. */
--- a/src/common/directory/Directory.ts
+++ b/src/common/directory/Directory.ts
@@ -2,6 +2,7 @@
 import type * as routingTypes from '../routing/Types';
 import type * as types from '../Types';
 import * as departures from './Departures';
+import * as evacuations from './Evacuations';
 import type * as directoryTypes from './Types';
 
 /**
@@ -35,6 +36,8 @@
 
   private readonly departures = new departures.Departures();
 
+  private readonly evacuations = new evacuations.Evacuations();
+
   /** Tombstones: revisions at which servers were removed, in the order of removal. */
   private readonly removals = new Map<string, number>();
 
@@ -71,6 +74,11 @@
     return configuration && { kind: 'configuration', configuration, revision };
   }
 
+  /** The failure domains whose servers get no requests, by request of operators. */
+  public get evacuatedDomains(): ReadonlySet<string> {
+    return this.evacuations.active;
+  }
+
   /** The highest revision up to which all changes are applied. */
   public get revision(): number {
     return this.knownRevision;
@@ -117,9 +125,10 @@
     const removed = [...this.entries]
       .filter(([id, entry]) => !listed.has(id) && entry.revision <= revision && !entry.isExpired)
       .map(([id]) => this.remove(id, revision));
+    const hasReturned = this.evacuations.retain(records, revision);
     const changed = records.map((record) => this.applyRecord(record)).some(Boolean);
     this.knownRevision = Math.max(this.knownRevision, revision);
-    if (changed || removed.some(Boolean)) this.changedEmitter.fire();
+    if (changed || hasReturned || removed.some(Boolean)) this.changedEmitter.fire();
   }
 
   /** The whole directory as a listing, for a peer with an older revision. */
@@ -127,6 +136,7 @@
     const records: directoryTypes.DirectoryRecord[] = [...this.entries.values()]
       .filter(({ isExpired }) => !isExpired)
       .map(({ server, revision }) => ({ kind: 'server', server, revision }));
+    records.push(...this.evacuations.records);
     const { configurationRecord } = this;
     if (configurationRecord !== undefined) records.push(configurationRecord);
     return { records, revision: this.knownRevision };
@@ -174,7 +184,7 @@
 
   private static idOf(record: directoryTypes.DirectoryRecord): string | undefined {
     if (record.kind === 'server') return record.server.id;
-    return record.kind === 'configuration' ? undefined : record.id;
+    return 'id' in record ? record.id : undefined;
   }
 
   private applyRecord(record: directoryTypes.DirectoryRecord): boolean {
@@ -185,6 +195,8 @@
         return this.applyServer(record.server, record.revision);
       case 'server-removed':
         return this.remove(record.id, record.revision);
+      case 'evacuation':
+        return this.evacuations.apply(record);
       default:
         this.problemEmitter.fire({
           kind: 'unusable-item',
--- a/src/common/directory/TableBuilder.test.ts
+++ b/src/common/directory/TableBuilder.test.ts
@@ -40,6 +40,13 @@
   expect(table.servers.get('reads')?.map(({ weight }) => weight)).toEqual([100, 0]);
 });
 
+// Guards against requests to servers that operators have evacuated.
+test('a server of an evacuated failure domain has weight 0', () => {
+  const other = { ...SERVER, id: '2', address: '10.0.0.2:80', failureDomain: 'b' };
+  const table = make().build(configurationOf(1), [SERVER, other], 5, FLEET, new Set(['a']));
+  expect(table.servers.get('reads')?.map(({ weight }) => weight)).toEqual([0, 100]);
+});
+
 // Guards against rebuilding all routes whenever a server is added or removed.
 test('the routes are rebuilt only if the configuration, retry limit or check rate changes', () => {
   const builder = make();
--- a/src/common/directory/TableBuilder.ts
+++ b/src/common/directory/TableBuilder.ts
@@ -20,6 +20,8 @@
   readonly checksPerSecond: number;
 }
 
+const NO_DOMAINS: ReadonlySet<string> = new Set();
+
 interface ICachedRoutes {
   readonly configuration: routingTypes.IConfiguration;
   readonly retryFraction: number;
@@ -51,16 +53,19 @@
 function toServer(
   server: directoryTypes.IRegistration,
   terms: routingTypes.IServiceTerms,
+  evacuatedDomains: ReadonlySet<string>,
 ): tableTypes.IServerRow {
+  const isUsed = server.state === 'ready' && !evacuatedDomains.has(server.failureDomain);
   return {
     service: server.service,
     address: server.address,
     failureDomain: server.failureDomain,
-    weight: server.state === 'ready' ? READY_SERVER_WEIGHT : 0,
+    weight: isUsed ? READY_SERVER_WEIGHT : 0,
     slots: server.slots,
     maxConnections: terms.maxConnections,
     instance: server.id,
     startedAtMs: server.startedAtMs,
+    coldRequestsPerSecond: terms.coldRequestsPerSecond,
   };
 }
 
@@ -71,11 +76,13 @@
 
   public constructor(private readonly routeSplits: splits.Splits) {}
 
+  /** @param evacuatedDomains Failure domains whose servers get no requests. */
   public build(
     configuration: routingTypes.IConfiguration,
     servers: readonly directoryTypes.IRegistration[],
     revision: number,
     fleet: IFleetLimits,
+    evacuatedDomains = NO_DOMAINS,
   ): tableTypes.ITable {
     this.cachedRoutes = this.getRoutes(configuration, fleet);
     const { services, routes } = this.cachedRoutes;
@@ -87,7 +94,7 @@
     });
     const rows = configuration.services.map((terms): [string, tableTypes.IServerRow[]] => [
       terms.name,
-      (byService.get(terms.name) ?? []).map((server) => toServer(server, terms)),
+      (byService.get(terms.name) ?? []).map((server) => toServer(server, terms, evacuatedDomains)),
     ]);
     return {
       version: revision,
--- a/src/common/directory/Types.ts
+++ b/src/common/directory/Types.ts
@@ -16,6 +16,8 @@
   readonly startedAtMs: number;
   /** Counts what the process has stated about itself; undefined if it does not. */
   readonly sequence?: number | undefined;
+  /** Time for which the server stays cold, in milliseconds, from its statement on. */
+  readonly coldMs?: number | undefined;
 }
 
 /** One published item of the directory, with the revision of its last change. */
@@ -27,6 +29,13 @@
     }
   | { readonly kind: 'server'; readonly revision: number; readonly server: IRegistration }
   | { readonly kind: 'server-removed'; readonly revision: number; readonly id: string }
+  /** Operators ask that the servers of a failure domain get no requests, or no longer do. */
+  | {
+      readonly kind: 'evacuation';
+      readonly revision: number;
+      readonly failureDomain: string;
+      readonly isActive: boolean;
+    }
   /** Item that cannot be parsed or validated. `id` is set if its key belongs to a server. */
   | {
       readonly kind: 'unusable';
@@ -36,6 +45,9 @@
       readonly problem: string;
     };
 
+/** An evacuation among the published items. */
+export type EvacuationRecord = Extract<DirectoryRecord, { readonly kind: 'evacuation' }>;
+
 /** The configuration among the published items. */
 export type ConfigurationRecord = Extract<DirectoryRecord, { readonly kind: 'configuration' }>;
 
--- a/src/common/routing/ConfigurationChanges.test.ts
+++ b/src/common/routing/ConfigurationChanges.test.ts
@@ -7,7 +7,7 @@
 
 function configurationOf(version: number, ids: readonly number[]): routingTypes.IConfiguration {
   const routes = ids.map((id) => ({
-    ...{ name: `${id}`, host: 'a.example', prefix: `/${id}/`, idempotent: true },
+    ...{ name: `${id}`, host: 'a.example', prefix: `/${id}/`, idempotent: true, priority: 0 },
     ...{ targets: [{ service: 's', weight: 1 }], timeoutMs: id, objectiveMs: 1, maxAttempts: 1 },
   }));
   const services = [{ name: 's', healthPath: '/', maxConnections: version }];
--- a/src/common/routing/RouteTable.test.ts
+++ b/src/common/routing/RouteTable.test.ts
@@ -16,6 +16,7 @@
     prefix,
     targets: [{ service, weight: 1 }],
     idempotent: false,
+    priority: 0,
     timeoutMs: 700,
     objectiveMs: 300,
     maxAttempts: 2,
--- a/src/common/table/Types.ts
+++ b/src/common/table/Types.ts
@@ -49,6 +49,8 @@
   readonly instance?: string | undefined;
   /** Start of the server process in Unix milliseconds. A restarted server has lost its state. */
   readonly startedAtMs?: number | undefined;
+  /** Requests a second that it takes from all daemons together while it is cold, if limited. */
+  readonly coldRequestsPerSecond?: number | undefined;
 }
 
 /** Validated table. Immutable: a call uses the same table from start to end. */
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -377,14 +377,21 @@
   }
 
   private applyDirectory(): void {
-    const { configuration, servers, revision } = this.directory;
+    const { configuration, servers, revision, evacuatedDomains } = this.directory;
     if (configuration === undefined) return;
     const previousVersion = this.table?.routes?.configurationVersion;
-    this.table = this.tableBuilder.build(configuration, servers, revision, {
-      maxDaemons: this.fleetShares.daemonCount,
-      retryFraction: this.options.retryFraction,
-      checksPerSecond: this.options.checksPerSecond,
-    });
+    this.table = this.tableBuilder.build(
+      configuration,
+      servers,
+      revision,
+      {
+        maxDaemons: this.fleetShares.daemonCount,
+        retryFraction: this.options.retryFraction,
+        checksPerSecond: this.options.checksPerSecond,
+      },
+      evacuatedDomains,
+    );
+    this.decisionLog.recordEvacuations(evacuatedDomains, servers);
     this.checkBudget.setRate(this.options.checksPerSecond * servers.length, this.table.maxDaemons);
     this.services.update(this.table);
     this.forwarding.update();
--- a/src/node/directory/DirectorySync.test.ts
+++ b/src/node/directory/DirectorySync.test.ts
@@ -47,7 +47,7 @@
   };
   const route = {
     ...{ name: 'r', host: 'a.example', prefix: '/', targets: [{ service: 'reads', weight: 1 }] },
-    ...{ idempotent: true, timeoutMs: 1_000, objectiveMs: 400, maxAttempts: 2 },
+    ...{ idempotent: true, priority: 0, timeoutMs: 1_000, objectiveMs: 400, maxAttempts: 2 },
   };
   const services = [{ name: 'reads', healthPath: '/', maxConnections: 10 }];
   return { version, routes: [route], services, limits };
--- a/src/node/directory/RelayedDirectory.ts
+++ b/src/node/directory/RelayedDirectory.ts
@@ -18,7 +18,12 @@
   version: zod.int().min(0),
   routes: relayedRoutes.ROUTES,
   services: zod.array(
-    zod.object({ name: zod.string(), healthPath: zod.string(), maxConnections: COUNT }),
+    zod.object({
+      name: zod.string(),
+      healthPath: zod.string(),
+      maxConnections: COUNT,
+      coldRequestsPerSecond: POSITIVE.optional(),
+    }),
   ),
   limits: zod.object({
     maxHeaderBytes: POSITIVE,
@@ -37,6 +42,7 @@
   state: zod.enum(['ready', 'draining']),
   startedAtMs: zod.number().min(0),
   sequence: zod.int().min(0).optional(),
+  coldMs: DURATION_MS.optional(),
 });
 
 const CONFIGURATION_RECORD = zod.object({
@@ -67,6 +73,12 @@
   CONFIGURATION_RECORD,
   zod.object({ kind: zod.literal('server'), revision: REVISION, server: SERVER }),
   zod.object({ kind: zod.literal('server-removed'), revision: REVISION, id: zod.string() }),
+  zod.object({
+    kind: zod.literal('evacuation'),
+    revision: REVISION,
+    failureDomain: zod.string(),
+    isActive: zod.boolean(),
+  }),
 ]);
 
 /** Each record is checked on its own, so that an unusable one leaves the others. */
--- a/src/node/directory/RelayedRoutes.test.ts
+++ b/src/node/directory/RelayedRoutes.test.ts
@@ -17,17 +17,33 @@
   weight: valueOr(AMOUNT),
   added: fastCheck.string(),
 });
-const ROUTE = fastCheck.record({
-  name: valueOr(fastCheck.string()),
-  host: valueOr(fastCheck.string()),
-  prefix: valueOr(fastCheck.string()),
-  targets: valueOr(fastCheck.array(TARGET, { maxLength: 2 })),
-  idempotent: valueOr(fastCheck.boolean()),
-  timeoutMs: valueOr(AMOUNT),
-  objectiveMs: valueOr(AMOUNT),
-  maxAttempts: valueOr(fastCheck.integer({ min: 0, max: 4 })),
-  added: fastCheck.string(),
-});
+const ROUTE = fastCheck.record(
+  {
+    name: valueOr(fastCheck.string()),
+    host: valueOr(fastCheck.string()),
+    prefix: valueOr(fastCheck.string()),
+    targets: valueOr(fastCheck.array(TARGET, { maxLength: 2 })),
+    idempotent: valueOr(fastCheck.boolean()),
+    hasLargeAnswers: valueOr(fastCheck.boolean()),
+    priority: valueOr(fastCheck.integer({ min: -1, max: 5 })),
+    timeoutMs: valueOr(AMOUNT),
+    objectiveMs: valueOr(AMOUNT),
+    maxAttempts: valueOr(fastCheck.integer({ min: 0, max: 4 })),
+    added: fastCheck.string(),
+  },
+  {
+    requiredKeys: [
+      'name',
+      'host',
+      'prefix',
+      'targets',
+      'idempotent',
+      'timeoutMs',
+      'objectiveMs',
+      'maxAttempts',
+    ],
+  },
+);
 
 // Guards against an invalid route of a peer that is taken, or a valid one that is not.
 test('routes of a peer are read as their schema says, whatever their form', () => {
--- a/src/node/directory/RelayedRoutes.ts
+++ b/src/node/directory/RelayedRoutes.ts
@@ -16,6 +16,9 @@
   prefix: zod.string(),
   targets: TARGETS,
   idempotent: zod.boolean(),
+  hasLargeAnswers: zod.boolean().optional(),
+  // Absent in routes of peers of earlier versions.
+  priority: zod.int().min(0).default(0),
   timeoutMs: DURATION_MS,
   objectiveMs: DURATION_MS,
   maxAttempts: zod.int().min(1),
@@ -30,6 +33,7 @@
 function readUsualRoute(value: unknown): routingTypes.IRoute | undefined {
   const { name, host, prefix, targets, idempotent, timeoutMs, objectiveMs, maxAttempts } =
     Object(value);
+  const { hasLargeAnswers, priority = 0 } = Object(value);
   if (!Array.isArray(targets) || targets.length !== 1) return undefined;
   const { service, weight } = Object(targets[0]);
   const isUsual =
@@ -40,6 +44,9 @@
     isAmount(weight) &&
     weight > 0 &&
     typeof idempotent === 'boolean' &&
+    (hasLargeAnswers === undefined || typeof hasLargeAnswers === 'boolean') &&
+    Number.isSafeInteger(priority) &&
+    priority >= 0 &&
     isAmount(timeoutMs) &&
     isAmount(objectiveMs) &&
     Number.isSafeInteger(maxAttempts) &&
@@ -51,6 +58,8 @@
     prefix,
     targets: [{ service, weight }],
     idempotent,
+    ...(hasLargeAnswers !== undefined && { hasLargeAnswers }),
+    priority,
     timeoutMs,
     objectiveMs,
     maxAttempts,
--- a/src/node/forwarding/ForwardHandler.test.ts
+++ b/src/node/forwarding/ForwardHandler.test.ts
@@ -18,7 +18,7 @@
   );
   const target = {
     ...{ name: 'r', host: 'h', prefix: '/x/', idempotent: true, timeoutMs: 9, objectiveMs: 9 },
-    ...{ maxAttempts: 1, targets: [{ service, weight: 1 }] },
+    ...{ priority: 0, maxAttempts: 1, targets: [{ service, weight: 1 }] },
   };
   const configuration = { version: 5, routes: [target], services: [], limits: LIMITS };
   const routeSplits = new splits.Splits(new seededRandom.SeededRandom(1));
--- a/src/node/forwarding/ForwardMessages.ts
+++ b/src/node/forwarding/ForwardMessages.ts
@@ -25,6 +25,7 @@
       objectiveAtMs === undefined ? undefined : Math.max(0, Math.floor(objectiveAtMs - nowMs)),
     idempotent: call.service.idempotent,
     maxAttempts: call.maxAttempts,
+    priority: call.priority,
     retriesSpent: call.retriesSpent,
     configurationVersion: call.configurationVersion,
   };
@@ -56,6 +57,7 @@
     retriesSpent: request.retriesSpent,
     objectiveAtMs: objectiveMs === undefined ? undefined : nowMs + objectiveMs,
     maxAttempts: request.maxAttempts,
+    priority: request.priority,
     configurationVersion: table.routes?.configurationVersion,
     get fingerprint() {
       return fingerprint();
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -279,6 +279,8 @@
       depth: head.depth,
       retriesSpent: head.retriesSpent,
       objectiveAtMs: head.objectiveMs === undefined ? undefined : this.startMs + head.objectiveMs,
+      priority: head.priority,
+      hasLargeAnswer: head.hasLargeAnswer,
       maxAttempts: head.maxAttempts,
       configurationVersion: table.routes?.configurationVersion,
       route: head.route,
--- a/src/node/server/RequestHead.ts
+++ b/src/node/server/RequestHead.ts
@@ -36,6 +36,10 @@
   readonly route?: string | undefined;
   /** Latency objective in milliseconds, if the route states one. */
   readonly objectiveMs?: number | undefined;
+  /** Rank among the requests of the service: the lower, the more urgent. Absent: the most urgent. */
+  readonly priority?: number | undefined;
+  /** Whether the route states that answers are large. */
+  readonly hasLargeAnswer?: boolean | undefined;
   /** Maximum number of servers that the call may be sent to, if the operators limit it. */
   readonly maxAttempts?: number | undefined;
   /** Headers for the backend server. */
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -2,6 +2,7 @@
 import * as promClient from 'prom-client';
 
 import type * as callTypes from '../../common/call/Types';
+import type * as directoryTypes from '../../common/directory/Types';
 import type * as reachTypes from '../../common/reach/Types';
 import type * as restraintTypes from '../../common/restraint/Types';
 import type * as suspicionTypes from '../../common/suspicion/Types';
@@ -78,6 +79,8 @@
     registers: [this.registry],
   });
 
+  private evacuatedDomains: ReadonlySet<string> = new Set();
+
   public constructor(
     private readonly logger: bunyan,
     clock: types.IClock,
@@ -186,6 +189,35 @@
     this.log(names.CALL_FORWARDED, { requestId: call.requestId, service, helper, result });
   }
 
+  /** Logs which failure domains operators have evacuated, and which they have taken back. */
+  public recordEvacuations(
+    domains: ReadonlySet<string>,
+    servers: readonly directoryTypes.IRegistration[],
+  ): void {
+    const countServers = (failureDomain: string) =>
+      servers.filter((server) => server.failureDomain === failureDomain).length;
+    [...domains]
+      .filter((domain) => !this.evacuatedDomains.has(domain))
+      .forEach((failureDomain) => {
+        const count = countServers(failureDomain);
+        const fields = { event: names.EVACUATION_BEGUN, failureDomain, servers: count };
+        if (count > 0)
+          this.logger.info(fields, 'servers of an evacuated failure domain get no requests');
+        else this.logger.warn(fields, 'the evacuated failure domain has no servers');
+      });
+    [...this.evacuatedDomains]
+      .filter((domain) => !domains.has(domain))
+      .forEach((failureDomain) => {
+        const fields = {
+          event: names.EVACUATION_ENDED,
+          failureDomain,
+          servers: countServers(failureDomain),
+        };
+        this.logger.info(fields, 'failure domain taken back');
+      });
+    this.evacuatedDomains = new Set(domains);
+  }
+
   /** Logs that this daemon reaches the servers of a service again, or does not any longer. */
   public recordReach({ isReachable, ...change }: reachTypes.IReachChange): void {
     const event = isReachable ? names.SERVICE_IN_REACH : names.SERVICE_OUT_OF_REACH;
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -32,6 +32,11 @@
     const { lists, watches } = watcher.counts;
     return lists + watches;
   });
+  decisions.addGauge(
+    'evacuated_failure_domains',
+    'Failure domains whose servers get no requests, by request of operators',
+    () => directory.evacuatedDomains.size,
+  );
   decisions.addGauge('daemons', 'Daemons known, this one included', countDaemons);
   decisions.addGauge('limited_servers', 'Servers that name a limit', sources.countLimitedServers);
   decisions.addGauge(
--- a/src/platform/PlatformCallerProtocol.ts
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -105,6 +105,8 @@
       requestKey: undefined,
       route: match.route.name,
       objectiveMs: match.route.objectiveMs,
+      priority: match.route.priority,
+      hasLargeAnswer: match.route.hasLargeAnswers,
       maxAttempts: match.route.maxAttempts,
       headers: ['host', host, ...headers.withoutHopByHop(list, DAEMON_REQUEST_HEADERS)],
     };
--- a/src/platform/RecordDecoder.test.ts
+++ b/src/platform/RecordDecoder.test.ts
@@ -42,6 +42,44 @@
   });
 });
 
+// Guards against a kind of request without which the whole configuration is refused.
+test('downloads are idempotent with large answers, and the priority of a route is decoded', () => {
+  const rules = [
+    { prefix: '/x/', service: 'a', kind: 'download', priority: 2 },
+    { prefix: '/y/', service: 'a', kind: 'non_idempotent', priority: 0 },
+  ];
+  const record = decode('op/config', platformRecords.makeConfiguration(1, rules));
+  expect(record).toMatchObject({
+    configuration: {
+      routes: [
+        { idempotent: true, hasLargeAnswers: true, priority: 2 },
+        { idempotent: false, hasLargeAnswers: false, priority: 0 },
+      ],
+    },
+  });
+});
+
+test('the rate of cold servers of a service and the time that a server stays cold are decoded', () => {
+  const configuration = platformRecords.makeConfiguration(1, [{ prefix: '/', service: 'a' }]);
+  const { clusters } = configuration as { clusters: readonly object[] };
+  const cold = clusters.map((cluster) => ({ ...cluster, warmup: '3s', warmupPerS: 7.2 }));
+  expect(decode('op/config', { ...(configuration as object), clusters: cold })).toMatchObject({
+    configuration: { services: [{ name: 'a', coldRequestsPerSecond: 7.2 }] },
+  });
+  const entry = platformRecords.makeServerEntry('a', '10.0.0.1:80', { warmupLeft: '2500ms' });
+  expect(decode('servers/i-1', entry)).toMatchObject({ server: { coldMs: 2_500 } });
+});
+
+test('an evacuation is decoded with its failure domain, and so is its end', () => {
+  const begun = { kind: 'evacuation', revision: 7, failureDomain: 'a', isActive: true };
+  expect(decode('op/evacuate/a', {})).toEqual(begun);
+  const items = [{ key: 'op/evacuate/a', revision: 9, deleted: true }];
+  expect(recordDecoder.decodeItems(items, { era: 0, storeRevision: 9 })).toEqual([
+    { ...begun, revision: 9, isActive: false },
+  ]);
+  expect(decode('op/evacuate/', {})).toMatchObject({ kind: 'unusable' });
+});
+
 // Guards against a malformed entry that crashes the daemon or is taken for a server.
 test.each([
   ['invalid JSON', '{"service"'],
@@ -65,6 +103,14 @@
     'a malformed version',
     { ...(platformRecords.makeConfiguration(1, []) as object), configVersion: '1' },
   ],
+  [
+    'a kind that is not known',
+    platformRecords.makeConfiguration(1, [{ prefix: '/', service: 'a', kind: 'stream' }]),
+  ],
+  [
+    'a priority that is no number',
+    platformRecords.makeConfiguration(1, [{ prefix: '/', service: 'a', priority: 'high' }]),
+  ],
   ['an empty split', platformRecords.makeConfiguration(1, [{ prefix: '/', split: [] }])],
 ])('a configuration with %s is unusable', (_name, value) => {
   expect(decode('op/config', value)).toMatchObject({ kind: 'unusable', id: undefined });
--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -46,7 +46,13 @@
   listeners: zod.array(zod.object({ host: zod.string(), policy: ruleDecoder.RULES })),
   // Services.
   clusters: zod.array(
-    zod.object({ name: zod.string(), healthPath: zod.string(), maxConns: COUNT }),
+    zod.object({
+      name: zod.string(),
+      healthPath: zod.string(),
+      maxConns: COUNT,
+      // Requests a second that a cold server takes from all daemons together.
+      warmupPerS: POSITIVE.optional(),
+    }),
   ),
 });
 
@@ -57,6 +63,8 @@
   // `configVersion` of an entry is the version of the server's software, and is ignored.
   slots: COUNT.max(MAX_SLOTS),
   state: zod.enum(['ready', 'draining']),
+  // Time for which the server stays cold, from the moment of the entry.
+  warmupLeft: ruleDecoder.DURATION.optional(),
   // Start of the server process in Unix milliseconds.
   born: zod.int().min(0).max(MAX_TIME_MS).optional(),
   seq: zod.int().min(0).optional(),
@@ -73,7 +81,9 @@
     host: host.toLowerCase(),
     prefix: rule.match.prefix,
     targets: split ?? [{ service: service ?? '', weight: 1 }],
-    idempotent: rule.kind === 'idempotent',
+    idempotent: rule.kind !== 'non_idempotent',
+    hasLargeAnswers: rule.kind === 'download',
+    priority: rule.priority,
     timeoutMs: timeout,
     objectiveMs: rule.aim,
     maxAttempts,
@@ -93,10 +103,11 @@
     routes: content.listeners.flatMap(({ host, policy }) =>
       policy.map((rule) => toRoute(host, rule)),
     ),
-    services: content.clusters.map(({ name, healthPath, maxConns }) => ({
+    services: content.clusters.map(({ name, healthPath, maxConns, warmupPerS }) => ({
       name,
       healthPath,
       maxConnections: maxConns,
+      coldRequestsPerSecond: warmupPerS,
     })),
     limits: {
       maxHeaderBytes: content.limits.maxHeaderBytes,
@@ -140,7 +151,7 @@
   if (item.deleted === true) return { kind: 'server-removed', revision: item.revision, id };
   const parsed = SERVER.safeParse(parseValue(item));
   if (!parsed.success) return unusableRecord(item, describeError(parsed.error), id);
-  const { service, address, zone, slots, state, born = 0, seq } = parsed.data;
+  const { service, address, zone, slots, state, born = 0, seq, warmupLeft } = parsed.data;
   return {
     kind: 'server',
     revision: item.revision,
@@ -153,10 +164,18 @@
       state,
       startedAtMs: born,
       sequence: seq,
+      coldMs: warmupLeft,
     },
   };
 }
 
+function decodeEvacuation(item: IStoreItem): directoryTypes.DirectoryRecord {
+  const failureDomain = item.key.slice(wireNames.EVACUATION_KEY_PREFIX.length);
+  if (failureDomain === '') return unusableRecord(item, 'the key names no failure domain');
+  const isActive = item.deleted !== true;
+  return { kind: 'evacuation', revision: item.revision, failureDomain, isActive };
+}
+
 /**
  * Decodes items of the store. Ignores keys of other writers.
  * @param state State of the store that the items are from.
@@ -177,6 +196,7 @@
     const revision = storeRevisions.toRevision({ era, storeRevision: parsed.data.revision });
     const item = { ...parsed.data, revision };
     if (item.key === wireNames.CONFIGURATION_KEY) return [decodeConfiguration(item)];
+    if (item.key.startsWith(wireNames.EVACUATION_KEY_PREFIX)) return [decodeEvacuation(item)];
     return item.key.startsWith(wireNames.SERVER_KEY_PREFIX) ? [decodeServer(item)] : [];
   });
 }
--- a/src/platform/RuleDecoder.test.ts
+++ b/src/platform/RuleDecoder.test.ts
@@ -26,14 +26,17 @@
   },
   { requiredKeys: ['timeout', 'maxAttempts'] },
 );
-const RULE = fastCheck.record({
-  name: valueOr(fastCheck.string()),
-  kind: valueOr(fastCheck.constantFrom('idempotent', 'non_idempotent')),
-  aim: valueOr(DURATION),
-  priority: fastCheck.integer(),
-  match: valueOr(fastCheck.record({ prefix: valueOr(PREFIX) })),
-  action: valueOr(ACTION),
-});
+const RULE = fastCheck.record(
+  {
+    name: valueOr(fastCheck.string()),
+    kind: valueOr(fastCheck.constantFrom('idempotent', 'non_idempotent', 'download', 'other')),
+    aim: valueOr(DURATION),
+    priority: valueOr(fastCheck.integer({ min: -1, max: 5 })),
+    match: valueOr(fastCheck.record({ prefix: valueOr(PREFIX) })),
+    action: valueOr(ACTION),
+  },
+  { requiredKeys: ['name', 'kind', 'aim', 'match', 'action'] },
+);
 
 // Guards against an invalid rule that is taken, or a valid one that is not, because it is usual.
 test('rules are read as their schema says, whatever their form', () => {
@@ -47,7 +50,7 @@
       expect(pathsOf(read.error?.issues)).toEqual(pathsOf(expected.error?.issues));
       accepted += read.success ? 1 : 0;
     }),
-    { seed: 1, numRuns: 2_000 },
+    { seed: 1, numRuns: 4_000 },
   );
   expect(accepted).toBeGreaterThan(100);
 });
--- a/src/platform/RuleDecoder.ts
+++ b/src/platform/RuleDecoder.ts
@@ -19,12 +19,20 @@
   .min(1)
   .refine((parts) => parts.some(({ weight }) => weight > 0), 'no part has a weight');
 
+/** Kinds of requests. A download is idempotent and has large answers. */
+const KINDS = ['idempotent', 'non_idempotent', 'download'] as const;
+
+/** Priority of a rule that states none: the highest. */
+const DEFAULT_PRIORITY = 0;
+
 /** Rules of any form. */
 export const SCHEMA = zod.object({
   name: zod.string(),
-  kind: zod.enum(['idempotent', 'non_idempotent']),
+  kind: zod.enum(KINDS),
   // Latency objective: time within which an answer is fully useful.
   aim: DURATION,
+  // The lower the number, the more urgent.
+  priority: zod.int().min(0).default(DEFAULT_PRIORITY),
   match: zod.object({ prefix: zod.string().regex(PREFIX, 'expected slashes at both ends') }),
   action: zod.object({
     service: zod.string().optional(),
@@ -43,14 +51,16 @@
 
 /** Reads a valid rule with one service, the usual form; returns undefined for any other value. */
 function readUsualRule(value: unknown): Rule | undefined {
-  const { name, kind, aim, match, action } = Object(value);
+  const { name, kind, aim, match, action, priority = DEFAULT_PRIORITY } = Object(value);
   const { prefix } = Object(match);
   const { service, split, timeout, maxAttempts } = Object(action);
   const aimMs = readDuration(aim);
   const timeoutMs = readDuration(timeout);
   const isUsual =
     typeof name === 'string' &&
-    (kind === 'idempotent' || kind === 'non_idempotent') &&
+    KINDS.includes(kind) &&
+    Number.isSafeInteger(priority) &&
+    priority >= 0 &&
     typeof prefix === 'string' &&
     PREFIX.test(prefix) &&
     typeof service === 'string' &&
@@ -62,6 +72,7 @@
     name,
     kind,
     aim: aimMs,
+    priority,
     match: { prefix },
     action: { service, timeout: timeoutMs, maxAttempts },
   };
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -17,6 +17,8 @@
 export const NOT_EXECUTED = 'not-executed';
 /** Requests a second that the server takes from all daemons together, a decimal number. */
 export const SERVER_LIMIT = 'server-limit';
+/** Time for which the server stays cold, in milliseconds or as a duration with a unit. */
+export const WARMUP_REMAINING = 'warmup-remaining';
 /** Present while the server is leaving. */
 export const SERVER_LEAVING = 'server-leaving';
 /** Delay before a retry in seconds, with fractions. */
@@ -29,3 +31,5 @@
 export const CONFIGURATION_KEY = 'op/config';
 /** Key prefix of the registrations of backend servers, followed by the server's identifier. */
 export const SERVER_KEY_PREFIX = 'servers/';
+/** Key prefix of the operators' requests to evacuate, followed by the name of the zone. */
+export const EVACUATION_KEY_PREFIX = 'op/evacuate/';
--- a/src/platform/testing/PlatformRecords.ts
+++ b/src/platform/testing/PlatformRecords.ts
@@ -4,7 +4,8 @@
   readonly prefix: string;
   readonly service?: string;
   readonly split?: readonly { readonly service: string; readonly weight: number }[];
-  readonly kind?: 'idempotent' | 'non_idempotent';
+  readonly kind?: string;
+  readonly priority?: unknown;
   readonly timeout?: string;
   readonly maxAttempts?: number;
 }
@@ -32,7 +33,7 @@
           name: `route ${rule.prefix}`,
           kind: rule.kind ?? 'idempotent',
           aim: '400ms',
-          priority: 1,
+          priority: rule.priority ?? 1,
           match: { prefix: rule.prefix },
           action: {
             service: rule.service,
--- a/src/platform/testing/SingleServerRig.ts
+++ b/src/platform/testing/SingleServerRig.ts
@@ -59,8 +59,17 @@
   }
 
   /** Returns the statuses of a few requests, the first of which is sent until it succeeds. */
-  public async statusesOnceServed(path: string): Promise<readonly number[]> {
-    for (let tries = 0; tries < MAX_TRIES && (await this.statusOf(path)) !== 200; tries += 1) {
+  public statusesOnceServed(path: string): Promise<readonly number[]> {
+    return this.statusesOnce(path, 200);
+  }
+
+  /** Returns the statuses of a few requests, the first of which is sent until it is refused. */
+  public statusesOnceRefused(path: string): Promise<readonly number[]> {
+    return this.statusesOnce(path, 503);
+  }
+
+  private async statusesOnce(path: string, status: number): Promise<readonly number[]> {
+    for (let tries = 0; tries < MAX_TRIES && (await this.statusOf(path)) !== status; tries += 1) {
       await new Promise((resolve) => {
         setTimeout(resolve, INTERVAL_MS);
       });
--- a/typings/lavenderspar.d.ts
+++ b/typings/lavenderspar.d.ts
@@ -128,6 +128,8 @@
   readonly instance?: string | undefined;
   /** Start of the server process in Unix milliseconds. A restarted server has lost its state. */
   readonly startedAtMs?: number | undefined;
+  /** Requests a second that it takes from all daemons together while it is cold, if limited. */
+  readonly coldRequestsPerSecond?: number | undefined;
 }
 
 /** A service that receives a share of a route's requests. */
@@ -147,6 +149,10 @@
   /** At least one target, with a positive total weight. */
   readonly targets: readonly IRouteTarget[];
   readonly idempotent: boolean;
+  /** Whether answers are large, so that their transfer takes a part of the time. */
+  readonly hasLargeAnswers?: boolean | undefined;
+  /** Rank among the requests of a service: the lower, the more urgent. 0 is the most urgent. */
+  readonly priority: number;
   /** Maximum time that a caller waits for the answer, in milliseconds. */
   readonly timeoutMs: number;
   /** Latency objective: time within which an answer is fully useful, in milliseconds. */
@@ -172,6 +178,8 @@
   readonly healthPath: string;
   /** Maximum number of connections to each server from all daemons together. */
   readonly maxConnections: number;
+  /** Requests a second that a cold server takes from all daemons together, if it is limited. */
+  readonly coldRequestsPerSecond?: number | undefined;
 }
 
 /** One version of the operators' configuration. */
