Bound the requests to cold servers over the whole fleet

Cause: a server that has just started, or is cold again, takes few requests a second from all daemons together. The directory and the health checks state for how long, and nothing used it. Change: ColdServers keeps the time that is left, from the registration, a check, or the start of a process that states nothing. A few daemons, ranked by a hash, hold the permits of a cold server. The budget is half of the bound in coldRateFactor and coldRateAllowance, so that two parts of a fleet keep to it; without known members a permit is drawn at random and not saved. A request that waits for its connection is asked again. Without these settings, or without a rate in the configuration, nothing changes.

--- a/src/cli/commands/checkSettings.test.ts
+++ b/src/cli/commands/checkSettings.test.ts
@@ -24,6 +24,19 @@
   'bounds.probesPerS': '60',
 };
 
+/** Values that only some deployments have. */
+const OPTIONAL_VALUES = { 'bounds.coldOver': '1.5', 'bounds.coldSlack': '8' };
+
+/** Renders a template as the platform does: a section only if its value exists. */
+function render(template: string, values: Readonly<Record<string, string>>): string {
+  const withSections = template.replace(
+    /\{\{#([^}]+)\}\}(.*?)\{\{\/\1\}\}/gs,
+    (_all, name: string, content: string) =>
+      name in values ? content.replaceAll('{{.}}', values[name] ?? '') : '',
+  );
+  return withSections.replace(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name] ?? '');
+}
+
 let folder: string;
 let output: string;
 
@@ -53,12 +66,13 @@
 }
 
 // Guards against shipping a template that renders invalid settings.
-test('the template of the platform renders valid settings', async () => {
-  const template = await fs.readFile(TEMPLATE, 'utf8');
-  await check(
-    template.replace(/\{\{([^}]+)\}\}/g, (_all, name: string) => PLACEHOLDER_VALUES[name] ?? ''),
-    'platform',
+test.each([{}, OPTIONAL_VALUES])('the template with %j renders valid settings', async (values) => {
+  const text = render(await fs.readFile(TEMPLATE, 'utf8'), { ...PLACEHOLDER_VALUES, ...values });
+  expect(text).not.toMatch(/[{}]{2}/);
+  expect(text.includes('\ncoldRateFactor: 1.5\ncoldRateAllowance: 8\n')).toBe(
+    'bounds.coldOver' in values,
   );
+  await check(text, 'platform');
   expect(output).toContain('valid for a daemon of the role platform');
   expect(process.exitCode ?? 0).toBe(0);
 });
--- a/src/common/call/CheckedSelector.test.ts
+++ b/src/common/call/CheckedSelector.test.ts
@@ -94,11 +94,11 @@
 test('a selected server that asks for a pause meanwhile wants no request', () => {
   const { balancer, clock, pause, stateOf } = setUp(() => readyReply(0));
   const server = stateOf('x');
-  expect(balancer.eligibility.wantsRequests(server)).toBe(true);
+  expect(balancer.eligibility.mayStart(server, clock.monotonicMs())).toBe(true);
   pause(200);
-  expect(balancer.eligibility.wantsRequests(server)).toBe(false);
+  expect(balancer.eligibility.mayStart(server, clock.monotonicMs())).toBe(false);
   clock.advance(200);
-  expect(balancer.eligibility.wantsRequests(server)).toBe(true);
+  expect(balancer.eligibility.mayStart(server, clock.monotonicMs())).toBe(true);
 });
 
 // Guards against all the requests that were waiting for the end of a pause arriving at once.
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -149,7 +149,7 @@
     if (outcome.kind !== 'not-run') return outcome;
     const retryAfterMs = this.context.balancer.retryDelayMs();
     if (retryAfterMs === undefined) return outcome;
-    const detail = 'every backend server has asked for fewer requests';
+    const detail = 'every backend server is cold or has asked for fewer requests';
     return { kind: 'not-run', reason: 'overloaded', detail, retryAfterMs };
   }
 
@@ -165,7 +165,7 @@
     this.reportStart(server, cost);
     const call = this.retries > 0 ? this.withRetriesSpent() : this.call;
     attempt.handle = transport.send(call, server.row, {
-      mayStart: () => balancer.eligibility.wantsRequests(server),
+      mayStart: () => balancer.eligibility.mayStart(server, attempt.started.startMs),
       mayAbandon: () => this.active.size > 1 || this.mayRetry,
       onSent: () => {
         attempt.sent = true;
--- a/src/common/call/ServerEligibility.ts
+++ b/src/common/call/ServerEligibility.ts
@@ -21,6 +21,7 @@
  * | `leaving` | the server, a peer that it told, or the list of VMs | all daemons | with the process; without an instance, when the server reports that it is ready |
  * | `paused`, `returning` | the server | this daemon | after the time that it named, and one request |
  * | `limited` | the server | the daemons that it told | with the next permit, or the limit |
+ * | `cold` | the server, or its registration | all daemons | with the next permit, or when it is warm |
  * | `ejected` | failures that this daemon or a peer saw | this daemon; a peer's report only makes it suspicious | after a time that doubles |
  * | `connection-limit` | this daemon | this daemon | when a request ends |
  *
@@ -96,11 +97,12 @@
   }
 
   /**
-   * Whether neither a server has stated, since it was selected, that it leaves or wants a pause, nor
-   * the table has taken its weight away.
+   * Whether a request may still be sent: the server has not stated, since it was selected, that it
+   * leaves, wants a pause or is cold, and the table has not taken its weight away.
+   * @param startedMs Monotonic time of `recordStart`.
    */
-  public wantsRequests({ row }: serverState.ServerState): boolean {
-    return row.weight > 0 && (this.restraints?.wantsRequests(row) ?? true);
+  public mayStart({ row }: serverState.ServerState, startedMs: number): boolean {
+    return row.weight > 0 && (this.restraints?.mayStart(row, startedMs) ?? true);
   }
 
   /** Whether a server that gets no requests because of its limit should be checked. */
--- a/src/common/restraint/ServerRestraints.ts
+++ b/src/common/restraint/ServerRestraints.ts
@@ -2,6 +2,8 @@
 
 import * as emitter from '../Emitter';
 import type * as types from '../Types';
+import type * as coldServers from './ColdServers';
+import * as keys from './keyOf';
 import * as requestShare from './RequestShare';
 import type * as restraintTypes from './Types';
 
@@ -58,10 +60,6 @@
   limit: ILimit | undefined;
 }
 
-function keyOf({ address, instance, startedAtMs }: restraintTypes.IServerProcess): string {
-  return `${address} ${instance ?? ''} ${startedAtMs ?? ''}`;
-}
-
 /**
  * Remembers what servers state about the requests that they want: that they leave, how many a second
  * they take from all daemons, and for how long they want none from this one. What a server stated
@@ -82,10 +80,12 @@
 
   private view: restraintTypes.IDaemonView;
 
+  /** @param cold Which servers are cold, if requests to them are bounded. */
   public constructor(
     own: string,
     private readonly clock: types.IClock,
     private readonly random: types.IRandom,
+    private readonly cold?: coldServers.ColdServers,
   ) {
     this.view = { own, daemons: undefined, assumedCount: ASSUMED_DAEMON_COUNT };
   }
@@ -129,18 +129,19 @@
    * @param requestId Identifier of the request that was answered.
    */
   public record(
-    server: restraintTypes.IServerProcess,
+    server: restraintTypes.IWarmingServer,
     signals: restraintTypes.IServerSignals,
     source: restraintTypes.SignalSource,
     requestId?: string,
   ): void {
+    if (signals.coldMs !== undefined) this.cold?.recordStatement(server, signals.coldMs, source);
     const isDisregarded = signals.disregarded !== undefined;
     const states =
       typeof signals.limit === 'number' ||
       signals.isLeaving ||
       signals.pauseMs > 0 ||
       isDisregarded;
-    const entry = this.entries.get(keyOf(server)) ?? (states ? this.add(server) : undefined);
+    const entry = this.entries.get(keys.keyOf(server)) ?? (states ? this.add(server) : undefined);
     if (entry === undefined) return;
     const hasLimit = this.recordLimit(entry, signals.limit, source);
     const isLeaving = signals.isLeaving && !entry.isLeaving;
@@ -157,13 +158,14 @@
 
   /** Records that a server stated to a peer that it leaves. */
   public mergeLeaving(server: restraintTypes.IServerProcess): void {
-    const entry = this.entries.get(keyOf(server)) ?? this.add(server);
+    const entry = this.entries.get(keys.keyOf(server)) ?? this.add(server);
     entry.isLeaving = true;
   }
 
   /** Records that a request was sent to a server. */
-  public recordRequest(server: restraintTypes.IServerProcess): void {
-    const entry = this.entries.get(keyOf(server));
+  public recordRequest(server: restraintTypes.IWarmingServer): void {
+    this.cold?.recordRequest(server);
+    const entry = this.entries.get(keys.keyOf(server));
     if (entry === undefined) return;
     if (entry.firstRequest === 'due') entry.firstRequest = 'in-progress';
     const { limit } = entry;
@@ -176,30 +178,35 @@
 
   /** Records that a request to a server has ended. */
   public recordRequestEnd(server: restraintTypes.IServerProcess): void {
-    const entry = this.entries.get(keyOf(server));
+    const entry = this.entries.get(keys.keyOf(server));
     if (entry?.firstRequest === 'in-progress') entry.firstRequest = 'none';
   }
 
   /** Returns why a server gets no new requests now, or undefined. */
-  public restraintOf(server: restraintTypes.IServerProcess): restraintTypes.Restraint | undefined {
-    const entry = this.entries.get(keyOf(server));
-    if (entry === undefined) return undefined;
-    if (entry.isLeaving) return 'leaving';
-    if (this.clock.monotonicMs() < entry.pausedUntilMs) return 'paused';
-    if (entry.firstRequest === 'in-progress') return 'returning';
-    return entry.limit !== undefined && entry.limit.share.waitMs > 0 ? 'limited' : undefined;
+  public restraintOf(server: restraintTypes.IWarmingServer): restraintTypes.Restraint | undefined {
+    const entry = this.entries.get(keys.keyOf(server));
+    if (entry?.isLeaving === true) return 'leaving';
+    if (entry !== undefined && this.clock.monotonicMs() < entry.pausedUntilMs) return 'paused';
+    if (entry?.firstRequest === 'in-progress') return 'returning';
+    if (entry?.limit !== undefined && entry.limit.share.waitMs > 0) return 'limited';
+    return this.cold?.isHeldBack(server) === true ? 'cold' : undefined;
   }
 
-  /** Whether a server has stated neither that it leaves nor that it wants a pause now. */
-  public wantsRequests(server: restraintTypes.IServerProcess): boolean {
-    const entry = this.entries.get(keyOf(server));
-    if (entry === undefined) return true;
-    return !entry.isLeaving && this.clock.monotonicMs() >= entry.pausedUntilMs;
+  /**
+   * Whether a request that was started for a server may be sent: the server has stated neither that
+   * it leaves nor that it wants a pause now, and is not found to be cold.
+   * @param startedMs Monotonic time of `recordRequest`.
+   */
+  public mayStart(server: restraintTypes.IWarmingServer, startedMs: number): boolean {
+    const entry = this.entries.get(keys.keyOf(server));
+    if (entry?.isLeaving === true) return false;
+    if (entry !== undefined && this.clock.monotonicMs() < entry.pausedUntilMs) return false;
+    return this.cold?.mayStart(server, startedMs) ?? true;
   }
 
   /** Whether a server that gets no requests should be checked, since its limit may have ended. */
   public isRecheckDue(server: restraintTypes.IServerProcess): boolean {
-    const limit = this.entries.get(keyOf(server))?.limit;
+    const limit = this.entries.get(keys.keyOf(server))?.limit;
     if (limit === undefined) return false;
     const daemons = this.view.daemons?.length ?? 1;
     const intervalMs = Math.max(MIN_RECHECK_MS, (1_000 * daemons) / FLEET_RECHECKS_PER_SECOND);
@@ -211,7 +218,7 @@
    * milliseconds, or undefined if one of them is not. It is spread, so that callers who were refused
    * together do not return together.
    */
-  public retryDelayMs(servers: readonly restraintTypes.IServerProcess[]): number | undefined {
+  public retryDelayMs(servers: readonly restraintTypes.IWarmingServer[]): number | undefined {
     const staying = servers.filter((server) => this.restraintOf(server) !== 'leaving');
     if (staying.length === 0) return undefined;
     const waitMs = Math.min(...staying.map((server) => this.waitOf(server)));
@@ -219,16 +226,17 @@
     return waitMs * (1 + (MAX_RETRY_SPREAD - 1) * this.random.next());
   }
 
-  private waitOf(server: restraintTypes.IServerProcess): number {
-    const entry = this.entries.get(keyOf(server));
-    if (entry === undefined) return 0;
+  private waitOf(server: restraintTypes.IWarmingServer): number {
+    const coldMs = this.cold?.waitMs(server) ?? 0;
+    const entry = this.entries.get(keys.keyOf(server));
+    if (entry === undefined) return coldMs;
     const pauseMs = Math.max(0, entry.pausedUntilMs - this.clock.monotonicMs());
     const returningMs = entry.firstRequest === 'in-progress' ? RETURNING_DELAY_MS : 0;
     // Another daemon may serve a caller that returns, so what counts is the rate of the server.
     const { limit } = entry;
     const isLimited = limit !== undefined && limit.share.waitMs > 0;
     const limitMs = isLimited ? Math.min(MAX_LIMIT_DELAY_MS, 1_000 / limit.value) : 0;
-    return Math.max(pauseMs, returningMs, limitMs);
+    return Math.max(coldMs, pauseMs, returningMs, limitMs);
   }
 
   private add(server: restraintTypes.IServerProcess): IEntry {
@@ -240,7 +248,7 @@
       firstRequest: 'none',
       limit: undefined,
     };
-    this.entries.set(keyOf(server), entry);
+    this.entries.set(keys.keyOf(server), entry);
     return entry;
   }
 
--- a/src/common/restraint/Types.ts
+++ b/src/common/restraint/Types.ts
@@ -11,15 +11,31 @@
   readonly isLeaving: boolean;
   /** Time for which the server wants no requests from this daemon, in milliseconds; 0 for none. */
   readonly pauseMs: number;
+  /** Time for which the server stays cold, in milliseconds; undefined if it states none. */
+  readonly coldMs?: number | undefined;
   /** Statements that cannot be used, as `name: value`. */
   readonly disregarded?: readonly string[] | undefined;
 }
 
+/**
+ * From what it is known that a server is cold: its registration, its response, or the start of a
+ * process whose registration does not tell.
+ */
+export type ColdSource = 'directory' | 'start' | SignalSource;
+
+/** Bound on the requests to a cold server in any one second, from all daemons together. */
+export interface IColdTerms {
+  /** Factor on the requests a second that the server takes while it is cold. */
+  readonly rateFactor: number;
+  /** Requests beside these. */
+  readonly rateAllowance: number;
+}
+
 /**
  * Why a server gets no new requests although it works. `returning`: the first request after a pause
- * is in progress.
+ * is in progress. `cold`: this daemon may send no request to the cold server now.
  */
-export type Restraint = 'leaving' | 'paused' | 'returning' | 'limited';
+export type Restraint = 'leaving' | 'paused' | 'returning' | 'limited' | 'cold';
 
 /** A backend server process. A later process at the same address is another one. */
 export interface IServerProcess {
@@ -29,6 +45,22 @@
   readonly startedAtMs?: number | undefined;
 }
 
+/** A server process that may be cold. */
+export interface IWarmingServer extends IServerProcess {
+  /** Requests a second that it takes from all daemons together while it is cold, if limited. */
+  readonly coldRequestsPerSecond?: number | undefined;
+}
+
+/** A server has become cold or warm, or is cold for longer than known before. */
+export interface IColdChange {
+  readonly server: IServerProcess;
+  readonly source: ColdSource;
+  /** Time until it is warm, in milliseconds; 0 if it is. */
+  readonly coldMs: number;
+  /** Requests a second that this daemon may send to it meanwhile. */
+  readonly sharePerSecond: number;
+}
+
 /** Change of what a server states. */
 export interface ISignalChange {
   readonly server: IServerProcess;
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -12,6 +12,7 @@
 import * as probeBudget from '../common/probing/ProbeBudget';
 import * as observedTransport from '../common/reach/ObservedTransport';
 import * as serverReach from '../common/reach/ServerReach';
+import * as coldServers from '../common/restraint/ColdServers';
 import * as serverRestraints from '../common/restraint/ServerRestraints';
 import * as splits from '../common/routing/Splits';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
@@ -36,7 +37,7 @@
 import type * as serverTypes from './server/Types';
 import * as serviceSet from './ServiceSet';
 import * as reloadedSettings from './settings/ReloadedSettings';
-import type * as routedSettings from './settings/RoutedSettings';
+import * as routedSettings from './settings/RoutedSettings';
 import * as daemonGauges from './telemetry/addDaemonGauges';
 import * as names from './telemetry/Names';
 import * as decisionLog from './telemetry/DecisionLog';
@@ -74,6 +75,8 @@
 
   private readonly checkBudget: checkBudget.CheckBudget;
 
+  private readonly coldServers: coldServers.ColdServers;
+
   private readonly restraints: serverRestraints.ServerRestraints;
 
   private readonly reach: serverReach.ServerReach;
@@ -149,7 +152,19 @@
       this.bodyBudget,
     );
     this.checkBudget = new checkBudget.CheckBudget(clock);
-    this.restraints = new serverRestraints.ServerRestraints(options.peerAddress, clock, random);
+    this.coldServers = new coldServers.ColdServers(
+      options.peerAddress,
+      () => routedSettings.coldTermsOf(this.options),
+      clock,
+      random,
+    );
+    this.coldServers.onChanged((change) => this.decisionLog.recordCold(change));
+    this.restraints = new serverRestraints.ServerRestraints(
+      options.peerAddress,
+      clock,
+      random,
+      this.coldServers,
+    );
     this.transport.onSignals(({ server, signals, source, requestId }) =>
       this.restraints.record(server, signals, source, requestId),
     );
@@ -193,7 +208,7 @@
       () => this.phase === 'ready',
       new Map([
         [METRICS_PATH, () => this.decisionLog.metrics()],
-        [RESTRAINTS_PATH, async () => JSON.stringify(this.restraints.restrained)],
+        [RESTRAINTS_PATH, async () => JSON.stringify(this.listRestrained())],
       ]),
     );
     this.directory.onChanged(() => this.applyDirectory());
@@ -212,6 +227,7 @@
       isReady: () => this.phase === 'ready',
       countDaemons: () => this.fleetShares.daemonCount,
       countLimitedServers: () => this.restraints.limitedCount,
+      countColdServers: () => this.coldServers.count,
       countUnreachableServices: () => this.reach.lostServices.length,
       countSuspectRequests: () => this.suspicion.suspectCount,
       budget: this.bodyBudget,
@@ -367,6 +383,7 @@
     this.pauseDetector.dispose();
     this.forwarding.dispose();
     this.fleetShares.dispose();
+    this.coldServers.dispose();
     this.facts?.dispose();
     this.peerListener.dispose();
     this.fleet?.dispose();
@@ -392,6 +409,11 @@
       evacuatedDomains,
     );
     this.decisionLog.recordEvacuations(evacuatedDomains, servers);
+    const terms = new Map(configuration.services.map((service) => [service.name, service]));
+    this.coldServers.recordRegistrations(
+      servers,
+      (service) => terms.get(service)?.coldRequestsPerSecond,
+    );
     this.checkBudget.setRate(this.options.checksPerSecond * servers.length, this.table.maxDaemons);
     this.services.update(this.table);
     this.forwarding.update();
@@ -410,17 +432,26 @@
     else this.logger.info(fields, 'configuration activated');
   }
 
+  /** Lists the servers that get no requests, or few, as the operators read them. */
+  private listRestrained(): readonly object[] {
+    const cold = this.coldServers.statuses.map((status) => ({ ...status, restraint: 'cold' }));
+    return [...this.restraints.restrained, ...cold];
+  }
+
   private makeFleetShares(): fleetShares.FleetShares {
     const readTable = () => this.table;
     const limits: fleetShares.ISharedLimits = {
       get appliedDaemonCount() {
         return readTable()?.maxDaemons;
       },
-      divideServerLimits: (areMembersKnown) =>
+      divideServerLimits: (areMembersKnown) => {
+        const daemons = this.fleet?.runningDaemons;
         this.restraints.setDaemons(
-          areMembersKnown ? this.fleet?.runningDaemons : undefined,
+          areMembersKnown ? daemons : undefined,
           this.fleetShares.daemonCount,
-        ),
+        );
+        this.coldServers.setMembers(daemons ?? [], this.options.seedPeers);
+      },
       setRetryReserve: (maxTokens, tokensPerSecond) =>
         this.services.setRetryReserve(maxTokens, tokensPerSecond),
       redistributeServers: () => this.applyDirectory(),
--- a/src/node/server/Diagnostics.ts
+++ b/src/node/server/Diagnostics.ts
@@ -33,6 +33,7 @@
   paused: 'the server asked for no requests for a while',
   returning: 'the first request after a pause that the server asked for is in progress',
   limited: 'this daemon has used its share of the requests that the server takes',
+  cold: 'it is cold, and this daemon has used its share of the requests that it takes meanwhile',
   'connection-limit': 'this daemon holds its full share of connections to it',
 };
 
--- a/src/node/settings/RoutedSettings.ts
+++ b/src/node/settings/RoutedSettings.ts
@@ -1,6 +1,7 @@
 import * as zod from 'zod';
 
 import * as durations from '../../common/Durations';
+import type * as restraintTypes from '../../common/restraint/Types';
 import type * as types from '../../common/Types';
 import * as addresses from './Addresses';
 import * as problems from './Problems';
@@ -36,6 +37,13 @@
   retryAllowance: zod.number().min(0),
   retryWindow: DURATION_MS,
   checksPerSecond: zod.number().min(0),
+  /**
+   * Bound on the requests that a cold server gets in any one second, from all daemons together: this
+   * factor on the rate that it takes while it is cold. Without it, such requests are not bounded.
+   */
+  coldRateFactor: zod.number().min(0).optional(),
+  /** Requests beside these. */
+  coldRateAllowance: zod.number().min(0).optional(),
   logLevel: zod.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 });
 
@@ -51,3 +59,11 @@
 ): types.Result<RoutedSettings, readonly problems.ISettingsProblem[]> {
   return problems.parseYaml(text, SCHEMA);
 }
+
+/** Returns the bound on the requests to cold servers; undefined if there is none. */
+export function coldTermsOf({
+  coldRateFactor: rateFactor,
+  coldRateAllowance: rateAllowance = 0,
+}: RoutedSettings): restraintTypes.IColdTerms | undefined {
+  return rateFactor === undefined ? undefined : { rateFactor, rateAllowance };
+}
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -239,6 +239,22 @@
     });
   }
 
+  /** Logs that a server has become cold, is cold for longer than known before, or is warm again. */
+  public recordCold(change: restraintTypes.IColdChange): void {
+    const { server, source, coldMs, sharePerSecond } = change;
+    const { address, instance } = server;
+    if (coldMs === 0) this.log(names.SERVER_WARM, { server: address, instance, source });
+    else {
+      this.log(names.SERVER_COLD, {
+        server: address,
+        instance,
+        source,
+        coldMs: Math.round(coldMs),
+        sharePerSecond,
+      });
+    }
+  }
+
   /** Logs that the process was short of processor time. */
   public recordDelay(delayMs: number): void {
     this.log(names.PROCESS_DELAYED, { delayMs: Math.round(delayMs) });
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -12,6 +12,7 @@
   readonly isReady: () => boolean;
   readonly countDaemons: () => number;
   readonly countLimitedServers: () => number;
+  readonly countColdServers: () => number;
   readonly countUnreachableServices: () => number;
   readonly countSuspectRequests: () => number;
   readonly budget: byteBudget.ByteBudget;
@@ -39,6 +40,11 @@
   );
   decisions.addGauge('daemons', 'Daemons known, this one included', countDaemons);
   decisions.addGauge('limited_servers', 'Servers that name a limit', sources.countLimitedServers);
+  decisions.addGauge(
+    'cold_servers',
+    'Servers that get few requests because they are cold',
+    sources.countColdServers,
+  );
   decisions.addGauge(
     'services_out_of_reach',
     'Services whose servers do not answer this daemon',
--- a/src/platform/PlatformBackendProtocol.ts
+++ b/src/platform/PlatformBackendProtocol.ts
@@ -1,4 +1,5 @@
 import type * as callTypes from '../common/call/Types';
+import * as durations from '../common/Durations';
 import type * as policyTypes from '../common/policy/Types';
 import type * as restraintTypes from '../common/restraint/Types';
 import type * as tableTypes from '../common/table/Types';
@@ -44,16 +45,33 @@
     : 'unknown';
 }
 
-/** Returns the headers that state a limit or a pause which cannot be used, if there are any. */
+/** Parses the time for which a server stays cold: a number of milliseconds, or a duration. */
+function parseColdMs(text: string): number | undefined {
+  if (!DECIMAL.test(text)) return durations.parseDuration(text);
+  const coldMs = Number(text);
+  return Number.isFinite(coldMs) ? coldMs : undefined;
+}
+
+function readColdMs(status: number, list: readonly string[]): number | undefined {
+  // Another server answers, so that the one to which the request was addressed is gone.
+  if (status === STATUS_MISDIRECTED) return undefined;
+  const text = headers.find(list, wireNames.WARMUP_REMAINING);
+  return text === undefined ? undefined : parseColdMs(text);
+}
+
+/** Returns the headers of which the value cannot be used, if there are any. */
 function unusableSignals(status: number, list: readonly string[]): readonly string[] | undefined {
-  const names =
-    status === STATUS_UNAVAILABLE
-      ? [wireNames.SERVER_LIMIT, wireNames.RETRY_AFTER]
-      : [wireNames.SERVER_LIMIT];
-  const unusable = names
-    .map((name) => ({ name, text: headers.find(list, name) }))
-    .filter(({ text }) => text !== undefined && !DECIMAL.test(text))
-    .map(({ name, text = '' }) => `${name}: ${text.slice(0, MAX_LOGGED_LENGTH)}`);
+  const isDecimal = (text: string) => DECIMAL.test(text);
+  const checks: [string, (text: string) => boolean][] = [
+    [wireNames.SERVER_LIMIT, isDecimal],
+    [wireNames.WARMUP_REMAINING, (text) => parseColdMs(text) !== undefined],
+  ];
+  if (status === STATUS_UNAVAILABLE) checks.push([wireNames.RETRY_AFTER, isDecimal]);
+  const unusable = checks.flatMap(([name, isUsable]) => {
+    const text = headers.find(list, name);
+    if (text === undefined || isUsable(text)) return [];
+    return [`${name}: ${text.slice(0, MAX_LOGGED_LENGTH)}`];
+  });
   return unusable.length === 0 ? undefined : unusable;
 }
 
@@ -132,6 +150,7 @@
       limit: parseLimit(status, list),
       isLeaving: headers.find(list, wireNames.SERVER_LEAVING) === '1',
       pauseMs: isPause ? Number(retryAfter) * MS_PER_S : 0,
+      coldMs: readColdMs(status, list),
       disregarded: unusableSignals(status, list),
     };
   }
