--- a/src/platform/PlatformBackendProtocol.test.ts
+++ b/src/platform/PlatformBackendProtocol.test.ts
@@ -91,6 +91,29 @@
   expect(signals(200, SIGNED)?.disregarded).toBeUndefined();
 });
 
+// Guards against a header that is read in another unit, or that stops a daemon.
+test.each([
+  ['1500', 1_500],
+  ['2.5', 2.5],
+  ['0', 0],
+  ['1500ms', 1_500],
+  ['2.5s', 2_500],
+  ['-1', undefined],
+  ['-1s', undefined],
+  ['soon', undefined],
+  ['', undefined],
+  ['1e3', undefined],
+  ['9'.repeat(400), undefined],
+])('a remaining cold time of %j is %j ms, or reported as unusable', (text, coldMs) => {
+  const header = ['warmup-remaining', text];
+  const read = signals(200, ['instance-id', 'i-1', ...header]);
+  expect(read).toMatchObject({ coldMs });
+  const disregarded = coldMs === undefined ? [`warmup-remaining: ${text.slice(0, 40)}`] : undefined;
+  expect(read?.disregarded).toEqual(disregarded);
+  expect(signals(421, header)).toMatchObject({ coldMs: undefined });
+  expect(signals(200, ['instance-id', 'i-2', ...header])).toBeUndefined();
+});
+
 // Guards against a garbled response, or one of another server, that ends a limit.
 test('only a genuine response of the server tells that there is no limit', () => {
   expect(signals(200, SIGNED)).toMatchObject({ limit: 'none' });
--- a/src/platform/RecordDecoder.test.ts
+++ b/src/platform/RecordDecoder.test.ts
@@ -80,6 +80,16 @@
   expect(decode('op/evacuate/', {})).toMatchObject({ kind: 'unusable' });
 });
 
+/** Returns a configuration with a service whose cold servers take `rate` requests a second. */
+function withColdRate(rate: unknown): unknown {
+  const rules = [{ prefix: '/', service: 'a' }];
+  const configuration = platformRecords.makeConfiguration(1, rules) as {
+    readonly clusters: readonly object[];
+  };
+  const clusters = configuration.clusters.map((one) => ({ ...one, warmupPerS: rate }));
+  return { ...configuration, clusters };
+}
+
 // Guards against a malformed entry that crashes the daemon or is taken for a server.
 test.each([
   ['invalid JSON', '{"service"'],
@@ -90,6 +100,18 @@
   ['a missing field', { service: 'a' }],
   ['an unknown state', platformRecords.makeServerEntry('a', '10.0.0.1:80', { state: 'resting' })],
   ['an invalid address', platformRecords.makeServerEntry('a', 'somewhere')],
+  [
+    'a cold time without a unit',
+    platformRecords.makeServerEntry('a', '10.0.0.1:80', { warmupLeft: '1500' }),
+  ],
+  [
+    'a cold time that is no text',
+    platformRecords.makeServerEntry('a', '10.0.0.1:80', { warmupLeft: 1_500 }),
+  ],
+  [
+    'a negative cold time',
+    platformRecords.makeServerEntry('a', '10.0.0.1:80', { warmupLeft: '-1s' }),
+  ],
 ])('an entry with %s is unusable and identifies its server', (_name, value) => {
   expect(decode('servers/i-1', value)).toMatchObject({ kind: 'unusable', id: 'i-1', revision: 7 });
 });
@@ -111,6 +133,9 @@
     'a priority that is no number',
     platformRecords.makeConfiguration(1, [{ prefix: '/', service: 'a', priority: 'high' }]),
   ],
+  ['a cold rate below zero', withColdRate(-1)],
+  ['a cold rate of zero', withColdRate(0)],
+  ['a cold rate that is no number', withColdRate('7.2')],
   ['an empty split', platformRecords.makeConfiguration(1, [{ prefix: '/', split: [] }])],
 ])('a configuration with %s is unusable', (_name, value) => {
   expect(decode('op/config', value)).toMatchObject({ kind: 'unusable', id: undefined });
