Test a cold server end to end

Cause: the header, the registration and the settings meet only in a running daemon. Change: tests with the stand-ins of store and server: the header of a check, a registration, an entry and a configuration that cannot be used, and the retry delay of a refusal.

--- a/src/platform/testing/PlatformDaemon.ts
+++ b/src/platform/testing/PlatformDaemon.ts
@@ -17,6 +17,8 @@
   readonly directoryUrl: string;
   readonly seedPorts?: readonly number[];
   readonly checksPerSecond?: number;
+  /** Bound on the requests to cold servers; without it there is none. */
+  readonly coldRateFactor?: number;
   readonly clock?: types.IClock;
 }
 
@@ -47,6 +49,7 @@
       retryAllowance: 200,
       retryWindow: '10s',
       checksPerSecond,
+      coldRateFactor: options.coldRateFactor,
     }),
   );
   if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
--- a/src/platform/testing/PlatformRecords.ts
+++ b/src/platform/testing/PlatformRecords.ts
@@ -13,8 +13,15 @@
 /** Host name of all routes. */
 export const HOST = 'reads.example';
 
-/** Returns a configuration with the routes of one host. */
-export function makeConfiguration(version: number, rules: readonly IRule[]): unknown {
+/**
+ * Returns a configuration with the routes of one host.
+ * @param warmupPerS Requests a second that a cold server of each service takes.
+ */
+export function makeConfiguration(
+  version: number,
+  rules: readonly IRule[],
+  warmupPerS?: number,
+): unknown {
   const services = rules.flatMap(({ service, split }) =>
     split === undefined ? [service ?? ''] : split.map((part) => part.service),
   );
@@ -50,6 +57,7 @@
       maxConns: 220,
       protocol: 'h1',
       tls: false,
+      warmupPerS,
     })),
   };
 }
--- a/src/platform/testing/PlatformServer.ts
+++ b/src/platform/testing/PlatformServer.ts
@@ -20,6 +20,7 @@
 export const SERVER_LEAVING = 'Server-Leaving';
 export const SERVER_LIMIT = 'Server-Limit';
 export const RETRY_AFTER = 'Retry-After';
+export const WARMUP_REMAINING = 'Warmup-Remaining';
 
 const HEALTH_PATH = '/health';
 
@@ -33,6 +34,9 @@
   /** Further headers of all responses. */
   public signals: http.OutgoingHttpHeaders = {};
 
+  /** Further headers of the responses to health checks. */
+  public checkSignals: http.OutgoingHttpHeaders = {};
+
   public isHealthy = true;
 
   /** Service time of a request, in milliseconds. */
@@ -90,7 +94,8 @@
     };
     if (request.url === HEALTH_PATH) {
       this.checks += 1;
-      response.writeHead(this.isHealthy ? 200 : 503, { 'Instance-Id': this.id, ...load }).end();
+      const headers = { 'Instance-Id': this.id, ...load, ...this.checkSignals };
+      response.writeHead(this.isHealthy ? 200 : 503, headers).end();
       return;
     }
     const requestId = `${request.headers['request-id']}`;
--- a/src/platform/testing/SingleServerRig.ts
+++ b/src/platform/testing/SingleServerRig.ts
@@ -18,14 +18,16 @@
 export class SingleServerRig {
   private constructor(
     public readonly store: platformStore.PlatformStore,
-    private readonly server: platformServer.PlatformServer,
+    public readonly server: platformServer.PlatformServer,
     /** Address under which the server is registered. */
     public readonly address: string,
     public readonly daemon: routedDaemon.RoutedDaemon,
     private readonly callerPort: number,
+    private readonly readinessPort: number,
   ) {}
 
-  public static async make(): Promise<SingleServerRig> {
+  /** @param coldRateFactor Setting that bounds the requests to a cold server. */
+  public static async make(coldRateFactor?: number): Promise<SingleServerRig> {
     const store = new platformStore.PlatformStore();
     const server = new platformServer.PlatformServer('i-1');
     const address = await server.listen();
@@ -34,8 +36,9 @@
     const [callerPort, readinessPort, peerPort] = ports;
     const { daemon } = platformDaemon.makePlatformDaemon({
       ...{ callerPort, readinessPort, peerPort, directoryUrl: await store.listen() },
+      ...(coldRateFactor === undefined ? {} : { coldRateFactor }),
     });
-    return new SingleServerRig(store, server, address, daemon, callerPort);
+    return new SingleServerRig(store, server, address, daemon, callerPort, readinessPort);
   }
 
   public async stop(): Promise<void> {
@@ -43,17 +46,30 @@
     await Promise.all([this.store.close(), this.server.close()]);
   }
 
-  /** Publishes a configuration with routes to the server. */
-  public publish(version: number, prefixes: readonly string[]): void {
+  /**
+   * Publishes a configuration with routes to the server.
+   * @param coldRate Requests a second that it takes while it is cold.
+   */
+  public publish(version: number, prefixes: readonly string[], coldRate?: number): void {
     const rules = prefixes.map((prefix) => ({ prefix, service: 'reads' }));
-    this.store.put('op/config', platformRecords.makeConfiguration(version, rules));
+    this.store.put('op/config', platformRecords.makeConfiguration(version, rules, coldRate));
   }
 
-  /** Returns the status of the answer to a request. */
-  public async statusOf(path: string): Promise<number> {
-    const reply = await undici.request(`http://127.0.0.1:${this.callerPort}${path}`, {
+  /** URL at which the daemon serves the pages for operators. */
+  public get readinessUrl(): string {
+    return `http://127.0.0.1:${this.readinessPort}`;
+  }
+
+  /** Sends a request. */
+  public request(path: string): Promise<undici.Dispatcher.ResponseData> {
+    return undici.request(`http://127.0.0.1:${this.callerPort}${path}`, {
       headers: { host: platformRecords.HOST, 'request-id': 'r', 'request-deadline': '1000' },
     });
+  }
+
+  /** Returns the status of the answer to a request. */
+  public async statusOf(path: string): Promise<number> {
+    const reply = await this.request(path);
     await reply.body.dump();
     return reply.statusCode;
   }
