Count the connections to servers by cause

Which connections are opened, and why others close, was not known. Each pool now reports both to ConnectionCounts: a metric (lavenderspar_server_connections_total) and the log event connections.counted at most every 5 s.

--- a/src/common/connections/ConnectionHealth.ts
+++ b/src/common/connections/ConnectionHealth.ts
@@ -19,7 +19,7 @@
   exchangeStartMs: number | undefined;
   /** Number of answered requests that were sent after the current one of this connection. */
   overtaken: number;
-  retired: boolean;
+  retired: connectionTypes.CloseCause | undefined;
 }
 
 /**
@@ -54,7 +54,7 @@
       progressMs: nowMs,
       exchangeStartMs: undefined,
       overtaken: 0,
-      retired: false,
+      retired: undefined,
     });
     return this.nextNumber;
   }
@@ -74,8 +74,19 @@
 
   /** Whether an idle connection should be closed. */
   public isRetired(connection: number): boolean {
+    return this.retirementOf(connection) !== undefined;
+  }
+
+  /** Returns why an idle connection should be closed, or undefined if it may be kept. */
+  public retirementOf(connection: number): connectionTypes.CloseCause | undefined {
     const record = this.records.get(connection);
-    return record === undefined || !this.isUsable(record);
+    return record === undefined ? 'failed' : this.retirement(record);
+  }
+
+  /** Whether the last exchange of an idle connection completed within the given time. */
+  public hasCompletedWithin(connection: number, periodMs: number): boolean {
+    const completedMs = this.records.get(connection)?.completedMs ?? Number.NEGATIVE_INFINITY;
+    return this.clock.monotonicMs() - completedMs <= periodMs;
   }
 
   public recordStart(connection: number): void {
@@ -98,7 +109,7 @@
     const startMs = record.exchangeStartMs;
     record.exchangeStartMs = undefined;
     if (end === 'completed' || end === 'checked') this.recordCompletion(record);
-    else record.retired = true;
+    else record.retired = end;
     if (end === 'completed') this.recordOvertaken(startMs);
     if (end === 'silent') this.retireStaleSiblings(record, startMs);
   }
@@ -130,15 +141,20 @@
   /** Retires every connection, for example after a pause of the process. */
   public retireAll(): void {
     this.records.forEach((record) => {
-      record.retired = true;
+      record.retired = 'paused';
     });
   }
 
   private isUsable(record: IConnectionRecord): boolean {
-    if (record.retired) return false;
+    return this.retirement(record) === undefined;
+  }
+
+  private retirement(record: IConnectionRecord): connectionTypes.CloseCause | undefined {
+    if (record.retired !== undefined) return record.retired;
     const nowMs = this.clock.monotonicMs();
+    if (nowMs >= record.expiresMs) return 'age';
     const usedMs = Math.max(record.openedMs, record.completedMs);
-    return nowMs < record.expiresMs && nowMs - usedMs < this.limits.maxIdleMs;
+    return nowMs - usedMs >= this.limits.maxIdleMs ? 'idle' : undefined;
   }
 
   private recordCompletion(completed: IConnectionRecord): void {
@@ -157,7 +173,7 @@
   private retireStaleSiblings(silent: IConnectionRecord, sinceMs: number): void {
     this.records.forEach((record) => {
       const isAsOld = record.openedMs <= silent.openedMs;
-      if (isAsOld && record.progressMs <= sinceMs) record.retired = true;
+      if (isAsOld && record.progressMs <= sinceMs) record.retired = 'silent';
     });
   }
 }
--- a/src/common/connections/Types.ts
+++ b/src/common/connections/Types.ts
@@ -22,3 +22,44 @@
   /** Number of later exchanges that must complete before an exchange counts as overtaken. */
   readonly overtakenBy: number;
 }
+
+/** Why a connection was opened. */
+export type OpenReason =
+  /** The pool held no connection. */
+  | 'none-open'
+  /** All connections of the pool were carrying exchanges. */
+  | 'all-busy'
+  /** The idle connections may not carry a request that must not be repeated. */
+  | 'not-fresh'
+  /** The server had closed the idle connection that was reused. */
+  | 'closed-on-reuse';
+
+/** Why a connection was closed. */
+export type CloseCause =
+  /** It reached the maximum idle time, or the maximum age, of this daemon. */
+  | 'idle'
+  | 'age'
+  /** It, or a sibling as old, was silent. */
+  | 'silent'
+  /** The process was paused. */
+  | 'paused'
+  /** An exchange on it was abandoned. */
+  | 'cancelled'
+  /** It could not be opened, broke, or carried an invalid response. */
+  | 'failed'
+  /** Part of a request was still unsent when its response was complete, or the server half-closed. */
+  | 'not-reusable'
+  /** It ended with its last response, as the server had asked. */
+  | 'server-asked'
+  /** The server closed it, or its stated idle timeout approached, while it was idle. */
+  | 'server-idle'
+  /** Its place was needed for another connection. */
+  | 'limit'
+  /** The pool was disposed. */
+  | 'disposed';
+
+/** Receives the openings and closures of connections. */
+export interface IConnectionObserver {
+  onOpened(purpose: 'check' | 'request', reason: OpenReason): void;
+  onClosed(cause: CloseCause): void;
+}
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -148,6 +148,7 @@
       dependencies.backendProtocol,
       this.bodyBudget,
     );
+    this.transport.onConnectionsCounted((counts) => this.decisionLog.recordConnections(counts));
     this.checkBudget = new checkBudget.CheckBudget(clock);
     this.restraints = new serverRestraints.ServerRestraints(options.peerAddress, clock, random);
     this.transport.onSignals(({ server, signals, source, requestId }) =>
@@ -215,6 +216,7 @@
       countUnreachableServices: () => this.reach.lostServices.length,
       countSuspectRequests: () => this.suspicion.suspectCount,
       budget: this.bodyBudget,
+      connections: this.transport.connectionCounts,
     });
   }
 
--- a/src/node/dispatch/ConnectionPool.ts
+++ b/src/node/dispatch/ConnectionPool.ts
@@ -3,6 +3,14 @@
 import type * as types from '../../common/Types';
 import * as connections from './Connection';
 
+/** Time after a response within which a closure counts as asked for by it, in milliseconds. */
+const ASKED_CLOSE_MS = 50;
+
+const NO_OBSERVER: connectionTypes.IConnectionObserver = {
+  onOpened: () => undefined,
+  onClosed: () => undefined,
+};
+
 /** Pool of connections to one backend server. Each carries one exchange at a time. */
 export class ConnectionPool implements types.IDisposable {
   private readonly idle: connections.Connection[] = [];
@@ -18,6 +26,7 @@
     private readonly address: string,
     clock: types.IClock,
     random: types.IRandom,
+    private readonly observer = NO_OBSERVER,
   ) {
     this.health = new connectionHealth.ConnectionHealth(clock, random);
   }
@@ -33,25 +42,35 @@
 
   /**
    * Returns the most recently used idle connection, or opens a new one.
+   * @param purpose Whether it is for a health check or a request.
    * @param limit Maximum number of connections that this daemon may hold to the server.
    * @param onSilent Called if the exchange should be abandoned because its connection is silent.
    * @returns undefined if the limit is reached.
    */
   public acquire(
+    purpose: 'check' | 'request',
     idempotent: boolean,
     limit: number,
     onSilent: () => void,
   ): connections.Connection | undefined {
     const reused = this.takeIdle(idempotent);
     // Closes the least recently used idle connection to make room, since none may carry this request.
-    if (reused === undefined && this.size >= limit) this.discard(this.idle.shift());
+    if (reused === undefined && this.size >= limit) this.discard(this.idle.shift(), 'limit');
     if (reused === undefined && this.size >= limit) return undefined;
-    return this.checkOut(reused ?? this.open(), onSilent);
+    if (reused !== undefined) return this.checkOut(reused, onSilent);
+    const otherReason = this.busy.size > 0 ? 'all-busy' : 'none-open';
+    const reason = this.idle.length > 0 ? 'not-fresh' : otherReason;
+    return this.checkOut(this.open(purpose, reason), onSilent);
   }
 
-  /** Opens a connection, or returns undefined if the limit is reached. */
-  public acquireNew(limit: number, onSilent: () => void): connections.Connection | undefined {
-    return this.size >= limit ? undefined : this.checkOut(this.open(), onSilent);
+  /** Replaces a closed connection, or returns undefined if the limit is reached. */
+  public acquireNew(
+    purpose: 'check' | 'request',
+    limit: number,
+    onSilent: () => void,
+  ): connections.Connection | undefined {
+    if (this.size >= limit) return undefined;
+    return this.checkOut(this.open(purpose, 'closed-on-reuse'), onSilent);
   }
 
   public recordProgress(connection: connections.Connection): void {
@@ -69,8 +88,9 @@
   ): void {
     this.health.recordEnd(connection.id, end);
     this.busy.delete(connection.id);
-    if (reusable && !this.health.isRetired(connection.id)) this.idle.push(connection);
-    else this.discard(connection);
+    const cause = reusable ? this.health.retirementOf(connection.id) : 'not-reusable';
+    if (cause === undefined) this.idle.push(connection);
+    else this.discard(connection, cause);
     this.health.overtaken().forEach((id) => this.busy.get(id)?.onSilent());
   }
 
@@ -79,16 +99,18 @@
     const end = failed ? 'failed' : this.health.classifyAbandoned(connection.id);
     this.health.recordEnd(connection.id, end);
     this.busy.delete(connection.id);
-    this.discard(connection);
+    const otherCause = failed ? 'failed' : 'cancelled';
+    this.discard(connection, end === 'silent' ? 'silent' : otherCause);
     if (end === 'silent') this.closeRetired();
     return end;
   }
 
   /** Closes idle connections that reached their maximum age or idle time, or were retired. */
   public closeRetired(): void {
-    this.idle
-      .filter((connection) => this.health.isRetired(connection.id))
-      .forEach((connection) => this.discard(connection));
+    [...this.idle].forEach((connection) => {
+      const cause = this.health.retirementOf(connection.id);
+      if (cause !== undefined) this.discard(connection, cause);
+    });
   }
 
   /** Closes idle connections immediately, and busy ones after their exchange. */
@@ -99,7 +121,7 @@
 
   public dispose(): void {
     [...this.idle, ...[...this.busy.values()].map(({ connection }) => connection)].forEach(
-      (connection) => this.discard(connection),
+      (connection) => this.discard(connection, 'disposed'),
     );
   }
 
@@ -119,18 +141,34 @@
     return connection;
   }
 
-  private open(): connections.Connection {
+  private open(
+    purpose: 'check' | 'request',
+    reason: connectionTypes.OpenReason,
+  ): connections.Connection {
+    this.observer.onOpened(purpose, reason);
     return new connections.Connection(this.address, this.health.add(), (closed) =>
-      this.remove(closed),
+      this.recordClosed(closed),
     );
   }
 
-  private discard(connection: connections.Connection | undefined): void {
+  private discard(
+    connection: connections.Connection | undefined,
+    cause: connectionTypes.CloseCause,
+  ): void {
     if (connection === undefined) return;
+    this.observer.onClosed(cause);
     this.remove(connection);
     connection.close();
   }
 
+  private recordClosed(connection: connections.Connection): void {
+    if (this.idle.includes(connection)) {
+      const isAsked = this.health.hasCompletedWithin(connection.id, ASKED_CLOSE_MS);
+      this.observer.onClosed(isAsked ? 'server-asked' : 'server-idle');
+    }
+    this.remove(connection);
+  }
+
   private remove(connection: connections.Connection): void {
     const index = this.idle.indexOf(connection);
     if (index >= 0) this.idle.splice(index, 1);
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -1,6 +1,7 @@
 import * as undici from 'undici';
 
 import type * as callTypes from '../../common/call/Types';
+import * as connectionCounts from '../../common/connections/ConnectionCounts';
 import * as emitter from '../../common/Emitter';
 import * as byteBudget from '../../common/memory/ByteBudget';
 import type * as policyTypes from '../../common/policy/Types';
@@ -49,6 +50,17 @@
   /** Fires for the head of each response to a request or a health check. */
   public readonly onSignals: types.Event<ISignalsEvent> = this.signalsEmitter.event;
 
+  /** Connections opened and closed. */
+  public readonly connectionCounts = new connectionCounts.ConnectionCounts();
+
+  private readonly countedEmitter = new emitter.Emitter<ReadonlyMap<string, number>>();
+
+  /** Fires every few seconds with the counts of connections by cause, if any has changed. */
+  public readonly onConnectionsCounted: types.Event<ReadonlyMap<string, number>> =
+    this.countedEmitter.event;
+
+  private lastTotal = 0;
+
   private sweepTimer: types.IDisposable | undefined;
 
   public constructor(
@@ -161,14 +173,27 @@
         pool.closeRetired();
         if (pool.size === 0) this.pools.delete(address);
       });
+      this.reportCounts();
       this.scheduleSweep();
     });
   }
 
+  private reportCounts(): void {
+    const { byCause, total } = this.connectionCounts;
+    if (total === this.lastTotal) return;
+    this.lastTotal = total;
+    this.countedEmitter.fire(byCause);
+  }
+
   private poolOf(address: string): connectionPool.ConnectionPool {
     const known = this.pools.get(address);
     if (known !== undefined) return known;
-    const pool = new connectionPool.ConnectionPool(address, this.clock, this.random);
+    const pool = new connectionPool.ConnectionPool(
+      address,
+      this.clock,
+      this.random,
+      this.connectionCounts,
+    );
     this.pools.set(address, pool);
     return pool;
   }
--- a/src/node/dispatch/PooledAttempt.ts
+++ b/src/node/dispatch/PooledAttempt.ts
@@ -24,7 +24,7 @@
   public begin(): void {
     const { idempotent } = this.request;
     this.dispatchOn(
-      this.pool.acquire(idempotent, this.connectionLimit, () => this.abandonSilent()),
+      this.pool.acquire(this.purpose, idempotent, this.connectionLimit, () => this.abandonSilent()),
     );
   }
 
@@ -35,6 +35,10 @@
     if (this.connection !== undefined) this.pool.abandon(this.connection, !this.sent);
   }
 
+  private get purpose(): 'check' | 'request' {
+    return this.request.isCheck ? 'check' : 'request';
+  }
+
   /**
    * Ends an attempt on a silent connection if another one can take its place. Others continue until
    * their deadline, since the server may be at work.
@@ -91,7 +95,9 @@
     }
     if (outcome.kind === 'not-sent' && outcome.reason === undefined && reused) {
       // The server closed the idle connection as it was reused. Nothing was sent, so retry is safe.
-      this.dispatchOn(this.pool.acquireNew(this.connectionLimit, () => this.abandonSilent()));
+      this.dispatchOn(
+        this.pool.acquireNew(this.purpose, this.connectionLimit, () => this.abandonSilent()),
+      );
       return;
     }
     this.deliver(outcome);
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -103,6 +103,25 @@
     });
   }
 
+  /** Adds a counter whose values, by the label `cause`, are read when the metrics are served. */
+  public addCounts(name: string, help: string, read: () => ReadonlyMap<string, number>): void {
+    const counter: promClient.Counter = new promClient.Counter({
+      name: `lavenderspar_${name}`,
+      help,
+      labelNames: ['cause'],
+      registers: [this.registry],
+      collect: () => {
+        counter.reset();
+        read().forEach((count, cause) => counter.inc({ cause }, count));
+      },
+    });
+  }
+
+  /** Logs how many connections to backend servers were opened and closed, by cause. */
+  public recordConnections(counts: ReadonlyMap<string, number>): void {
+    this.log(names.CONNECTIONS_COUNTED, { counts: Object.fromEntries(counts) });
+  }
+
   public onStarted(): void {}
 
   public onAnswered(
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -1,4 +1,5 @@
 import type * as callCoordinator from '../../common/call/CallCoordinator';
+import type * as connectionCounts from '../../common/connections/ConnectionCounts';
 import type * as directoryModule from '../../common/directory/Directory';
 import type * as byteBudget from '../../common/memory/ByteBudget';
 import type * as directoryWatcher from '../directory/DirectoryWatcher';
@@ -15,6 +16,7 @@
   readonly countUnreachableServices: () => number;
   readonly countSuspectRequests: () => number;
   readonly budget: byteBudget.ByteBudget;
+  readonly connections: connectionCounts.ConnectionCounts;
 }
 
 /** Adds gauges for the state of a routed daemon to its metrics. */
@@ -49,6 +51,11 @@
     'Requests that are refused because they crash servers',
     sources.countSuspectRequests,
   );
+  decisions.addCounts(
+    'server_connections_total',
+    'Connections to backend servers that were opened and closed, by cause',
+    () => sources.connections.byCause,
+  );
   const { budget } = sources;
   (['request', 'answer', 'reply'] as const).forEach((kind) =>
     decisions.addGauge(`${kind}_body_bytes`, `Bytes held by large bodies: ${kind}`, () =>
