Check few servers first, in an order fixed for each daemon

- ServerOrder: home set by rendezvous rank, as large as the rate of calls keeps connected; servers that are at work for this daemon or owe a reply come last; one new connection a selection after the first round.
- Calls join a check under way instead of opening a further connection.
- An idle connection is closed 0.5 s before the server's stated timeout, not 2 s, which closed it after each answer if the timeout was 2 s or less.

--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -1,6 +1,7 @@
 import type * as checkBudget from '../policy/CheckBudget';
 import * as checkReplyCache from '../policy/CheckReplyCache';
 import * as checkedSelection from '../policy/CheckedSelection';
+import * as serverOrder from '../policy/ServerOrder';
 import type * as serverState from '../policy/ServerState';
 import type * as policyTypes from '../policy/Types';
 import type * as types from '../Types';
@@ -30,6 +31,8 @@
 export class CheckedSelector {
   private readonly replyCache = new checkReplyCache.CheckReplyCache();
 
+  private readonly order: serverOrder.ServerOrder;
+
   /** Moving average of the service time on an idle server. */
   private idleServiceTimeMs: number | undefined;
 
@@ -38,7 +41,16 @@
     private readonly options: ICheckedSelectorOptions,
     private readonly healthPath: string,
     private readonly clock: types.IClock,
-  ) {}
+  ) {
+    const { checker, random, failureDomain } = options;
+    this.order = new serverOrder.ServerOrder({
+      clock,
+      random,
+      failureDomain,
+      hasIdleConnection: (address) => checker.hasIdleConnection(address),
+      owesReply: (address) => this.replyCache.isPending(address),
+    });
+  }
 
   /** @param onSelected Called once, possibly synchronously, unless disposed first. */
   public select(
@@ -46,12 +58,14 @@
     objectiveAtMs: number | undefined,
     onSelected: (selected: checkedSelection.SelectionResult) => void,
   ): types.IDisposable {
+    this.order.recordCall();
     const selection = new checkedSelection.CheckedSelection(
       candidates,
       this.replyCache,
       {
         ...this.options,
         clock: this.clock,
+        order: this.order,
         healthPath: this.healthPath,
         idleServiceTimeMs: this.idleServiceTimeMs,
         objectiveAtMs,
--- a/src/common/connections/Types.ts
+++ b/src/common/connections/Types.ts
@@ -41,6 +41,8 @@
   | 'age'
   /** It, or a sibling as old, was silent. */
   | 'silent'
+  /** It was given up without ever having carried an answer. */
+  | 'unanswered'
   /** The process was paused. */
   | 'paused'
   /** An exchange on it was abandoned. */
--- a/src/common/policy/CheckedSelection.test.ts
+++ b/src/common/policy/CheckedSelection.test.ts
@@ -3,6 +3,7 @@
 import * as checkBudget from './CheckBudget';
 import * as checkReplyCache from './CheckReplyCache';
 import * as checkedSelection from './CheckedSelection';
+import * as serverOrder from './ServerOrder';
 import * as serverState from './ServerState';
 import type * as policyTypes from './Types';
 
@@ -53,8 +54,13 @@
         },
       },
       clock,
-      random: new seededRandom.SeededRandom(1),
-      failureDomain: 'own',
+      order: new serverOrder.ServerOrder({
+        clock,
+        random: new seededRandom.SeededRandom(1),
+        failureDomain: 'own',
+        hasIdleConnection: () => false,
+        owesReply: (address) => replies.isPending(address),
+      }),
       healthPath: '/health',
       idleServiceTimeMs: undefined,
       objectiveAtMs: undefined,
--- a/src/common/policy/CheckedSelection.ts
+++ b/src/common/policy/CheckedSelection.ts
@@ -3,6 +3,7 @@
 import type * as checkBudget from './CheckBudget';
 import * as dispatchCost from './DispatchCost';
 import type * as checkReplyCache from './CheckReplyCache';
+import type * as serverOrder from './ServerOrder';
 import type * as policyTypes from './Types';
 import type * as serverState from './ServerState';
 
@@ -35,12 +36,6 @@
 /** Timeout of a check, in milliseconds. A reply after the end of its round still counts. */
 const CHECK_TIMEOUT_MS = 1_000;
 
-/**
- * Addition to the random rank of a server that needs a new connection; below 1, so that such
- * servers are still selected.
- */
-const NEW_CONNECTION_PENALTY = 0.5;
-
 /** Cost up to which a server is selected without further checks. */
 const ACCEPTABLE_COST = 1.25;
 
@@ -49,9 +44,7 @@
   readonly checker: callTypes.IServerChecker;
   readonly budget: checkBudget.CheckBudget;
   readonly clock: types.IClock;
-  readonly random: types.IRandom;
-  /** Failure domain of this daemon, whose servers are checked first. */
-  readonly failureDomain: string;
+  readonly order: serverOrder.ServerOrder;
   readonly healthPath: string;
   /** Service time of a request on an idle server, once it is known. */
   readonly idleServiceTimeMs: number | undefined;
@@ -88,6 +81,9 @@
 
   private rounds = 0;
 
+  /** Number of connections that the checks of this selection opened after the first round. */
+  private openings = 0;
+
   private maxRounds: number;
 
   private timer: types.IDisposable | undefined;
@@ -101,7 +97,7 @@
     private readonly context: ICheckedSelectionContext,
     private readonly onSelected: (selected: SelectionResult) => void,
   ) {
-    this.unchecked = this.sortByPreference(candidates);
+    this.unchecked = context.order.sort(candidates);
     const { isScarce } = context.budget;
     this.maxRounds = isScarce ? MAX_SCARCE_ROUNDS : MAX_ROUNDS;
     const nowMs = context.clock.monotonicMs();
@@ -112,7 +108,8 @@
   /** Starts the next round, or decides if all candidates have been checked. */
   public begin(): void {
     this.rounds += 1;
-    const server = this.unchecked.shift();
+    const { order } = this.context;
+    const server = order.takeNext(this.unchecked, this.openings, this.hasReply);
     if (server === undefined) {
       this.decide();
       return;
@@ -129,24 +126,34 @@
   }
 
   private check(server: serverState.ServerState): void {
-    const { checker, budget, clock, healthPath, onReply } = this.context;
+    const { checker, budget, clock, healthPath, order, onReply } = this.context;
     const round = this.rounds;
     const cached = this.replyCache.get(server.address, clock.monotonicMs());
     if (cached !== undefined) {
       this.handleReply(server, cached, round);
       return;
     }
+    const onJoined = (reply: policyTypes.CheckReply) => this.handleReply(server, reply, round);
+    if (this.replyCache.join(server.address, onJoined)) return;
     if (!budget.take()) {
       this.endRound();
       return;
     }
+    if (this.rounds > 1 && order.needsConnection(server)) this.openings += 1;
+    this.replyCache.begin(server.address);
     checker.check(server.row, healthPath, CHECK_TIMEOUT_MS, (reply) => {
-      this.replyCache.set(server.address, reply, clock.monotonicMs());
+      const joined = this.replyCache.set(server.address, reply, clock.monotonicMs());
       onReply(server, reply);
       this.handleReply(server, reply, round);
+      joined.forEach((listener) => listener(reply));
     });
   }
 
+  /** Whether a server has replied that accepts requests. */
+  private get hasReply(): boolean {
+    return [...this.replies.values()].some((reply) => reply?.kind === 'ready');
+  }
+
   private handleReply(
     server: serverState.ServerState,
     reply: policyTypes.CheckReply,
@@ -190,7 +197,8 @@
   /** Checks the servers again after a delay: a slot may become free, or a slow server recover. */
   private scheduleRecheck(): void {
     this.timer = this.context.clock.setTimer(RECHECK_DELAY_MS, () => {
-      this.unchecked = this.sortByPreference([...this.replies.keys()]);
+      this.unchecked = this.context.order.sort([...this.replies.keys()]);
+      this.openings = 0;
       this.rounds = 0;
       this.maxRounds = MAX_RECHECK_ROUNDS;
       this.begin();
@@ -222,26 +230,4 @@
     });
     return best;
   }
-
-  /**
-   * Sorts servers of this daemon's failure domain first, in random order with a preference for
-   * those with an idle connection. The others follow in an order that is fixed for each daemon, so
-   * that it keeps connections to only a few of them.
-   */
-  private sortByPreference(
-    candidates: readonly serverState.ServerState[],
-  ): serverState.ServerState[] {
-    const { random, failureDomain, checker } = this.context;
-    const local = candidates.filter((server) => server.failureDomain === failureDomain);
-    const remote = candidates.filter((server) => server.failureDomain !== failureDomain);
-    const ranked = local.map((server) => {
-      const penalty = checker.hasIdleConnection(server.address) ? 0 : NEW_CONNECTION_PENALTY;
-      return { server, rank: random.next() + penalty };
-    });
-    ranked.sort((left, right) => left.rank - right.rank);
-    return [
-      ...ranked.map(({ server }) => server),
-      ...[...remote].sort((left, right) => left.rank - right.rank),
-    ];
-  }
 }
--- a/src/node/dispatch/Connection.ts
+++ b/src/node/dispatch/Connection.ts
@@ -5,6 +5,12 @@
 /** Connect timeout, in milliseconds, after which the attempt counts as not sent. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/**
+ * Time before the idle timeout that a server states at which an idle connection is closed, in
+ * milliseconds. Longer than a round trip, since a request must not cross the server's close.
+ */
+const IDLE_MARGIN_MS = 500;
+
 /** Idle timeout of undici, in milliseconds. The pool itself retires idle connections earlier. */
 const UNDICI_IDLE_MS = 600_000;
 
@@ -56,6 +62,7 @@
       pipelining: 1,
       keepAliveTimeout: UNDICI_IDLE_MS,
       keepAliveMaxTimeout: UNDICI_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       connect: (options, callback) => this.connect(connector, options, callback),
     });
     this.client.on('disconnect', () => onClosed(this));
--- a/src/node/dispatch/ConnectionPool.ts
+++ b/src/node/dispatch/ConnectionPool.ts
@@ -99,8 +99,10 @@
     const end = failed ? 'failed' : this.health.classifyAbandoned(connection.id);
     this.health.recordEnd(connection.id, end);
     this.busy.delete(connection.id);
+    const isSilent = end === 'silent';
     const otherCause = failed ? 'failed' : 'cancelled';
-    this.discard(connection, end === 'silent' ? 'silent' : otherCause);
+    const silentCause = connection.exchangeCount > 1 ? 'silent' : 'unanswered';
+    this.discard(connection, isSilent ? silentCause : otherCause);
     if (end === 'silent') this.closeRetired();
     return end;
   }
