Send no requests to servers whose queue is known to be full

- The service time is learned only from requests with a recent report, by the duration that the report lets expect; before, a third of the time until the objective is assumed.
- QueueLimit: a refusal with all slots in use tells from which queue on servers refuse.
A server that refused counts as full until its next reply.

--- a/src/common/call/CheckedSelector.test.ts
+++ b/src/common/call/CheckedSelector.test.ts
@@ -49,7 +49,7 @@
     balancer.select(new Set(['y', 'z']), { table, objectiveAtMs: undefined }, (selected) => {
       if (selected.kind !== 'server') return;
       onRefused();
-      balancer.recordEnd(balancer.recordStart(selected.server, selected.cost), 'refused');
+      balancer.recordEnd(balancer.recordStart(selected.server), 'refused');
     });
     clock.advance(100);
   };
@@ -66,7 +66,7 @@
   };
   const stateOf = (address: string) =>
     balancer.states.find((state) => state.address === address) as (typeof balancer.states)[0];
-  return { balancer, clock, refuse, selectOne, pause, stateOf };
+  return { balancer, clock, table, refuse, selectOne, pause, stateOf };
 }
 
 function readyReply(inFlight: number): policyTypes.CheckReply {
@@ -148,3 +148,26 @@
   hear();
   expect(confirmed).toEqual(expected);
 });
+
+// Guards against a service time of a few milliseconds, learned from a request to a server that had
+// not replied to its check: later calls would then wait in any queue.
+test('requests to servers without a recent report teach no service time', () => {
+  let reply: policyTypes.CheckReply = { kind: 'silent' };
+  const rig = setUp(() => reply);
+  const select = () => {
+    const selected: string[] = [];
+    const call = { table: rig.table, objectiveAtMs: rig.clock.monotonicMs() + 600 };
+    rig.balancer.select(new Set(), call, (result) => {
+      selected.push(result.kind);
+      if (result.kind !== 'server') return;
+      const attempt = rig.balancer.recordStart(result.server);
+      rig.clock.advance(200);
+      rig.balancer.recordEnd(attempt, 'answered');
+    });
+    rig.clock.advance(200);
+    return selected;
+  };
+  expect(select()).toEqual(['server']);
+  reply = { kind: 'ready', report: { inFlight: 3, queued: 9, draining: false } };
+  expect(select()).toEqual(['overloaded']);
+});
--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -2,6 +2,7 @@
 import * as checkReplyCache from '../policy/CheckReplyCache';
 import * as checkedSelection from '../policy/CheckedSelection';
 import * as serverOrder from '../policy/ServerOrder';
+import * as queueLimit from '../policy/QueueLimit';
 import type * as serverState from '../policy/ServerState';
 import type * as policyTypes from '../policy/Types';
 import type * as types from '../Types';
@@ -13,6 +14,12 @@
 /** Timeout of the check of a server after a connection to it was lost, in milliseconds. */
 const LOSS_CHECK_TIMEOUT_MS = 500;
 
+/**
+ * Service time assumed before the first answer, relative to the time until the latency objective.
+ * Without it, a daemon that has just started would send requests to servers with long queues.
+ */
+const ASSUMED_SERVICE_SHARE = 1 / 3;
+
 /** Dependencies and parameters of the server checks that replace the selection policy. */
 export interface ICheckedSelectorOptions {
   readonly checker: callTypes.IServerChecker;
@@ -33,6 +40,8 @@
 
   private readonly order: serverOrder.ServerOrder;
 
+  private readonly queueLimit: queueLimit.QueueLimit;
+
   /** Moving average of the service time on an idle server. */
   private idleServiceTimeMs: number | undefined;
 
@@ -43,6 +52,7 @@
     private readonly clock: types.IClock,
   ) {
     const { checker, random, failureDomain } = options;
+    this.queueLimit = new queueLimit.QueueLimit(clock);
     this.order = new serverOrder.ServerOrder({
       clock,
       random,
@@ -59,15 +69,23 @@
     onSelected: (selected: checkedSelection.SelectionResult) => void,
   ): types.IDisposable {
     this.order.recordCall();
+    const { checker } = this.options;
     const selection = new checkedSelection.CheckedSelection(
       candidates,
       this.replyCache,
       {
         ...this.options,
+        checker: {
+          hasIdleConnection: (address) => checker.hasIdleConnection(address),
+          check: (row, path, timeoutMs, onReply) =>
+            checker.check(row, path, timeoutMs, (reply) =>
+              onReply(this.queueLimit.classify(reply)),
+            ),
+        },
         clock: this.clock,
         order: this.order,
         healthPath: this.healthPath,
-        idleServiceTimeMs: this.idleServiceTimeMs,
+        idleServiceTimeMs: this.idleServiceTimeMs ?? this.assumedServiceTimeMs(objectiveAtMs),
         objectiveAtMs,
         onReply: (server, reply) => this.recordReply(server, reply),
       },
@@ -77,7 +95,21 @@
     return selection;
   }
 
-  /** Records the duration of an answered attempt, divided by the cost of its dispatch. */
+  private assumedServiceTimeMs(objectiveAtMs: number | undefined): number | undefined {
+    if (objectiveAtMs === undefined) return undefined;
+    return ASSUMED_SERVICE_SHARE * Math.max(0, objectiveAtMs - this.clock.monotonicMs());
+  }
+
+  /** Records that a server has refused a request, with the load that it stated. */
+  public recordRefusal(server: serverState.ServerState): void {
+    const { report, reportedAtMs, address, slots } = server;
+    const nowMs = this.clock.monotonicMs();
+    if (report === undefined || reportedAtMs !== nowMs) return;
+    this.queueLimit.recordRefusal(report, slots);
+    this.replyCache.recordFull(address, report, nowMs);
+  }
+
+  /** Records the duration of an answered attempt, divided by the one expected relative to idle. */
   public recordServiceTime(serviceTimeMs: number): void {
     const previousMs = this.idleServiceTimeMs ?? serviceTimeMs;
     this.idleServiceTimeMs = previousMs + SERVICE_TIME_SMOOTHING * (serviceTimeMs - previousMs);
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -157,7 +157,7 @@
     this.tried.add(server.address);
     const { balancer, transport } = this.context;
     const attempt: IActiveAttempt = {
-      started: balancer.recordStart(server, cost),
+      started: balancer.recordStart(server),
       handle: undefined,
       sent: false,
     };
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,5 +1,6 @@
 import * as emitter from '../Emitter';
 import type * as checkedSelection from '../policy/CheckedSelection';
+import * as dispatchCost from '../policy/DispatchCost';
 import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
 import * as serverState from '../policy/ServerState';
@@ -24,6 +25,9 @@
 /** Time without any reply of a server after which it may have ended, in milliseconds. */
 const SILENCE_MS = 500;
 
+/** Age up to which a load report tells how long a request takes, in milliseconds. */
+const FRESH_REPORT_MS = 50;
+
 /** Additional permits that a failed retry costs, so that a failing service gets fewer retries. */
 const FAILED_RETRY_SURCHARGE = 2;
 
@@ -38,8 +42,8 @@
   readonly server: serverState.ServerState;
   readonly number: number;
   readonly startMs: number;
-  /** Expected duration relative to that on an idle server. */
-  readonly cost: number;
+  /** Expected duration relative to that on an idle server, if a recent report tells it. */
+  readonly relativeDuration: number | undefined;
 }
 
 /** Balances the calls of one service at this daemon: state, selection and budgets. */
@@ -237,13 +241,17 @@
     return this.hedgeBudget.available && this.retryBudget.take() && this.hedgeBudget.take();
   }
 
-  /** @param cost Expected duration relative to that on an idle server. */
-  public recordStart(server: serverState.ServerState, cost = 1): IStartedAttempt {
+  public recordStart(server: serverState.ServerState): IStartedAttempt {
     const startMs = this.clock.monotonicMs();
     const state = server;
     state.warmth = this.eligibility.warmthOf(server.address);
     this.eligibility.recordStart(server);
-    return { server, number: state.recordStart(startMs), startMs, cost };
+    const { report } = state;
+    const isFresh = startMs - state.reportedAtMs <= FRESH_REPORT_MS;
+    const relativeDuration = isFresh
+      ? dispatchCost.durationOf(state, { kind: 'ready', report })
+      : undefined;
+    return { server, number: state.recordStart(startMs), startMs, relativeDuration };
   }
 
   public recordEnd(attempt: IStartedAttempt, result: policyTypes.AttemptResult): void {
@@ -253,7 +261,12 @@
     state.recordEnd(attempt.number, this.eligibility.recordEnd(state, result, isChecked), nowMs);
     if (result === 'answered') {
       this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
-      this.checkedSelector?.recordServiceTime((nowMs - attempt.startMs) / attempt.cost);
+      const { startMs, relativeDuration } = attempt;
+      if (relativeDuration !== undefined) {
+        this.checkedSelector?.recordServiceTime((nowMs - startMs) / relativeDuration);
+      }
+    } else if (result === 'refused') {
+      this.checkedSelector?.recordRefusal(state);
     } else if (result === 'timed-out') {
       this.limit.recordTimeout();
     }
--- a/src/common/policy/CheckReplyCache.ts
+++ b/src/common/policy/CheckReplyCache.ts
@@ -45,6 +45,11 @@
     return listeners;
   }
 
+  /** Replaces the cached reply of a server that has refused a request in spite of it. */
+  public recordFull(address: string, report: policyTypes.ILoadReport, atMs: number): void {
+    this.entries.set(address, { reply: { kind: 'full', report }, atMs });
+  }
+
   /** Returns the cached reply of a server, or undefined if it has expired. */
   public get(address: string, nowMs: number): policyTypes.CheckReply | undefined {
     const cached = this.entries.get(address);
--- a/src/common/policy/DispatchCost.ts
+++ b/src/common/policy/DispatchCost.ts
@@ -24,7 +24,22 @@
   return (report?.inFlight ?? 0) + (report?.queued ?? 0) + server.startedSinceReport + 1;
 }
 
-/** Returns the expected cost of a dispatch: its duration relative to that on an idle server. */
+/** Returns the expected duration of a request, relative to that on an idle server. */
+export function durationOf(
+  server: serverState.ServerState,
+  reply: Extract<policyTypes.CheckReply, { readonly report: unknown }>,
+): number {
+  const load = loadOf(server, reply);
+  const busy = load / server.slots > BUSY_UTILIZATION ? BUSY_FACTOR : 1;
+  const wait = Math.max(0, load - server.slots) / server.slots;
+  const cold = server.warmth < 1 ? COLD_FACTOR : 1;
+  return (reply.report?.slowdown ?? 1) * (busy + wait) * cold;
+}
+
+/**
+ * Returns the cost of a dispatch: the expected duration relative to that on an idle server, and more
+ * if the server may fail or refuse the request.
+ */
 export function costOf(
   server: serverState.ServerState,
   reply: policyTypes.CheckReply | undefined,
@@ -33,11 +48,7 @@
     return SILENT_FACTOR * (1 + server.inFlight) * (1 + FAILURE_WEIGHT * server.failureRate);
   }
   if (reply.kind === 'replaced' || reply.kind === 'unreachable') return Number.POSITIVE_INFINITY;
-  const load = loadOf(server, reply);
-  const busy = load / server.slots > BUSY_UTILIZATION ? BUSY_FACTOR : 1;
-  const wait = Math.max(0, load - server.slots) / server.slots;
   const condition = { ready: 1, full: FULL_FACTOR, unhealthy: UNHEALTHY_FACTOR }[reply.kind];
   const failures = 1 + FAILURE_WEIGHT * server.failureRate;
-  const cold = server.warmth < 1 ? COLD_FACTOR : 1;
-  return (reply.report?.slowdown ?? 1) * (busy + wait) * condition * failures * cold;
+  return durationOf(server, reply) * condition * failures;
 }
--- a/src/common/testing/PlacedServer.ts
+++ b/src/common/testing/PlacedServer.ts
@@ -74,6 +74,14 @@
     return { dispose: () => this.drop(run) };
   }
 
+  /** Accepts a connection, which takes a slot for a moment and waits for it without limit. */
+  public accept(durationMs: number, onAccepted: () => void): void {
+    const run: IRun = { workMs: durationMs, onEnd: onAccepted, timer: undefined };
+    if (this.isStopped) onAccepted();
+    else if (this.running.size < this.behaviour.slots) this.start(run);
+    else this.queue.push(run);
+  }
+
   /** Ends the process with all requests that it holds. */
   public stop(): void {
     this.isStopped = true;
--- a/src/common/testing/PlacingLinks.ts
+++ b/src/common/testing/PlacingLinks.ts
@@ -49,14 +49,18 @@
     this.counts.checks += 1;
     const oneWayMs = this.oneWayMsTo(row);
     const server = this.serverOf(row);
-    this.clock.setTimer(this.connect(row) + oneWayMs, () => {
+    let isEnded = false;
+    const end = (reply: policyTypes.CheckReply) => {
+      if (isEnded) return;
+      isEnded = true;
+      onReply(reply);
+    };
+    this.clock.setTimer(timeoutMs, () => end({ kind: 'silent' }));
+    this.connect(row, () => {
       const { report, isStopped } = server;
       this.clock.setTimer(oneWayMs, () => {
-        if (isStopped) onReply({ kind: 'unreachable' });
-        else {
-          this.release(row);
-          onReply({ kind: 'ready', report });
-        }
+        if (!isStopped && !isEnded) this.release(row);
+        end(isStopped ? { kind: 'unreachable' } : { kind: 'ready', report });
       });
     });
   }
@@ -82,7 +86,7 @@
         }
         listener.onEnd(PlacingLinks.toOutcome(result));
       });
-    this.clock.setTimer(this.connect(row) + oneWayMs, () => {
+    this.connect(row, () => {
       if (isCancelled) return;
       listener.onSent();
       run = server.arrive(workMs, (result) => end(result, server.report));
@@ -108,11 +112,17 @@
     return this.servers.get(row.address) as placedServer.PlacedServer;
   }
 
-  /** Takes a connection, and returns the delay until it can be used. */
-  private connect(row: tableTypes.IServerRow): number {
-    if (this.idleTo(row.address).pop() !== undefined) return 0;
+  /** Takes a connection, and calls back when what is sent on it arrives. */
+  private connect(row: tableTypes.IServerRow, onArrived: () => void): void {
+    const oneWayMs = this.oneWayMsTo(row);
+    if (this.idleTo(row.address).pop() !== undefined) {
+      this.clock.setTimer(oneWayMs, onArrived);
+      return;
+    }
     this.counts.opened += 1;
-    return 2 * this.oneWayMsTo(row) + HANDSHAKE_MS;
+    this.clock.setTimer(oneWayMs, () =>
+      this.serverOf(row).accept(HANDSHAKE_MS, () => this.clock.setTimer(2 * oneWayMs, onArrived)),
+    );
   }
 
   private release({ address }: tableTypes.IServerRow): void {
