--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -151,6 +151,7 @@
       dependencies.backendProtocol,
       this.bodyBudget,
     );
+    this.transport.onConnectionsCounted((counts) => this.decisionLog.recordConnections(counts));
     this.checkBudget = new checkBudget.CheckBudget(clock);
     this.coldServers = new coldServers.ColdServers(
       options.peerAddress,
@@ -231,6 +232,7 @@
       countUnreachableServices: () => this.reach.lostServices.length,
       countSuspectRequests: () => this.suspicion.suspectCount,
       budget: this.bodyBudget,
+      connections: this.transport.connectionCounts,
     });
   }
 
