Take answers with a status above 599 as lost, and never pass on one out of range

Cause: AttemptHandler rejected statuses below 100 only, so that 600 to 999 reached callers as answers, and their connection was used again. Answers that a peer forwarded could have them too, and answers stored under a request key any status or header at all: Node.js throws for those when they are written, which ends the process.

Change: an answer has a status from 200 to 599, anywhere else it is lost (AttemptHandler), out of use (ForwardMessages), or dropped (KeyMessages). CallerExchange ends a call as unknown (502) rather than write another one.

--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -1,5 +1,6 @@
 import type * as undici from 'undici';
 
+import * as statuses from '../../common/call/Statuses';
 import type * as callTypes from '../../common/call/Types';
 import * as bodyBuffer from '../BodyBuffer';
 import type * as connections from './Connection';
@@ -8,9 +9,6 @@
 
 const BODYLESS_STATUSES = new Set([204, 304]);
 
-/** Lowest status code of the protocol. */
-const MIN_STATUS = 100;
-
 /** Buffers the response of one exchange, and accepts it only if it is complete. */
 export class AttemptHandler implements undici.Dispatcher.DispatchHandler {
   private readonly body: bodyBuffer.BodyBuffer;
@@ -67,11 +65,11 @@
   ): void {
     if (this.ended) return;
     this.listener.onProgress();
-    if (statusCode < MIN_STATUS) {
+    if (statuses.isInformational(statusCode)) return;
+    if (!statuses.isFinal(statusCode)) {
       this.rejectStatus(controller, statusCode);
       return;
     }
-    if (statusCode < 200) return;
     this.status = statusCode;
     this.responseHeaders = headers.decodeRaw((controller.rawHeaders ?? []) as Buffer[]);
     this.request.onHead(statusCode, this.responseHeaders);
@@ -147,7 +145,7 @@
     controller.abort(new Error(detail));
   }
 
-  /** undici takes any number for a status, and ends the connection by an assertion later. */
+  /** undici takes any three digits for a status. */
   private rejectStatus(controller: undici.Dispatcher.DispatchController, status: number): void {
     const detail = `the answer has the status ${status}`;
     this.end({ kind: 'lost', reason: 'answer-invalid', detail });
--- a/src/node/forwarding/ForwardMessages.test.ts
+++ b/src/node/forwarding/ForwardMessages.test.ts
@@ -9,7 +9,10 @@
 // Guards against a process that ends because Node.js refuses to write what a peer has sent.
 test.each([
   [0, []],
+  [99, []],
   [101, []],
+  [600, []],
+  [999, []],
   [1_000, []],
   [200, ['a']],
   [200, ['a b', 'c']],
--- a/src/node/forwarding/ForwardMessages.ts
+++ b/src/node/forwarding/ForwardMessages.ts
@@ -1,15 +1,10 @@
-import * as http from 'node:http';
-
 import type * as callTypes from '../../common/call/Types';
 import type * as tableTypes from '../../common/table/Types';
 import type * as peer from '../peer/generated/peer';
+import * as sendableAnswers from '../peer/SendableAnswers';
 import * as refusals from '../server/Refusals';
 import type * as forwardTypes from './Types';
 
-/** Range of the status of a final answer. */
-const MIN_STATUS = 200;
-const MAX_STATUS = 999;
-
 /** Encodes a call, at a monotonic time in milliseconds. */
 export function toRequest(call: callTypes.ICall, nowMs: number): peer.ForwardRequest {
   const { objectiveAtMs } = call;
@@ -104,20 +99,6 @@
   };
 }
 
-/** Whether an answer can be sent to a caller: Node.js throws for other statuses and headers. */
-function isSendable({ status, headers }: peer.StoredAnswer): boolean {
-  if (status < MIN_STATUS || status > MAX_STATUS || headers.length % 2 !== 0) return false;
-  try {
-    headers.forEach((text, index) => {
-      if (index % 2 === 0) http.validateHeaderName(text);
-      else http.validateHeaderValue('', text);
-    });
-    return true;
-  } catch {
-    return false;
-  }
-}
-
 /** Returns the reason of a refusal, or `fallback` for one that this version does not know. */
 function reasonOf<TKind extends keyof typeof refusals.STATUSES>(
   text: string,
@@ -130,7 +111,7 @@
 export function fromReply({ answered, refused }: peer.ForwardReply): forwardTypes.ForwardResult {
   if (answered?.answer !== undefined) {
     const { answer, server } = answered;
-    if (!isSendable(answer))
+    if (!sendableAnswers.isSendable(answer))
       return { kind: 'lost', detail: 'the answer in the reply is malformed' };
     return { kind: 'outcome', outcome: { kind: 'answered', answer, server } };
   }
--- a/src/node/keys/KeyMessages.ts
+++ b/src/node/keys/KeyMessages.ts
@@ -2,6 +2,7 @@
 import * as requestKeyCodec from '../../common/keys/RequestKeyCodec';
 import type * as keyTypes from '../../common/keys/Types';
 import * as peer from '../peer/generated/peer';
+import * as sendableAnswers from '../peer/SendableAnswers';
 
 const codec = requestKeyCodec.RequestKeyCodec;
 
@@ -10,6 +11,12 @@
   return { status: answer.status, headers: [...answer.headers], body: answer.body };
 }
 
+/** Returns an outcome with the answer in a message, or without it if callers can't be sent it. */
+function answeredWith(answer: peer.StoredAnswer | undefined): keyTypes.KeyOutcome {
+  const isUsable = answer !== undefined && sendableAnswers.isSendable(answer);
+  return { kind: 'answered', answer: isUsable ? answer : undefined };
+}
+
 function toReply(
   verdict: peer.ClaimVerdict,
   answer?: callTypes.IAnswer | undefined,
@@ -54,7 +61,7 @@
     case peer.ClaimVerdict.CLAIM_VERDICT_IN_PROGRESS:
       return { kind: 'in-progress' };
     case peer.ClaimVerdict.CLAIM_VERDICT_ANSWERED:
-      return { kind: 'completed', outcome: { kind: 'answered', answer: reply.answer } };
+      return { kind: 'completed', outcome: answeredWith(reply.answer) };
     case peer.ClaimVerdict.CLAIM_VERDICT_NOT_RUN:
       return { kind: 'completed', outcome: { kind: 'not-run' } };
     case peer.ClaimVerdict.CLAIM_VERDICT_UNKNOWN_OUTCOME:
@@ -99,7 +106,7 @@
 ): keyTypes.KeyOutcome | undefined {
   switch (fields.outcome) {
     case peer.KeyOutcome.KEY_OUTCOME_ANSWERED:
-      return { kind: 'answered', answer: fields.answer };
+      return answeredWith(fields.answer);
     case peer.KeyOutcome.KEY_OUTCOME_NOT_RUN:
       return { kind: 'not-run' };
     case peer.KeyOutcome.KEY_OUTCOME_UNKNOWN:
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 
+import * as statuses from '../../common/call/Statuses';
 import type * as callTypes from '../../common/call/Types';
 import type * as byteBudget from '../../common/memory/ByteBudget';
 import type * as tableTypes from '../../common/table/Types';
@@ -302,6 +303,11 @@
 
   private answer(call: callTypes.ICall, answer: callTypes.IAnswer, server: string): void {
     if (this.ended) return;
+    if (!statuses.isFinal(answer.status)) {
+      const detail = `the answer has the status ${answer.status}`;
+      this.refuse({ kind: 'unknown', reason: 'answer-truncated', detail, dispatched: true });
+      return;
+    }
     const { protocol } = this.context;
     responseWriter.writeAnswer(this.response, call, answer, protocol, this.closesConnection);
     this.owner.holdReply(this.response, answer.body.length);
