Move the decoding of a configuration into a module of its own, with the place of each error

A check of a configuration before it is sent has to use the decoder of the daemons. All routes that name unknown services are reported now, with their places, not the first alone.

--- a/src/platform/RecordDecoder.ts
+++ b/src/platform/RecordDecoder.ts
@@ -1,8 +1,8 @@
 import * as zod from 'zod';
 
 import type * as directoryTypes from '../common/directory/Types';
-import type * as routingTypes from '../common/routing/Types';
 import * as addresses from '../node/settings/Addresses';
+import * as configurationDecoder from './ConfigurationDecoder';
 import * as ruleDecoder from './RuleDecoder';
 import * as storeRevisions from './StoreRevisions';
 import * as wireNames from './WireNames';
@@ -19,13 +19,6 @@
 /** An item of the store, or the event of its deletion. */
 export type IStoreItem = Readonly<zod.infer<typeof ITEM>>;
 
-/** Version of the configuration, encoded as eight hexadecimal digits. */
-const VERSION = zod
-  .string()
-  .regex(/^[0-9a-f]{8}$/i)
-  .transform((text) => Number.parseInt(text, 16));
-
-const POSITIVE = zod.number().positive();
 const COUNT = zod.int().min(1);
 
 /** Maximum number of slots of a server, as in the operators' table. */
@@ -34,28 +27,6 @@
 /** Latest time that a date can have, in Unix milliseconds. */
 const MAX_TIME_MS = 8.64e15;
 
-const CONFIGURATION = zod.object({
-  configVersion: VERSION,
-  limits: zod.object({
-    maxHeaderBytes: POSITIVE,
-    maxBodyBytes: POSITIVE,
-    headerTimeout: ruleDecoder.DURATION,
-    idleTimeout: ruleDecoder.DURATION,
-  }),
-  // Hosts with their routes.
-  listeners: zod.array(zod.object({ host: zod.string(), policy: ruleDecoder.RULES })),
-  // Services.
-  clusters: zod.array(
-    zod.object({
-      name: zod.string(),
-      healthPath: zod.string(),
-      maxConns: COUNT,
-      // Requests a second that a cold server takes from all daemons together.
-      warmupPerS: POSITIVE.optional(),
-    }),
-  ),
-});
-
 const SERVER = zod.object({
   service: zod.string(),
   address: zod.string().refine(addresses.isAddress, 'expected an IP address and a port'),
@@ -74,57 +45,8 @@
   return error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`).join('; ');
 }
 
-function toRoute(host: string, rule: ruleDecoder.Rule): routingTypes.IRoute {
-  const { service, split, timeout, maxAttempts } = rule.action;
-  return {
-    name: rule.name,
-    host: host.toLowerCase(),
-    prefix: rule.match.prefix,
-    targets: split ?? [{ service: service ?? '', weight: 1 }],
-    idempotent: rule.kind !== 'non_idempotent',
-    hasLargeAnswers: rule.kind === 'download',
-    priority: rule.priority,
-    timeoutMs: timeout,
-    objectiveMs: rule.aim,
-    maxAttempts,
-  };
-}
-
-function findUnknownService(configuration: routingTypes.IConfiguration): string | undefined {
-  const names = new Set(configuration.services.map(({ name }) => name));
-  return configuration.routes
-    .flatMap(({ targets }) => targets)
-    .find(({ service }) => !names.has(service))?.service;
-}
-
-function toConfiguration(content: zod.infer<typeof CONFIGURATION>): routingTypes.IConfiguration {
-  return {
-    version: content.configVersion,
-    routes: content.listeners.flatMap(({ host, policy }) =>
-      policy.map((rule) => toRoute(host, rule)),
-    ),
-    services: content.clusters.map(({ name, healthPath, maxConns, warmupPerS }) => ({
-      name,
-      healthPath,
-      maxConnections: maxConns,
-      coldRequestsPerSecond: warmupPerS,
-    })),
-    limits: {
-      maxHeaderBytes: content.limits.maxHeaderBytes,
-      maxBodyBytes: content.limits.maxBodyBytes,
-      headerTimeoutMs: content.limits.headerTimeout,
-      idleTimeoutMs: content.limits.idleTimeout,
-    },
-  };
-}
-
-function parseValue(item: IStoreItem): unknown {
-  try {
-    return JSON.parse(Buffer.from(item.value ?? '', 'base64').toString('utf8'));
-  } catch {
-    // No schema accepts undefined, so the item is reported as unusable.
-    return undefined;
-  }
+function textOf(item: IStoreItem): string {
+  return Buffer.from(item.value ?? '', 'base64').toString('utf8');
 }
 
 function unusableRecord(
@@ -137,19 +59,18 @@
 
 function decodeConfiguration(item: IStoreItem): directoryTypes.DirectoryRecord {
   if (item.deleted === true) return unusableRecord(item, 'the configuration was removed');
-  const parsed = CONFIGURATION.safeParse(parseValue(item));
-  if (!parsed.success) return unusableRecord(item, describeError(parsed.error));
-  const configuration = toConfiguration(parsed.data);
-  const unknown = findUnknownService(configuration);
-  if (unknown !== undefined)
-    return unusableRecord(item, `a route names the unknown service ${unknown}`);
-  return { kind: 'configuration', revision: item.revision, configuration };
+  const decoded = configurationDecoder.decodeConfiguration(textOf(item));
+  if (!decoded.ok) {
+    const problem = decoded.error.map(({ place, message }) => `${place}: ${message}`).join('; ');
+    return unusableRecord(item, problem);
+  }
+  return { kind: 'configuration', revision: item.revision, configuration: decoded.value };
 }
 
 function decodeServer(item: IStoreItem): directoryTypes.DirectoryRecord {
   const id = item.key.slice(wireNames.SERVER_KEY_PREFIX.length);
   if (item.deleted === true) return { kind: 'server-removed', revision: item.revision, id };
-  const parsed = SERVER.safeParse(parseValue(item));
+  const parsed = SERVER.safeParse(configurationDecoder.parseJson(textOf(item)));
   if (!parsed.success) return unusableRecord(item, describeError(parsed.error), id);
   const { service, address, zone, slots, state, born = 0, seq, warmupLeft } = parsed.data;
   return {
