--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,6 +3,7 @@
 
 import * as inspect from './commands/inspect';
 import * as bench from './commands/bench';
+import * as checkConfiguration from './commands/checkConfiguration';
 import * as checkSettings from './commands/checkSettings';
 import * as serve from './commands/serve';
 import * as table from './commands/table';
@@ -14,6 +15,7 @@
 
 serve.register(program);
 checkSettings.register(program);
+checkConfiguration.register(program);
 table.register(program);
 inspect.register(program);
 bench.register(program);
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -42,7 +42,7 @@
 import * as decisionLog from './telemetry/DecisionLog';
 
 /** Hard limit on the size of request headers; the configuration sets a lower one. */
-const MAX_HEADER_BYTES = 64 * 1024;
+export const MAX_HEADER_BYTES = 64 * 1024;
 
 /** Path of the metrics page on the readiness address. */
 const METRICS_PATH = '/metrics';
--- a/src/platform/PlatformCallerProtocol.ts
+++ b/src/platform/PlatformCallerProtocol.ts
@@ -10,7 +10,7 @@
 import * as wireNames from './WireNames';
 
 /** Deadline of a request that states none, in milliseconds. The route's timeout also applies. */
-const DEFAULT_DEADLINE_MS = 600_000;
+export const DEFAULT_DEADLINE_MS = 600_000;
 
 /** Bytes of the separator and the line break in a header line. */
 const HEADER_OVERHEAD_BYTES = 4;
