--- a/src/common/routing/ConfigurationComparison.ts
+++ b/src/common/routing/ConfigurationComparison.ts
@@ -11,8 +11,10 @@
   | 'other-servers'
   /** Requests may be run again after a loss, or no more. */
   | 'repeats'
-  /** Answers are waited for longer, or less long. */
-  | 'waiting'
+  /** Answers that take long are waited for. */
+  | 'waits-longer'
+  /** Answers that take long are no more waited for: their callers get an error. */
+  | 'waits-less'
   /** Requests have another rank, or attempts, under load and failures. */
   | 'under-load'
   /** Requests with larger or smaller headers or bodies, or slower ones, are refused. */
@@ -58,7 +60,7 @@
   idempotent: 'repeats',
   hasLargeAnswers: 'under-load',
   priority: 'under-load',
-  timeoutMs: 'waiting',
+  timeoutMs: 'waits-longer',
   objectiveMs: 'under-load',
   maxAttempts: 'under-load',
 };
@@ -115,7 +117,10 @@
     ...[...after].flatMap(([key, route]): Difference[] => {
       const known = before.get(key);
       if (known === undefined) return [{ kind: 'route-added', route, notice: 'served-by-route' }];
-      const changes = changesBetween(known, route, ROUTE_NOTICES);
+      const changes = changesBetween(known, route, {
+        ...ROUTE_NOTICES,
+        timeoutMs: route.timeoutMs < known.timeoutMs ? 'waits-less' : 'waits-longer',
+      });
       return changes.length === 0 ? [] : [{ kind: 'route-changed', route, changes }];
     }),
   ];
