--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -1,5 +1,6 @@
 import * as undici from 'undici';
 
+import * as statuses from '../../common/call/Statuses';
 import type * as callTypes from '../../common/call/Types';
 import * as emitter from '../../common/Emitter';
 import * as byteBudget from '../../common/memory/ByteBudget';
@@ -127,7 +128,11 @@
         bodyTimeout: timeoutMs,
         signal: AbortSignal.timeout(timeoutMs),
       })
-      .then((reply) => reply.body.json())
+      .then((reply) => {
+        if (statuses.isFinal(reply.statusCode)) return reply.body.json();
+        reply.body.on('error', () => undefined).destroy();
+        return undefined;
+      })
       .then(
         (load) => onReply(headers.parseProbeReply(load)),
         () => onReply(undefined),
--- a/src/node/dispatch/Statuses.test.ts
+++ b/src/node/dispatch/Statuses.test.ts
@@ -129,3 +129,14 @@
   expect(['silent', 'unreachable']).toContain(kinds[0]);
   expect(sockets).toHaveLength(2);
 });
+
+// Guards against a load that a server in trouble reports.
+test.each(STATUSES)('a probe whose reply has status "%s" tells no load', async (status) => {
+  const load = '{"inFlight":2,"queued":1,"slots":3}';
+  faulty = `HTTP/1.1 ${status} S\r\ncontent-length: ${load.length}\r\n\r\n${load}`;
+  closes = false;
+  const report = new Promise((resolve) => {
+    transport.probe(rowOf(), 1_000, resolve);
+  });
+  expect(await report).toBeUndefined();
+});
--- a/src/node/forwarding/ForwardedCall.test.ts
+++ b/src/node/forwarding/ForwardedCall.test.ts
@@ -8,8 +8,8 @@
 import * as forwardMessages from './ForwardMessages';
 import type * as forwardTypes from './Types';
 
-const ANSWERED: callTypes.CallOutcome = {
-  kind: 'answered',
+const ANSWERED = {
+  kind: 'answered' as const,
   answer: { status: 200, headers: ['a', 'b'], body: Buffer.from('x') },
   server: '10.0.0.1:80',
 };
@@ -108,6 +108,18 @@
   expect(outcomes).toEqual([ANSWERED]);
 });
 
+// Guards against an answer with such a status that a peer of another version took from its server.
+test.each([0, 99, 600, 999])('an answer of a peer with status %i is not passed on', (status) => {
+  const answer = { status, headers: [], body: Buffer.from('x') };
+  replies = [reply({ ...ANSWERED, answer }), reply(ANSWERED)];
+  begin(true);
+  expect(outcomes).toEqual([ANSWERED]);
+  asked = [];
+  begin(false);
+  expect(asked).toHaveLength(1);
+  expect(outcomes[1]).toMatchObject({ kind: 'unknown', reason: 'connection-lost' });
+});
+
 // Guards against repeats beyond the fleet's allowance, and beyond the servers that a route allows.
 test.each([
   ['attempts are limited', 2, true],
