--- a/src/platform/testing/DeployedDaemon.ts
+++ b/src/platform/testing/DeployedDaemon.ts
@@ -37,6 +37,18 @@
   readonly values?: deployFile.TemplateValues;
   /** Further parameters of `node`. */
   readonly nodeParameters?: readonly string[];
+  /** Limit on the heap in megabytes, instead of that of the deploy file. */
+  readonly heapMb?: number;
+}
+
+const HEAP_PARAMETER = '--max-old-space-size';
+
+function withHeap(parameters: readonly string[], heapMb: number | undefined): string[] {
+  return parameters.map((parameter) =>
+    heapMb !== undefined && parameter.startsWith(`${HEAP_PARAMETER}=`)
+      ? `${HEAP_PARAMETER}=${heapMb}`
+      : parameter,
+  );
 }
 
 /** A process with the command, the bundle and the settings template of the deploy file. */
@@ -72,7 +84,7 @@
     };
     await fs.writeFile(file, deploy.settings(values));
     const child = new childProcess.ChildProcess(
-      [...(options.nodeParameters ?? []), ...deploy.nodeParameters],
+      [...(options.nodeParameters ?? []), ...withHeap(deploy.nodeParameters, options.heapMb)],
       { LAVENDERSPAR_BOOT: file },
       deploy.folder,
     );
