Count what connections of callers take, and read no more than there is room for

Cause: Node.js parses a whole read of up to 64 KB at once, about 1,700 tiny requests, and pausing or closing the socket meanwhile does not stop it. Requests of callers that were gone were worked through, answers below 64 KiB and connections counted nowhere. Change: a feed passes one request at a time to the parser and drops what waits when the caller leaves. One account for each connection (socket, held bytes, requests, answers) draws on the budget for bodies; reading stops before there is no room, and then the connection that holds most closes. Limits on connections in all, of one address (off by default) and on the time for reading an answer.

Tests that change, since no more than 16 requests of a connection are parsed now: - 'the requests read ahead on all connections are bounded': none of these connections is closed any more. It now states the exact number of requests read, in place of a limit of 6,000. - 'any number of waiting requests may be refused': 1,600 requests can no longer wait until their deadline, so they are refused as they begin; those that can wait are still refused by deadline. - 'the requests read ahead on one connection are bounded': 16 in place of 4,000.

--- a/src/common/memory/ByteBudget.test.ts
+++ b/src/common/memory/ByteBudget.test.ts
@@ -6,7 +6,13 @@
 const LIMIT = 1_000;
 const RESERVE = 200;
 const ANSWERS = 950;
-const LIMITS = { totalBytes: LIMIT, answerReserveBytes: RESERVE, answerBytes: ANSWERS };
+const CONNECTIONS = 400;
+const LIMITS = {
+  totalBytes: LIMIT,
+  answerReserveBytes: RESERVE,
+  answerBytes: ANSWERS,
+  connectionBytes: CONNECTIONS,
+};
 
 let budget: byteBudget.ByteBudget;
 let evicted: string[];
@@ -68,6 +74,51 @@
   expect(budget.totalBytes).toBe(0);
 });
 
+function connection(name: string, replyBytes = 0): memoryTypes.IConnectionAccount {
+  let bytes = 0;
+  const account: memoryTypes.IConnectionAccount = budget.holdConnection({
+    get weight() {
+      return bytes + replyBytes;
+    },
+    evict: () => evicted.push(name),
+  });
+  return {
+    dispose: () => account.dispose(),
+    set: (size) => {
+      bytes = size;
+      account.set(size);
+    },
+  };
+}
+
+// Guards against callers that each stay below a limit and together take a daemon over its memory.
+test('the connection that holds most is closed when they hold too much together', () => {
+  const [small, large] = [connection('small'), connection('large')];
+  small.set(100);
+  large.set(290);
+  expect(budget.isShort).toBe(true);
+  small.set(120);
+  expect(evicted).toEqual(['large']);
+  expect(budget.connectionBytes).toBe(120);
+  large.set(500);
+  small.dispose();
+  expect(budget.connectionBytes).toBe(0);
+});
+
+// Guards against large answers that are held without limit for callers which do not read them.
+test('replies close the connection that holds most, and connections leave less to bodies', () => {
+  connection('reader').set(300);
+  expect(budget.reserveRequest().grow(501)).toBe(false);
+  expect(answer('a').grow(700)).toBe(true);
+  expect(evicted).toEqual([]);
+  const reply = budget.holdReply(750);
+  const slow = connection('slow', 750);
+  slow.set(1);
+  expect(evicted).toEqual(['slow', 'reader']);
+  reply.dispose();
+  expect(budget.connectionBytes).toBe(0);
+});
+
 // Guards against a sum that drifts, after which nothing fits or everything does.
 test('the sum is that of the reservations, within the limit', () => {
   const step = fastCheck.record({
--- a/src/common/memory/Types.ts
+++ b/src/common/memory/Types.ts
@@ -14,6 +14,22 @@
    * next garbage collection, so that ended and held answers take a multiple of it.
    */
   readonly answerBytes: number;
+  /** Limit on what connections of callers take besides large bodies. It counts in `totalBytes`. */
+  readonly connectionBytes: number;
+}
+
+/** Connection of a caller as the budget sees it. */
+export interface IConnectionHolder {
+  /** Number of bytes that closing the connection would free. */
+  readonly weight: number;
+  /** Closes the connection, since it holds most and the budget is exhausted. */
+  evict(): void;
+}
+
+/** Part of a budget that a connection holds, besides large bodies. */
+export interface IConnectionAccount extends types.IDisposable {
+  /** Sets the number of bytes held. */
+  set(bytes: number): void;
 }
 
 /** Part of a budget that one body holds until it is disposed. */
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -7,6 +7,7 @@
 import * as tableBuilder from '../common/directory/TableBuilder';
 import * as emitter from '../common/Emitter';
 import * as checkBudget from '../common/policy/CheckBudget';
+import type * as byteBudget from '../common/memory/ByteBudget';
 import * as leastInFlightPolicy from '../common/policy/LeastInFlightPolicy';
 import * as subset from '../common/policy/Subset';
 import * as probeBudget from '../common/probing/ProbeBudget';
@@ -32,6 +33,7 @@
 import * as peerListener from './peer/PeerListener';
 import type * as callerProtocol from './server/CallerProtocol';
 import * as callerServer from './server/CallerServer';
+import * as connectionLimits from './server/ConnectionLimits';
 import * as readinessServer from './server/ReadinessServer';
 import type * as serverTypes from './server/Types';
 import * as serviceSet from './ServiceSet';
@@ -90,7 +92,7 @@
 
   private readonly pauseDetector: pauseDetector.PauseDetector;
 
-  private readonly bodyBudget = bodyBudgets.makeBodyBudget();
+  private readonly bodyBudget: byteBudget.ByteBudget;
 
   private readonly opener: addressOpener.AddressOpener;
 
@@ -126,6 +128,7 @@
     private readonly random: types.IRandom,
   ) {
     this.decisionLog = new decisionLog.DecisionLog(logger, clock);
+    this.bodyBudget = bodyBudgets.makeBodyBudget(options.memoryMb);
     this.opener = new addressOpener.AddressOpener(clock, logger);
     this.tableBuilder = new tableBuilder.TableBuilder(new splits.Splits(random));
     this.directory = new directoryModule.Directory(clock);
@@ -188,6 +191,7 @@
       (delayMs) => this.decisionLog.recordDelay(delayMs),
     );
     this.callerServer = this.makeCallerServer();
+    this.setCallerLimits();
     this.readinessServer = new readinessServer.ReadinessServer(
       options.readinessPath,
       () => this.phase === 'ready',
@@ -214,6 +218,7 @@
       countLimitedServers: () => this.restraints.limitedCount,
       countUnreachableServices: () => this.reach.lostServices.length,
       countSuspectRequests: () => this.suspicion.suspectCount,
+      countConnections: () => this.callerServer.connectionCount,
       budget: this.bodyBudget,
     });
   }
@@ -302,6 +307,7 @@
     this.logger.info({ event: names.SETTINGS_RELOADED, applied, deferred }, 'settings reloaded');
     if (applied.length === 0) return;
     this.fleet?.setSeedPeers(settings.seedPeers);
+    this.setCallerLimits();
     this.applyDirectory();
     if (applied.includes('directoryUrl')) this.watcher.restart();
   }
@@ -467,6 +473,15 @@
     });
   }
 
+  private setCallerLimits(): void {
+    const { maxDescriptors, connectionsPerClient, answerReadTimeout } = this.options;
+    this.callerServer.setLimits({
+      connections: connectionLimits.connectionsFor(maxDescriptors ?? undefined),
+      perClient: connectionsPerClient ?? undefined,
+      answerReadMs: answerReadTimeout,
+    });
+  }
+
   private makeCallerServer(): callerServer.CallerServer {
     const readTable = () => this.table;
     const readPhase = () => this.phase;
@@ -493,6 +508,7 @@
         observer: this.decisionLog,
         clock: this.clock,
         budget: this.bodyBudget,
+        onConnectionClosed: (closure) => this.decisionLog.recordClosure(closure),
         beforeRequest: () => this.pauseDetector.check(),
       },
       MAX_HEADER_BYTES,
--- a/src/node/makeBodyBudget.ts
+++ b/src/node/makeBodyBudget.ts
@@ -1,7 +1,10 @@
 import * as os from 'node:os';
+import * as v8 from 'node:v8';
 
 import * as byteBudget from '../common/memory/ByteBudget';
 
+const BYTES_PER_MB = 1_000_000;
+
 /** Share of the memory of a VM that bodies may take; the process itself needs the rest. */
 const MEMORY_SHARE = 0.45;
 
@@ -12,12 +15,19 @@
 const RESERVE_SHARE = 0.2;
 const ANSWER_SHARE = 0.375;
 
-/** Returns the budget for the bodies that a daemon holds at the same time. */
-export function makeBodyBudget(memoryBytes = os.totalmem()): byteBudget.ByteBudget {
+/** Shares of that limit, and of the limit on the heap, that connections may take besides bodies. */
+const CONNECTION_SHARE = 0.5;
+const HEAP_SHARE = 0.25;
+
+/** Returns the budget for the bodies and connections that a daemon holds at the same time. */
+export function makeBodyBudget(memoryMb?: number | null): byteBudget.ByteBudget {
+  const memoryBytes = typeof memoryMb === 'number' ? memoryMb * BYTES_PER_MB : os.totalmem();
   const totalBytes = Math.floor(Math.min(MAX_BYTES, MEMORY_SHARE * memoryBytes));
+  const heapBytes = v8.getHeapStatistics().heap_size_limit;
   return new byteBudget.ByteBudget({
     totalBytes,
     answerReserveBytes: Math.floor(RESERVE_SHARE * totalBytes),
     answerBytes: Math.floor(ANSWER_SHARE * totalBytes),
+    connectionBytes: Math.floor(Math.min(CONNECTION_SHARE * totalBytes, HEAP_SHARE * heapBytes)),
   });
 }
--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -2,18 +2,30 @@
 import type * as net from 'node:net';
 
 import type * as byteBudget from '../../common/memory/ByteBudget';
-import type * as types from '../../common/Types';
 import type * as callerExchange from './CallerExchange';
+import * as connectionCost from './ConnectionCost';
+import * as connectionFeed from './ConnectionFeed';
+import type * as connectionLimits from './ConnectionLimits';
 
 /** Requests of one connection that are in progress at the same time. */
 export const MAX_CONCURRENT_EXCHANGES = 8;
 
-/** Size, in bytes, up to which an answer that is being written takes nothing of the budget. */
-const UNCOUNTED_REPLY_BYTES = 64 * 1024;
-
-/** Requests of one connection that wait for a response, beyond which no more are read. */
+/** Requests of one connection whose response is not written, beyond which no more are read. */
 export const MAX_WAITING_EXCHANGES = 16;
 
+/** Bytes of answers that a caller has not taken, beyond which none of its requests begins. */
+const MAX_UNREAD_BYTES = 256 * 1024;
+
+/** All connections of a daemon. */
+export interface IConnectionOwner {
+  /** Called when the connection has a request again. */
+  onBusy(connection: CallerConnection): void;
+  /** Called when the connection has no request any more. */
+  onIdle(connection: CallerConnection): void;
+  /** Called when the daemon closes the connection because of a limit. */
+  onEnded(connection: CallerConnection, cause: connectionLimits.ClosureCause): void;
+}
+
 /**
  * Requests that a caller has sent on one connection and that have no response yet, in the order in
  * which they arrived. An idempotent request starts before the earlier ones are answered. Any other
@@ -38,20 +50,47 @@
 
   private isClosing = false;
 
-  private isPaused = false;
-
   private isBeginning = false;
 
   /** Number of bytes that had been received when the connection last had no request. */
   private bytesWhenIdle = 0;
 
-  /** Answers that are being written. */
-  private readonly replies = new Set<types.IDisposable>();
+  /** IP address of the caller. */
+  public readonly client: string | undefined;
+
+  /** Passes what the caller sends on to the parser. */
+  public readonly feed: connectionFeed.ConnectionFeed;
+
+  private readonly cost: connectionCost.ConnectionCost;
+
+  private isEnded = false;
 
   public constructor(
     private readonly socket: net.Socket,
     private readonly budget: byteBudget.ByteBudget,
-  ) {}
+    private readonly owner: IConnectionOwner,
+  ) {
+    this.client = socket.remoteAddress;
+    const mayRead = () => this.mayRead;
+    const isReadingBody = () => this.reading !== undefined;
+    const gate = {
+      get isOpen() {
+        return mayRead();
+      },
+      get isReadingBody() {
+        return isReadingBody();
+      },
+    };
+    this.feed = new connectionFeed.ConnectionFeed(socket, gate, () => {
+      this.cost.setHeld(this.feed.heldBytes);
+    });
+    this.cost = new connectionCost.ConnectionCost(budget, () => this.end('memory'));
+  }
+
+  /** Bytes that closing the connection would free. */
+  public get weight(): number {
+    return this.cost.weight;
+  }
 
   /** Number of requests that have been read. */
   public get readCount(): number {
@@ -90,8 +129,9 @@
     this.last = exchange;
     this.arrivals += 1;
     this.positions.set(exchange, this.arrivals);
+    this.owner.onBusy(this);
+    this.cost.addRequest();
     this.beginNext();
-    this.updateReading();
   }
 
   /** Removes a request that has ended, and starts those that waited for it. */
@@ -106,24 +146,20 @@
     this.positions.delete(exchange);
     exchange.onceWritten(() => {
       if (this.last === exchange) this.last = undefined;
-    });
-    if (this.size === 0) this.bytesWhenIdle = this.socket.bytesRead;
-    if (closesConnection) {
-      this.discard(later);
-    } else {
+      this.cost.removeRequest();
       this.beginNext();
-      this.updateReading();
+      this.feed.wake();
+    });
+    if (this.size === 0) {
+      this.bytesWhenIdle = this.socket.bytesRead - this.feed.heldBytes;
+      if (!this.socket.destroyed) this.owner.onIdle(this);
     }
+    if (closesConnection) this.discard(later);
+    else this.beginNext();
   }
 
   public holdReply(response: http.ServerResponse, bytes: number): void {
-    if (bytes <= UNCOUNTED_REPLY_BYTES) return;
-    const reply = this.budget.holdReply(bytes);
-    this.replies.add(reply);
-    response.once('close', () => {
-      this.replies.delete(reply);
-      reply.dispose();
-    });
+    this.cost.holdReply(response, bytes);
   }
 
   /** Closes the connection after the requests that have been read. */
@@ -159,10 +195,19 @@
     [...this.exchanges].forEach((exchange) => exchange.endForStop());
   }
 
+  /** Closes the connection at once because of a limit. */
+  public end(cause: connectionLimits.ClosureCause): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.owner.onEnded(this, cause);
+    this.cost.dispose();
+    this.socket.destroy();
+  }
+
   /** Ends all requests because the caller closed the connection. */
   public abandon(): void {
     this.isClosing = true;
-    this.replies.forEach((reply) => reply.dispose());
+    this.cost.dispose();
     const { exchanges } = this;
     // An ended request would otherwise start the next one.
     this.exchanges = [];
@@ -194,18 +239,17 @@
 
   /** Returns the next request that need not wait, if there is one. */
   private findNext(): callerExchange.CallerExchange | undefined {
+    if (this.cost.replyBytes > MAX_UNREAD_BYTES) return undefined;
     const next = this.exchanges.find((exchange) => !this.begun.has(exchange));
     if (next === undefined || next === this.exchanges[0]) return next;
     const hasRoom = this.begun.size < MAX_CONCURRENT_EXCHANGES;
     return hasRoom && next.mayRunAhead ? next : undefined;
   }
 
-  private updateReading(): void {
-    const mustPause = this.exchanges.length >= MAX_WAITING_EXCHANGES;
-    if (mustPause === this.isPaused) return;
-    this.isPaused = mustPause;
-    // Node.js resumes the socket itself at the end of each request that it parses.
-    if (mustPause) process.nextTick(() => this.isPaused && this.socket.pause());
-    else this.socket.resume();
+  /** Whether there is room for a further request. */
+  private get mayRead(): boolean {
+    const { unwritten } = this.cost;
+    if (this.isClosing || unwritten >= MAX_WAITING_EXCHANGES) return false;
+    return unwritten === 0 || !this.budget.isShort;
   }
 }
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -6,6 +6,7 @@
 import type * as callTypes from '../../common/call/Types';
 import * as callerConnection from './CallerConnection';
 import * as callerExchange from './CallerExchange';
+import * as connectionLimits from './ConnectionLimits';
 import * as keyEndpoint from './KeyEndpoint';
 import * as listening from './listen';
 import * as responseWriter from './ResponseWriter';
@@ -25,12 +26,6 @@
  */
 const REFUSAL_LINGER_MS = 1_000;
 
-/**
- * Requests without a response, on all connections, above which a connection with many of them is
- * closed. One read delivers thousands of small requests, each of which takes a few kilobytes.
- */
-export const MAX_EXCHANGES = 6_000;
-
 /** Time for the first request on a connection that a caller opened during a stop, in milliseconds. */
 const FIRST_REQUEST_MS = 500;
 
@@ -41,6 +36,8 @@
 export interface ICallerServerContext extends callerExchange.IExchangeContext {
   /** Issues request keys. If undefined, no keys are issued. */
   readonly issueKeys?: keyEndpoint.IKeyEndpointContext['issueKeys'];
+  /** Called when the daemon closes a connection because of a limit. */
+  readonly onConnectionClosed?: (closure: connectionLimits.IClosure) => void;
 }
 
 /** Serves callers over HTTP/1.1. */
@@ -50,6 +47,8 @@
   /** Connections on which no request has arrived, with the monotonic time at which they opened. */
   private readonly openedMs = new Map<stream.Duplex, number>();
 
+  private readonly limits: connectionLimits.ConnectionLimits;
+
   private acceptedCount = 0;
 
   private readonly server: http.Server;
@@ -61,6 +60,9 @@
     private readonly context: ICallerServerContext,
     private readonly maxHeaderBytes = MAX_HEADER_BYTES,
   ) {
+    this.limits = new connectionLimits.ConnectionLimits((closure) =>
+      context.onConnectionClosed?.(closure),
+    );
     this.server = http.createServer({
       maxHeaderSize: maxHeaderBytes,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
@@ -72,6 +74,7 @@
     if (issueKeys !== undefined) {
       this.keyEndpoint = new keyEndpoint.KeyEndpoint({ ...context, issueKeys });
     }
+    this.setLimits(connectionLimits.DEFAULTS);
     // Node.js silently drops headers beyond this count. 0 removes the limit; the size limit stays.
     this.server.maxHeadersCount = 0;
     const serve = (request: http.IncomingMessage, response: http.ServerResponse) =>
@@ -81,7 +84,7 @@
     this.server.on('checkExpectation', serve);
     this.server.on('connection', (socket: net.Socket) => this.trackConnection(socket));
     this.server.on('connect', (_request, socket: stream.Duplex) => this.refuseTunnel(socket));
-    this.server.on('timeout', (socket: net.Socket) => CallerServer.closeIdle(socket));
+    this.server.on('timeout', (socket: net.Socket) => this.handleTimeout(socket));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: stream.Duplex) =>
       this.handleClientError(error, socket),
     );
@@ -92,6 +95,11 @@
     return [...this.connections.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
+  /** Number of open connections. */
+  public get connectionCount(): number {
+    return this.connections.size;
+  }
+
   /** Starts listening. Rejects if the address cannot be used. */
   public listen(host: string, port: number, onError: listening.ErrorListener): Promise<void> {
     return listening.listen(this.server, host, port, onError);
@@ -109,6 +117,12 @@
     this.server.keepAliveTimeout = idleMs;
   }
 
+  /** Sets the limits on connections, which apply to those that open from then on. */
+  public setLimits(limits: connectionLimits.ICallerLimits): void {
+    this.limits.set(limits);
+    this.server.timeout = limits.answerReadMs;
+  }
+
   /** Whether callers have connections on which their first request is about to arrive. */
   public get expectsRequests(): boolean {
     const sinceMs = this.context.clock.monotonicMs() - FIRST_REQUEST_MS;
@@ -146,6 +160,15 @@
     return listening.closeNow(this.server);
   }
 
+  /** Handles that nothing was sent or taken by the caller for a while. */
+  private handleTimeout(socket: net.Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection !== undefined && connection.unsentBytes > 0) connection.end('unread');
+    // A request runs, and may take longer.
+    else if ((connection?.size ?? 0) > 0) socket.setTimeout(this.server.timeout);
+    else CallerServer.closeIdle(socket);
+  }
+
   /** Closes a connection at its idle timeout, unless a request has arrived during a pause. */
   private static closeIdle(socket: net.Socket): void {
     const { bytesRead } = socket;
@@ -167,7 +190,8 @@
   private trackConnection(socket: net.Socket): void {
     this.acceptedCount += 1;
     this.openedMs.set(socket, this.context.clock.monotonicMs());
-    const connection = new callerConnection.CallerConnection(socket, this.context.budget);
+    const { budget } = this.context;
+    const connection = new callerConnection.CallerConnection(socket, budget, this.limits);
     this.connections.set(socket, connection);
     // Node.js removes its own listener when it hands a socket over, as for CONNECT. The end of the
     // connection is reported with each of its requests.
@@ -175,12 +199,16 @@
     socket.once('close', () => {
       this.connections.delete(socket);
       this.openedMs.delete(socket);
+      this.limits.close(connection);
       connection.abandon();
     });
+    this.limits.open(connection);
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     this.openedMs.delete(request.socket);
+    const connection = this.connections.get(request.socket);
+    connection?.feed.expectBody(Number(request.headers['content-length'] ?? 0));
     if (
       this.keyEndpoint !== undefined &&
       request.url?.startsWith(keyEndpoint.RESERVED_PREFIX) === true
@@ -188,14 +216,8 @@
       this.keyEndpoint.serve(request, response);
       return;
     }
-    const connection = this.connections.get(request.socket);
     // The socket closed after the request was read, and nobody waits for the response.
     if (connection === undefined || request.socket.destroyed) return;
-    const isAhead = connection.size >= callerConnection.MAX_WAITING_EXCHANGES;
-    if (isAhead && this.exchangesInFlight >= MAX_EXCHANGES) {
-      request.socket.destroy();
-      return;
-    }
     const { context } = this;
     const exchange = new callerExchange.CallerExchange(request, response, context, connection);
     // Node.js discards what it has read behind such a request.
@@ -225,6 +247,7 @@
     // Node.js has handed the socket over. A connection with unread bytes would be reset at its end.
     socket.resume();
     const connection = this.connections.get(socket);
+    connection?.feed.discard();
     if (connection?.hasResponsesDue === true) connection.closeAfterwards();
     else {
       const detail = 'the method CONNECT is not supported';
@@ -235,6 +258,8 @@
   private refuseClient(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
     const connection = this.connections.get(socket);
     const reading = connection?.reading;
+    // The parser takes nothing more after an error of its own.
+    if (error.code?.startsWith('HPE_') === true) connection?.feed.discard();
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
     } else if (reading !== undefined) {
@@ -246,11 +271,8 @@
       const detail = `the headers exceed ${this.maxHeaderBytes} bytes`;
       this.refuseOnSocket(socket, 'headers-too-large', detail);
     } else if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-      this.refuseOnSocket(
-        socket,
-        'request-incomplete',
-        'no whole head arrived within the time for it',
-      );
+      const detail = 'no whole head arrived within the time for it';
+      this.refuseOnSocket(socket, 'request-incomplete', detail);
     } else {
       const detail = `the request is malformed (${error.code ?? error.message})`;
       this.refuseOnSocket(socket, 'malformed-request', detail);
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -2,8 +2,8 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 
+import * as byteBudget from '../../common/memory/ByteBudget';
 import * as callerConnection from './CallerConnection';
-import * as callerServer from './CallerServer';
 import * as callerServerRig from './testing/CallerServerRig';
 
 const OK = ['content-type', 'text/plain'];
@@ -187,8 +187,7 @@
   await until(() => rig.transport.attempts.length === callerConnection.MAX_CONCURRENT_EXCHANGES);
   await settle();
   expect(rig.transport.attempts).toHaveLength(callerConnection.MAX_CONCURRENT_EXCHANGES);
-  // One read delivers up to 64 KB, which hold about 1,700 of these requests.
-  expect(rig.server.exchangesInFlight).toBeLessThan(4_000);
+  expect(rig.server.exchangesInFlight).toBe(callerConnection.MAX_WAITING_EXCHANGES);
 });
 
 test('requests beyond the bound are read and answered once there is room', async () => {
@@ -202,17 +201,18 @@
 });
 
 // Guards against a stack overflow when many requests behind one in progress are refused at once.
-test('any number of waiting requests may be refused one after the other', async () => {
-  const count = 1_600;
+test.each([
+  ['by their deadline', '/lodgement/2', callerConnection.MAX_WAITING_EXCHANGES - 1],
+  ['as they begin', '/unknown/2', 1_600],
+])('waiting requests may be refused one after the other: %s', async (_, path, count) => {
   const first = get('/lodgement/1', 'request-timeout-ms: 5000\r\n');
-  socket.write(first + get('/lodgement/2').repeat(count));
+  socket.write(first + get(path).repeat(count));
   await rig.attempt(1);
   await settle();
-  rig.refused.length = 0;
   rig.clock.advance(2_000);
   await rig.reply(1, 200, OK, 'body-1');
   await until(() => statuses().length === count + 1);
-  expect(rig.refused).toHaveLength(count);
+  expect(rig.refused.filter(({ detail }) => !detail.includes('none'))).toHaveLength(count);
   expect(rig.transport.attempts).toHaveLength(1);
 });
 
@@ -245,12 +245,14 @@
 
 // Guards against callers that together fill the memory with requests that they send ahead.
 test('the requests read ahead on all connections are bounded, and others are still served', async () => {
-  const sockets = Array.from({ length: 10 }, () => rig.connect());
+  // The server of the rig takes eight requests at the same time.
+  const sockets = Array.from({ length: 7 }, () => rig.connect());
   const ahead = post('/lodgement/1', 'x') + post('/lodgement/2', 'x').repeat(900);
   sockets.forEach((pipelining) => pipelining.resume().write(ahead));
-  await until(() => sockets.some(({ closed }) => closed));
+  const bound = sockets.length * callerConnection.MAX_WAITING_EXCHANGES;
+  await until(() => rig.server.exchangesInFlight === bound);
   await settle();
-  expect(rig.server.exchangesInFlight).toBeLessThanOrEqual(callerServer.MAX_EXCHANGES);
+  expect(rig.server.exchangesInFlight).toBe(bound);
   socket.write(get('/status/3'));
   await until(() => rig.transport.attempts.at(-1)?.call.path === '/3');
   await rig.reply(rig.transport.attempts.length, 200, OK, 'body-3');
@@ -258,6 +260,22 @@
   sockets.forEach((pipelining) => pipelining.destroy());
 });
 
+// Guards against connections that together hold more than the daemon has memory for.
+test('the connection that holds most is closed, and others are still served', async () => {
+  rig.budget = new byteBudget.ByteBudget({ ...byteBudget.UNLIMITED, connectionBytes: 250_000 });
+  const sockets = Array.from({ length: 3 }, () => rig.connect());
+  const ahead = post('/lodgement/1', 'x').repeat(900);
+  sockets.forEach((pipelining) => pipelining.resume().write(ahead));
+  await until(() => sockets.some(({ closed }) => closed));
+  const ordinary = rig.connect();
+  ordinary.write(get('/none/1'));
+  await nodeEvents.once(ordinary, 'data');
+  expect(rig.budget.connectionBytes).toBeLessThan(250_000);
+  [...sockets, ordinary].forEach((one) => one.destroy());
+  await until(() => rig.server.connectionCount === 1);
+  expect(rig.budget.connectionBytes).toBe(0);
+});
+
 // Guards against a refusal that the caller takes for the response to a request before.
 test('a malformed request behind unread responses closes the connection after them', async () => {
   socket.pause().write(get('/status/1') + get('/status/2'));
--- a/src/node/settings/ReloadedSettings.test.ts
+++ b/src/node/settings/ReloadedSettings.test.ts
@@ -15,6 +15,7 @@
   retryAllowance: 50,
   retryWindow: 10_000,
   checksPerSecond: 60,
+  answerReadTimeout: 60_000,
   logLevel: 'info',
 };
 
--- a/src/node/settings/ReloadedSettings.ts
+++ b/src/node/settings/ReloadedSettings.ts
@@ -3,8 +3,8 @@
 type Name = keyof routedSettings.RoutedSettings;
 
 /**
- * Settings that need a restart: those of open sockets, and those of the identity by which callers
- * and peers know this daemon.
+ * Settings that need a restart: those of open sockets, of the identity by which callers
+ * and peers know this daemon, and the size of its memory.
  */
 const FIXED_WHILE_RUNNING = new Set<Name>([
   'callerAddress',
@@ -12,6 +12,7 @@
   'readinessPath',
   'peerAddress',
   'failureDomain',
+  'memoryMb',
 ]);
 
 /** Result of reloading a changed settings file. */
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -8,6 +8,7 @@
 import type * as suspicionTypes from '../../common/suspicion/Types';
 import type * as types from '../../common/Types';
 import type * as forwardTypes from '../forwarding/Types';
+import type * as connectionLimits from '../server/ConnectionLimits';
 import type * as serverTypes from '../server/Types';
 import * as logRateLimiter from './LogRateLimiter';
 import * as names from './Names';
@@ -72,6 +73,13 @@
     registers: [this.registry],
   });
 
+  private readonly closures = new promClient.Counter({
+    name: 'lavenderspar_connections_closed_total',
+    help: 'Connections of callers that were closed because of a limit, by cause',
+    labelNames: ['cause'],
+    registers: [this.registry],
+  });
+
   private readonly droppedLines = new promClient.Counter({
     name: 'lavenderspar_log_lines_dropped_total',
     help: 'Log lines that the limit for each second left out',
@@ -239,6 +247,12 @@
     });
   }
 
+  /** Logs and counts that a connection of a caller was closed because of a limit. */
+  public recordClosure(closure: connectionLimits.IClosure): void {
+    this.closures.inc({ cause: closure.cause });
+    this.log(names.CONNECTION_CLOSED, { ...closure });
+  }
+
   /** Logs that the process was short of processor time. */
   public recordDelay(delayMs: number): void {
     this.log(names.PROCESS_DELAYED, { delayMs: Math.round(delayMs) });
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -34,6 +34,7 @@
 export const SERVICE_IN_REACH = 'service.in_reach';
 export const SERVER_LOSS = 'server.loss';
 export const REQUEST_SUSPICION = 'request.suspicion';
+export const CONNECTION_CLOSED = 'connection.closed';
 export const LOG_DROPPED = 'log.dropped';
 export const DIRECTORY_PROBLEM = 'directory.problem';
 
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -14,6 +14,7 @@
   readonly countLimitedServers: () => number;
   readonly countUnreachableServices: () => number;
   readonly countSuspectRequests: () => number;
+  readonly countConnections: () => number;
   readonly budget: byteBudget.ByteBudget;
 }
 
@@ -49,7 +50,13 @@
     'Requests that are refused because they crash servers',
     sources.countSuspectRequests,
   );
+  decisions.addGauge('caller_connections', 'Open connections of callers', sources.countConnections);
   const { budget } = sources;
+  decisions.addGauge(
+    'connection_bytes',
+    'Bytes counted for connections of callers, without large bodies',
+    () => budget.connectionBytes,
+  );
   (['request', 'answer', 'reply'] as const).forEach((kind) =>
     decisions.addGauge(`${kind}_body_bytes`, `Bytes held by large bodies: ${kind}`, () =>
       budget.bytesOf(kind),
--- a/src/platform/testing/DeployedDaemon.ts
+++ b/src/platform/testing/DeployedDaemon.ts
@@ -19,6 +19,8 @@
   'bounds.budgetSlack': '58',
   'bounds.budgetWindow': '10s',
   'bounds.probesPerS': '60',
+  'limits.memoryMb': '350',
+  'limits.maxFds': '4100',
 };
 
 /** Ports on the loopback, and the store, of a deployed daemon. */
