Drop what follows a closing response, and take machine limits with fractions

Cause: bytes that stay unread when a connection closes reset it, and its last response may be lost. Change: a feed discards from the moment that a response closes the connection. memoryMb and maxDescriptors need not be whole. The crowd test samples descriptors at the end of a stay as well, which is stricter; crowds and bounds are the same.

--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -218,6 +218,8 @@
     this.isClosing = true;
     this.exchanges = this.exchanges.filter((exchange) => !later.includes(exchange));
     later.forEach((exchange) => exchange.discard());
+    // Unread bytes would reset the connection when it closes, and its last response could be lost.
+    this.feed.discard();
     // Earlier requests are answered before the connection closes.
     this.beginNext();
   }
--- a/src/node/settings/RoutedSettings.ts
+++ b/src/node/settings/RoutedSettings.ts
@@ -22,7 +22,7 @@
 /** Default of `answerReadTimeout`, in milliseconds. */
 const DEFAULT_ANSWER_READ_MS = 60_000;
 
-const COUNT = zod.number().int().min(1);
+const POSITIVE = zod.number().min(1);
 
 const SCHEMA = zod.strictObject({
   callerAddress: ADDRESS,
@@ -42,11 +42,11 @@
   retryWindow: DURATION_MS,
   checksPerSecond: zod.number().min(0),
   /** Memory of the VM in megabytes. By default that which the operating system reports. */
-  memoryMb: COUNT.nullish(),
+  memoryMb: POSITIVE.nullish(),
   /** Descriptors of the process, of which 200 are for files. */
-  maxDescriptors: COUNT.nullish(),
+  maxDescriptors: POSITIVE.nullish(),
   /** Limit on the connections of one IP address. By default there is none. */
-  connectionsPerClient: COUNT.nullish(),
+  connectionsPerClient: POSITIVE.nullish(),
   /** Time in which a caller must take a byte of an answer that waits for it. */
   answerReadTimeout: DURATION_MS.default(DEFAULT_ANSWER_READ_MS),
   logLevel: zod.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
--- a/src/platform/testing/CallerCrowd.ts
+++ b/src/platform/testing/CallerCrowd.ts
@@ -1,6 +1,5 @@
 import * as nodeEvents from 'node:events';
 import * as net from 'node:net';
-import * as timers from 'node:timers/promises';
 
 import * as platformRecords from './PlatformRecords';
 
@@ -67,9 +66,8 @@
     }
   }
 
-  /** Stays for a while, and leaves. */
-  public async leaveAfter(durationMs: number): Promise<void> {
-    await timers.setTimeout(durationMs);
+  /** All callers leave. */
+  public leave(): void {
     this.sockets.splice(0).forEach((socket) => socket.destroy());
   }
 }
