--- a/src/node/settings/RoutedSettings.ts
+++ b/src/node/settings/RoutedSettings.ts
@@ -20,6 +20,11 @@
 /** Default of `changeDeadline`, in milliseconds. */
 const DEFAULT_CHANGE_DEADLINE_MS = 2_000;
 
+/** Default of `answerReadTimeout`, in milliseconds. */
+const DEFAULT_ANSWER_READ_MS = 60_000;
+
+const POSITIVE = zod.number().min(1);
+
 const SCHEMA = zod.strictObject({
   callerAddress: ADDRESS,
   readinessAddress: ADDRESS,
@@ -44,6 +49,14 @@
   coldRateFactor: zod.number().min(0).optional(),
   /** Requests beside these. */
   coldRateAllowance: zod.number().min(0).optional(),
+  /** Memory of the VM in megabytes. By default that which the operating system reports. */
+  memoryMb: POSITIVE.nullish(),
+  /** Descriptors of the process, of which 200 are for files. */
+  maxDescriptors: POSITIVE.nullish(),
+  /** Limit on the connections of one IP address. By default there is none. */
+  connectionsPerClient: POSITIVE.nullish(),
+  /** Time in which a caller must take a byte of an answer that waits for it. */
+  answerReadTimeout: DURATION_MS.default(DEFAULT_ANSWER_READ_MS),
   logLevel: zod.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 });
 
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -37,6 +37,7 @@
 export const SERVER_LOSS = 'server.loss';
 export const REQUEST_SUSPICION = 'request.suspicion';
 export const CONNECTIONS_COUNTED = 'connections.counted';
+export const CONNECTION_CLOSED = 'connection.closed';
 export const LOG_DROPPED = 'log.dropped';
 export const DIRECTORY_PROBLEM = 'directory.problem';
 
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -16,6 +16,7 @@
   readonly countColdServers: () => number;
   readonly countUnreachableServices: () => number;
   readonly countSuspectRequests: () => number;
+  readonly countConnections: () => number;
   readonly budget: byteBudget.ByteBudget;
   readonly connections: connectionCounts.ConnectionCounts;
 }
@@ -62,7 +63,13 @@
     'Connections to backend servers that were opened and closed, by cause',
     () => sources.connections.byCause,
   );
+  decisions.addGauge('caller_connections', 'Open connections of callers', sources.countConnections);
   const { budget } = sources;
+  decisions.addGauge(
+    'connection_bytes',
+    'Bytes counted for connections of callers, without large bodies',
+    () => budget.connectionBytes,
+  );
   (['request', 'answer', 'reply'] as const).forEach((kind) =>
     decisions.addGauge(`${kind}_body_bytes`, `Bytes held by large bodies: ${kind}`, () =>
       budget.bytesOf(kind),
