Schedule the calls of a service that find no room in one place

Cause: each call that found no server with room waited alone, rechecked servers with its own timer for an eighth of its objective, and was refused then, whatever its priority, its deadline and its work. Servers' queues took calls that were answered late. Change: a check is one pass over a few servers. A scheduler of the service keeps the calls without room, rechecks for all of them with one timer, and gives room to the call that would lose most: in time before late, urgent before less urgent, a quarter of the turns for each kind. No call joins a server's queue. Late and less urgent calls take spare room only. Calls are refused when they cannot be served any more, with a spread delay.

--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -6,9 +6,6 @@
 import type * as types from '../Types';
 import type * as callTypes from './Types';
 
-/** Weight of the newest sample in the EWMA of the service time. */
-const SERVICE_TIME_SMOOTHING = 0.05;
-
 /** Timeout of the check of a server after a connection to it was lost, in milliseconds. */
 const LOSS_CHECK_TIMEOUT_MS = 500;
 
@@ -26,13 +23,10 @@
   readonly onceHeard?: ((callback: () => void) => void) | undefined;
 }
 
-/** Selects servers of one service by checking them immediately before each dispatch. */
+/** Checks the servers of one service immediately before each dispatch. */
 export class CheckedSelector {
   private readonly replyCache = new checkReplyCache.CheckReplyCache();
 
-  /** Moving average of the service time on an idle server. */
-  private idleServiceTimeMs: number | undefined;
-
   /** @param healthPath Path at which the servers answer checks. */
   public constructor(
     private readonly options: ICheckedSelectorOptions,
@@ -40,11 +34,15 @@
     private readonly clock: types.IClock,
   ) {}
 
-  /** @param onSelected Called once, possibly synchronously, unless disposed first. */
-  public select(
+  /**
+   * Checks a few of the candidates.
+   * @param maxRounds Maximum number of checks, if fewer than usual.
+   * @param onEnd Called once, possibly synchronously, unless disposed first.
+   */
+  public check(
     candidates: readonly serverState.ServerState[],
-    objectiveAtMs: number | undefined,
-    onSelected: (selected: checkedSelection.SelectionResult) => void,
+    maxRounds: number | undefined,
+    onEnd: (result: checkedSelection.CheckResult) => void,
   ): types.IDisposable {
     const selection = new checkedSelection.CheckedSelection(
       candidates,
@@ -53,22 +51,15 @@
         ...this.options,
         clock: this.clock,
         healthPath: this.healthPath,
-        idleServiceTimeMs: this.idleServiceTimeMs,
-        objectiveAtMs,
         onReply: (server, reply) => this.recordReply(server, reply),
       },
-      onSelected,
+      onEnd,
+      maxRounds,
     );
     selection.begin();
     return selection;
   }
 
-  /** Records the duration of an answered attempt, divided by the cost of its dispatch. */
-  public recordServiceTime(serviceTimeMs: number): void {
-    const previousMs = this.idleServiceTimeMs ?? serviceTimeMs;
-    this.idleServiceTimeMs = previousMs + SERVICE_TIME_SMOOTHING * (serviceTimeMs - previousMs);
-  }
-
   /**
    * Checks whether a server has ended. One that is unreachable is checked again once others reply:
    * after a cut of the network its requests would otherwise be taken for ones that crash servers.
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -1,5 +1,6 @@
 import type * as policyTypes from '../policy/Types';
 import type * as serverState from '../policy/ServerState';
+import type * as schedulingTypes from '../scheduling/Types';
 import * as requestSuspicion from '../suspicion/RequestSuspicion';
 import type * as types from '../Types';
 import type * as admissionQueue from './AdmissionQueue';
@@ -119,8 +120,8 @@
     if (!this.ended) this.scheduleHedge();
   }
 
-  private shed(detail: string): void {
-    this.finish({ kind: 'not-run', reason: 'overloaded', detail });
+  private shed(detail: string, retryAfterMs?: number): void {
+    this.finish({ kind: 'not-run', reason: 'overloaded', detail, retryAfterMs });
   }
 
   private sendNext(): void {
@@ -131,15 +132,26 @@
     this.selection = this.context.balancer.select(this.tried, this.call, (selected) => {
       if (this.ended) return;
       if (selected.kind === 'server') this.send(selected.server, selected.cost);
-      else if (this.active.size === 0) this.endWithoutServer(selected.kind);
+      else if (this.active.size === 0) this.endWithoutServer(selected);
     });
   }
 
   /** Ends a call for which no server was found. */
-  private endWithoutServer(reason: 'none' | 'overloaded'): void {
-    if (reason === 'overloaded' && this.sent === 0) {
-      this.shed('every server that was asked is too busy to answer in time');
-    } else this.finish(this.failedOutcome());
+  private endWithoutServer(
+    selected: Exclude<schedulingTypes.SelectionResult, { kind: 'server' }>,
+  ): void {
+    if (selected.kind === 'none') {
+      this.finish(this.failedOutcome());
+      return;
+    }
+    const { retryAfterMs } = selected;
+    this.context.observer?.onWaitEnded(this.call, selected);
+    if (this.sent === 0) {
+      this.shed('every server that was asked is too busy to answer in time', retryAfterMs);
+      return;
+    }
+    const outcome = this.failedOutcome();
+    this.finish(outcome.kind === 'not-run' ? { retryAfterMs, ...outcome } : outcome);
   }
 
   /** Returns the outcome of a call that gets no further attempt. */
@@ -157,7 +169,7 @@
     this.tried.add(server.address);
     const { balancer, transport } = this.context;
     const attempt: IActiveAttempt = {
-      started: balancer.recordStart(server, cost),
+      started: balancer.recordStart(server, cost, this.call),
       handle: undefined,
       sent: false,
     };
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -1,10 +1,11 @@
 import * as emitter from '../Emitter';
-import type * as checkedSelection from '../policy/CheckedSelection';
 import * as ratioBudget from '../policy/RatioBudget';
 import type * as selectionPolicy from '../policy/SelectionPolicy';
 import * as serverState from '../policy/ServerState';
 import type * as policyTypes from '../policy/Types';
 import type * as serverRestraints from '../restraint/ServerRestraints';
+import * as callScheduler from '../scheduling/CallScheduler';
+import type * as schedulingTypes from '../scheduling/Types';
 import type * as tableTypes from '../table/Types';
 import type * as types from '../Types';
 import * as admissionQueue from './AdmissionQueue';
@@ -40,8 +41,11 @@
   readonly startMs: number;
   /** Expected duration relative to that on an idle server. */
   readonly cost: number;
+  readonly call: StartedCall | undefined;
 }
 
+type StartedCall = Pick<callTypes.ICall, 'route' | 'priority'>;
+
 /** Balances the calls of one service at this daemon: state, selection and budgets. */
 export class ServiceBalancer {
   public readonly admission: admissionQueue.AdmissionQueue;
@@ -76,6 +80,9 @@
   /** Undefined if the servers are not checked before dispatches. */
   private checkedSelector: checkedSelector.CheckedSelector | undefined;
 
+  /** Schedules the calls if the servers are checked before dispatches. */
+  private scheduler: callScheduler.CallScheduler | undefined;
+
   /** Fires with the address of each server that a table adds. */
   public readonly onServerAdded: types.Event<string> = this.addedEmitter.event;
 
@@ -118,35 +125,25 @@
     return this.servers.get(chosen.address);
   }
 
+  /** Number of calls that wait for room on a server. */
+  public get waitingCalls(): number {
+    return this.scheduler?.size ?? this.admission.waiting;
+  }
+
   /**
    * Selects the server for the next attempt. Checks a few servers first if the service has a health
-   * path, otherwise selects like `choose`.
+   * path, and waits until one has room; otherwise selects like `choose`.
    * @param onSelected Called once, possibly synchronously, unless the selection is disposed first.
    */
   public select(
     excluded: ReadonlySet<string>,
-    call: Pick<callTypes.ICall, 'table' | 'objectiveAtMs'>,
-    onSelected: (selected: checkedSelection.SelectionResult) => void,
+    call: schedulingTypes.ScheduledCall,
+    onSelected: (selected: schedulingTypes.SelectionResult) => void,
   ): types.IDisposable {
-    if (this.checkedSelector === undefined) {
-      const server = this.choose(excluded, call.table);
-      onSelected(server === undefined ? { kind: 'none' } : { kind: 'server', server, cost: 1 });
-      return NO_SELECTION;
-    }
-    const candidates = this.candidates(excluded, call.table, true);
-    let selection: types.IDisposable | undefined;
-    const first = this.checkedSelector.select(candidates, call.objectiveAtMs, (selected) => {
-      const isRestrained =
-        selected.kind === 'server' && this.eligibility.restraintOf(selected.server) !== undefined;
-      if (!isRestrained) {
-        onSelected(selected);
-        return;
-      }
-      // The check told of a restraint, or another call took the permit for the server meanwhile.
-      const others = new Set([...excluded, selected.server.address]);
-      selection = this.select(others, call, onSelected);
-    });
-    return { dispose: () => (selection ?? first).dispose() };
+    if (this.scheduler !== undefined) return this.scheduler.enter(call, excluded, onSelected);
+    const server = this.choose(excluded, call.table);
+    onSelected(server === undefined ? { kind: 'none' } : { kind: 'server', server, cost: 1 });
+    return NO_SELECTION;
   }
 
   /**
@@ -190,10 +187,21 @@
   private setHealthPath(healthPath: string | undefined): void {
     if (healthPath === this.healthPath) return;
     this.healthPath = healthPath;
-    this.checkedSelector =
-      this.checkOptions === undefined || healthPath === undefined
-        ? undefined
-        : new checkedSelector.CheckedSelector(this.checkOptions, healthPath, this.clock);
+    this.checkedSelector = undefined;
+    this.scheduler = undefined;
+    const { checkOptions, clock } = this;
+    if (checkOptions === undefined || healthPath === undefined) return;
+    const selector = new checkedSelector.CheckedSelector(checkOptions, healthPath, clock);
+    this.checkedSelector = selector;
+    this.scheduler = new callScheduler.CallScheduler(
+      selector,
+      {
+        candidates: (excluded, table) => this.candidates(excluded, table, true),
+        isRestrained: (server) => this.eligibility.restraintOf(server) !== undefined,
+      },
+      checkOptions,
+      clock,
+    );
   }
 
   /** Credits the budgets with the permits that the first attempt of a call earns. */
@@ -238,12 +246,16 @@
   }
 
   /** @param cost Expected duration relative to that on an idle server. */
-  public recordStart(server: serverState.ServerState, cost = 1): IStartedAttempt {
+  public recordStart(
+    server: serverState.ServerState,
+    cost = 1,
+    call?: StartedCall,
+  ): IStartedAttempt {
     const startMs = this.clock.monotonicMs();
     const state = server;
     state.warmth = this.eligibility.warmthOf(server.address);
     this.eligibility.recordStart(server);
-    return { server, number: state.recordStart(startMs), startMs, cost };
+    return { server, number: state.recordStart(startMs), startMs, cost, call };
   }
 
   public recordEnd(attempt: IStartedAttempt, result: policyTypes.AttemptResult): void {
@@ -253,11 +265,13 @@
     state.recordEnd(attempt.number, this.eligibility.recordEnd(state, result, isChecked), nowMs);
     if (result === 'answered') {
       this.hedgeDelay.recordLatency(nowMs - attempt.startMs);
-      this.checkedSelector?.recordServiceTime((nowMs - attempt.startMs) / attempt.cost);
+      const serviceTimeMs = (nowMs - attempt.startMs) / attempt.cost;
+      this.scheduler?.recordServiceTime(attempt.call, serviceTimeMs);
     } else if (result === 'timed-out') {
       this.limit.recordTimeout();
     }
     state.warmth = this.eligibility.warmthOf(state.address);
+    this.scheduler?.offerAfterEnd(state);
   }
 
   /** Sets this daemon's share of the fleet's retry allowance. */
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -1,4 +1,5 @@
 import type * as policyTypes from '../policy/Types';
+import type * as schedulingTypes from '../scheduling/Types';
 import type * as tableTypes from '../table/Types';
 
 /** Reasons for a refusal that guarantees that no server ran the request. */
@@ -222,6 +223,8 @@
     latencyMs: number,
   ): void;
   onRetryDecided(call: ICall, decision: IRetryDecision): void;
+  /** Called when the call is refused because no server had room for it. */
+  onWaitEnded(call: ICall, refusal: schedulingTypes.IOverload): void;
   /** Called when it is known whether a server ended while it ran the request of the call. */
   onLossDecided(call: ICall, server: string, verdict: LossVerdict): void;
 }
--- a/src/common/policy/CheckBudget.ts
+++ b/src/common/policy/CheckBudget.ts
@@ -27,6 +27,11 @@
     return this.permits < SCARCE_FRACTION * this.capacity;
   }
 
+  /** Average time between two permits, in milliseconds; infinite before the rate is set. */
+  public get intervalMs(): number {
+    return 1_000 / this.permitsPerSecond;
+  }
+
   /** Sets the rate limit of checks for the whole fleet, and the number of daemons that share it. */
   public setRate(fleetPerSecond: number, daemons: number): void {
     this.refill();
--- /dev/null
+++ b/src/common/scheduling/CallTerms.ts
@@ -0,0 +1,46 @@
+import type * as schedulingTypes from './Types';
+
+/**
+ * Fraction of the time until the deadline after which a call that can no longer meet its objective
+ * is refused. Its caller returns within a third of the rest, so that another daemon still has a third
+ * of the time to serve it.
+ */
+const MAX_HOLD_FRACTION = 1 / 2;
+
+/** The same fraction for a call that was refused before: its caller does not return again. */
+const MAX_HOLD_FRACTION_OF_RETURNED = 3 / 4;
+
+/**
+ * Returns the limits in time of a call that enters now.
+ * @param elapsedMs Time since the caller sent its first attempt.
+ */
+export function termsOf(
+  call: schedulingTypes.ScheduledCall,
+  workMs: number | undefined,
+  nowMs: number,
+  elapsedMs = 0,
+): schedulingTypes.ICallTerms {
+  const objectiveAtMs = (call.objectiveAtMs ?? Number.POSITIVE_INFINITY) - elapsedMs;
+  const deadlineMs = call.deadlineMs ?? Number.POSITIVE_INFINITY;
+  const latestInTimeMs = Math.min(objectiveAtMs, deadlineMs) - (workMs ?? 0);
+  const holdFraction = elapsedMs > 0 ? MAX_HOLD_FRACTION_OF_RETURNED : MAX_HOLD_FRACTION;
+  const holdUntilMs = nowMs + holdFraction * (deadlineMs - nowMs);
+  return {
+    priority: call.priority ?? 0,
+    workMs,
+    enteredAtMs: nowMs,
+    objectiveAtMs,
+    deadlineMs,
+    latestInTimeMs,
+    giveUpAtMs: Math.min(deadlineMs - (workMs ?? 0), Math.max(latestInTimeMs, holdUntilMs)),
+  };
+}
+
+/** Returns what an answer would be worth if an attempt started now on an idle server. */
+export function standingOf(
+  terms: schedulingTypes.ICallTerms,
+  nowMs: number,
+): schedulingTypes.Standing {
+  if (nowMs <= terms.latestInTimeMs) return 'in-time';
+  return nowMs + (terms.workMs ?? 0) <= terms.deadlineMs ? 'late' : 'lost';
+}
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -5,6 +5,7 @@
 import type * as directoryTypes from '../../common/directory/Types';
 import type * as reachTypes from '../../common/reach/Types';
 import type * as restraintTypes from '../../common/restraint/Types';
+import type * as schedulingTypes from '../../common/scheduling/Types';
 import type * as suspicionTypes from '../../common/suspicion/Types';
 import type * as types from '../../common/Types';
 import type * as forwardTypes from '../forwarding/Types';
@@ -51,6 +52,13 @@
     registers: [this.registry],
   });
 
+  private readonly withoutRoom = new promClient.Counter({
+    name: 'lavenderspar_calls_without_room_total',
+    help: 'Calls refused because no server had room, by service, priority and cause',
+    labelNames: ['service', 'priority', 'cause'],
+    registers: [this.registry],
+  });
+
   private readonly signals = new promClient.Counter({
     name: 'lavenderspar_server_signals_total',
     help: 'Changes of what servers state about the requests that they want',
@@ -164,6 +172,18 @@
     this.log(names.RETRY_DECIDED, { requestId: call.requestId, ...decision });
   }
 
+  public onWaitEnded(call: callTypes.ICall, refusal: schedulingTypes.IOverload): void {
+    const { requestId, priority = 0 } = call;
+    const service = call.service.name;
+    const { cause, waitedMs, retryAfterMs } = refusal;
+    this.withoutRoom.inc({ service, priority, cause });
+    this.log(names.CALL_WITHOUT_ROOM, {
+      ...{ requestId, service, route: call.route, priority, cause },
+      waitedMs: Math.round(waitedMs),
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+
   public onLossDecided(
     call: callTypes.ICall,
     server: string,
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -6,6 +6,7 @@
 export const ATTEMPT = 'attempt';
 export const CALL_ANSWERED = 'call.answered';
 export const CALL_REFUSED = 'call.refused';
+export const CALL_WITHOUT_ROOM = 'call.without_room';
 export const CALL_LATENCY = 'call.latency_ms';
 export const ATTEMPT_STARTED = 'attempt.started';
 export const RETRY_DECIDED = 'retry.decided';
