Hold a late call for a quarter of its time

Retry-After is at least about as long as the call has waited in vain. 145 tests of src/common/scheduling, policy and call pass.

--- a/src/common/scheduling/CallScheduler.test.ts
+++ b/src/common/scheduling/CallScheduler.test.ts
@@ -191,12 +191,12 @@
 });
 
 // Guards against refusals that come too late for the caller to be served elsewhere.
-test('a call is refused after half of its time, and may return within a quarter of the rest', () => {
+test('a call is refused after a quarter of its time, and may return within a quarter of the rest', () => {
   enter('a', { deadlineMs: 2_400 });
   clock.advance(2_400);
   const { waitedMs, retryAfterMs, cause } = refusalOf('a');
   expect(cause).toBe('no-room');
-  expect(waitedMs).toBeLessThanOrEqual(2_400 / 2 + 60);
+  expect(waitedMs).toBeLessThanOrEqual(2_400 / 4 + 60);
   expect(retryAfterMs).toBeLessThanOrEqual((2_400 - waitedMs) / 4);
 });
 
--- a/src/common/scheduling/CallTerms.ts
+++ b/src/common/scheduling/CallTerms.ts
@@ -2,13 +2,13 @@
 
 /**
  * Fraction of the time until the deadline after which a call that can no longer meet its objective
- * is refused. Its caller returns within a third of the rest, so that another daemon still has a third
- * of the time to serve it.
+ * is refused. Three quarters of the time are then left for another daemon, at a time at which this
+ * one's overload may have ended.
  */
-const MAX_HOLD_FRACTION = 1 / 2;
+const MAX_HOLD_FRACTION = 1 / 4;
 
 /** The same fraction for a call that was refused before: its caller does not return again. */
-const MAX_HOLD_FRACTION_OF_RETURNED = 3 / 4;
+const MAX_HOLD_FRACTION_OF_RETURNED = 1 / 2;
 
 /**
  * Returns the limits in time of a call that enters now.
--- a/src/common/scheduling/RefusalRule.ts
+++ b/src/common/scheduling/RefusalRule.ts
@@ -34,9 +34,9 @@
   }
 
   /**
-   * Returns the delay after which the caller should return, in milliseconds: after the calls that
-   * wait now, but early enough to be served then. Random, since callers that were refused together
-   * would otherwise return together.
+   * Returns the delay after which the caller should return, in milliseconds: as long as the calls that
+   * wait now need, or as this one has waited in vain, but early enough to be served then. Random,
+   * since callers that were refused together would otherwise return together.
    */
   public retryAfterMs(
     { terms }: waitingCalls.IWaitingCall,
@@ -45,8 +45,9 @@
   ): number {
     const remainingMs = Math.max(0, terms.deadlineMs - nowMs - (terms.workMs ?? 0));
     const latestMs = MAX_RETRY_FRACTION * remainingMs;
-    const clearedMs = Math.max(MIN_RETRY_AFTER_MS, waiting * this.rate.intervalMs);
+    const waitedMs = nowMs - terms.enteredAtMs;
+    const expectedMs = Math.max(MIN_RETRY_AFTER_MS, waiting * this.rate.intervalMs, waitedMs);
     const spread = SPREAD.lowest + SPREAD.width * this.random.next();
-    return spread * Math.min(clearedMs, latestMs / (SPREAD.lowest + SPREAD.width));
+    return spread * Math.min(expectedMs, latestMs / (SPREAD.lowest + SPREAD.width));
   }
 }
