--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -1,6 +1,8 @@
 import type * as checkBudget from '../policy/CheckBudget';
 import * as checkReplyCache from '../policy/CheckReplyCache';
 import * as checkedSelection from '../policy/CheckedSelection';
+import * as serverOrder from '../policy/ServerOrder';
+import * as queueLimit from '../policy/QueueLimit';
 import type * as serverState from '../policy/ServerState';
 import type * as policyTypes from '../policy/Types';
 import type * as types from '../Types';
@@ -27,12 +29,26 @@
 export class CheckedSelector {
   private readonly replyCache = new checkReplyCache.CheckReplyCache();
 
+  private readonly order: serverOrder.ServerOrder;
+
+  private readonly queueLimit: queueLimit.QueueLimit;
+
   /** @param healthPath Path at which the servers answer checks. */
   public constructor(
     private readonly options: ICheckedSelectorOptions,
     private readonly healthPath: string,
     private readonly clock: types.IClock,
-  ) {}
+  ) {
+    const { checker, random, failureDomain } = options;
+    this.queueLimit = new queueLimit.QueueLimit(clock);
+    this.order = new serverOrder.ServerOrder({
+      clock,
+      random,
+      failureDomain,
+      hasIdleConnection: (address) => checker.hasIdleConnection(address),
+      owesReply: (address) => this.replyCache.isPending(address),
+    });
+  }
 
   /**
    * Checks a few of the candidates.
@@ -44,12 +60,22 @@
     maxRounds: number | undefined,
     onEnd: (result: checkedSelection.CheckResult) => void,
   ): types.IDisposable {
+    this.order.recordCall();
+    const { checker } = this.options;
     const selection = new checkedSelection.CheckedSelection(
       candidates,
       this.replyCache,
       {
         ...this.options,
+        checker: {
+          hasIdleConnection: (address) => checker.hasIdleConnection(address),
+          check: (row, path, timeoutMs, onReply) =>
+            checker.check(row, path, timeoutMs, (reply) =>
+              onReply(this.queueLimit.classify(reply)),
+            ),
+        },
         clock: this.clock,
+        order: this.order,
         healthPath: this.healthPath,
         onReply: (server, reply) => this.recordReply(server, reply),
       },
@@ -60,6 +86,15 @@
     return selection;
   }
 
+  /** Records that a server has refused a request, with the load that it stated. */
+  public recordRefusal(server: serverState.ServerState): void {
+    const { report, reportedAtMs, address, slots } = server;
+    const nowMs = this.clock.monotonicMs();
+    if (report === undefined || reportedAtMs !== nowMs) return;
+    this.queueLimit.recordRefusal(report, slots);
+    this.replyCache.recordFull(address, report, nowMs);
+  }
+
   /**
    * Checks whether a server has ended. One that is unreachable is checked again once others reply:
    * after a cut of the network its requests would otherwise be taken for ones that crash servers.
--- a/src/common/scheduling/CallScheduler.ts
+++ b/src/common/scheduling/CallScheduler.ts
@@ -23,10 +23,18 @@
 /** Fraction of the less urgent calls that wait as if they were urgent, so that no kind starves. */
 const EXEMPT_FRACTION = 1 / 8;
 
+/**
+ * Service time assumed before the first answer, relative to the time until the latency objective.
+ * Without it, a daemon that has just started would send requests to servers with long queues.
+ */
+const ASSUMED_SERVICE_SHARE = 1 / 3;
+
 interface IEntry extends waitingCalls.IWaitingCall {
   readonly excluded: Set<string>;
   /** First check of servers for this call. */
   firstCheck: types.IDisposable | undefined;
+  /** Whether the expected work was observed, and not assumed. */
+  readonly isWorkKnown: boolean;
   ended: boolean;
   /** Whether it may take the last slot of a server although it is less urgent than others. */
   isExempt: boolean;
@@ -92,9 +100,12 @@
     const nowMs = this.clock.monotonicMs();
     const remainingMs = (call.deadlineMs ?? Number.POSITIVE_INFINITY) - nowMs;
     const elapsedMs = this.usualTimes.elapsedMs(call, remainingMs);
-    const terms = callTerms.termsOf(call, this.work.of(call), nowMs, elapsedMs);
+    const knownWorkMs = this.work.of(call);
+    const workMs = knownWorkMs ?? CallScheduler.assumedWorkMs(call, nowMs);
+    const terms = callTerms.termsOf(call, workMs, nowMs, elapsedMs);
     this.priorities.record(terms.priority);
     const entry = {
+      isWorkKnown: knownWorkMs !== undefined,
       ...{ call, terms, excluded: new Set(excluded), onSelected },
       ...{ firstCheck: undefined, ended: false, isExempt: false },
     };
@@ -117,6 +128,14 @@
     this.offer(new Map([[server, { kind: 'ready', report: server.report }]]));
   }
 
+  private static assumedWorkMs(
+    { objectiveAtMs }: schedulingTypes.ScheduledCall,
+    nowMs: number,
+  ): number | undefined {
+    if (objectiveAtMs === undefined) return undefined;
+    return ASSUMED_SERVICE_SHARE * Math.max(0, objectiveAtMs - nowMs);
+  }
+
   private withdraw(entry: IEntry): void {
     const waits = entry;
     waits.ended = true;
@@ -166,7 +185,8 @@
     const [best] = choices;
     // Without a reply or a known service time, waiting would tell nothing more.
     if (result.kind === 'acceptable' || best === undefined) return best;
-    if (best.reply === undefined || terms.workMs === undefined)
+    const isJudged = entry.isWorkKnown || best.reply?.kind === 'ready';
+    if (best.reply === undefined || terms.workMs === undefined || !isJudged)
       return { ...best, isUnjudged: true };
     if (!Number.isFinite(terms.objectiveAtMs)) return best;
     return choices.find((choice) => this.takes(entry, choice, nowMs));
--- a/src/common/scheduling/testing/LoadTest.ts
+++ b/src/common/scheduling/testing/LoadTest.ts
@@ -4,6 +4,7 @@
 import * as heapClock from '../../HeapClock';
 import * as checkBudget from '../../policy/CheckBudget';
 import * as randomPolicy from '../../policy/RandomPolicy';
+import * as subset from '../../policy/Subset';
 import * as seededRandom from '../../SeededRandom';
 import * as requestSuspicion from '../../suspicion/RequestSuspicion';
 import type * as tableTypes from '../../table/Types';
@@ -180,8 +181,10 @@
     const budget = new checkBudget.CheckBudget(clock);
     budget.setRate(CHECKS_PER_SERVER * this.load.servers, this.load.daemons);
     const policy = new randomPolicy.RandomPolicy(random);
+    const name = `daemon ${random.next()}`;
+    const rankOf = (address: string) => subset.rendezvousRank(name, address);
     const balancer = new serviceBalancer.ServiceBalancer(policy, clock, true, {
-      ...{ checker: network, budget, random, failureDomain: 'a', rankOf: () => 0 },
+      ...{ checker: network, budget, random, failureDomain: 'a', rankOf },
     });
     balancer.update(this.table, SERVICE);
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -111,6 +111,25 @@
     });
   }
 
+  /** Adds a counter whose values, by the label `cause`, are read when the metrics are served. */
+  public addCounts(name: string, help: string, read: () => ReadonlyMap<string, number>): void {
+    const counter: promClient.Counter = new promClient.Counter({
+      name: `lavenderspar_${name}`,
+      help,
+      labelNames: ['cause'],
+      registers: [this.registry],
+      collect: () => {
+        counter.reset();
+        read().forEach((count, cause) => counter.inc({ cause }, count));
+      },
+    });
+  }
+
+  /** Logs how many connections to backend servers were opened and closed, by cause. */
+  public recordConnections(counts: ReadonlyMap<string, number>): void {
+    this.log(names.CONNECTIONS_COUNTED, { counts: Object.fromEntries(counts) });
+  }
+
   public onStarted(): void {}
 
   public onAnswered(
@@ -259,6 +278,22 @@
     });
   }
 
+  /** Logs that a server has become cold, is cold for longer than known before, or is warm again. */
+  public recordCold(change: restraintTypes.IColdChange): void {
+    const { server, source, coldMs, sharePerSecond } = change;
+    const { address, instance } = server;
+    if (coldMs === 0) this.log(names.SERVER_WARM, { server: address, instance, source });
+    else {
+      this.log(names.SERVER_COLD, {
+        server: address,
+        instance,
+        source,
+        coldMs: Math.round(coldMs),
+        sharePerSecond,
+      });
+    }
+  }
+
   /** Logs that the process was short of processor time. */
   public recordDelay(delayMs: number): void {
     this.log(names.PROCESS_DELAYED, { delayMs: Math.round(delayMs) });
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -30,11 +30,14 @@
 export const EVACUATION_BEGUN = 'evacuation.begun';
 export const EVACUATION_ENDED = 'evacuation.ended';
 export const SERVER_SIGNAL = 'server.signal';
+export const SERVER_COLD = 'server.cold';
+export const SERVER_WARM = 'server.warm';
 export const CALL_FORWARDED = 'call.forwarded';
 export const SERVICE_OUT_OF_REACH = 'service.out_of_reach';
 export const SERVICE_IN_REACH = 'service.in_reach';
 export const SERVER_LOSS = 'server.loss';
 export const REQUEST_SUSPICION = 'request.suspicion';
+export const CONNECTIONS_COUNTED = 'connections.counted';
 export const LOG_DROPPED = 'log.dropped';
 export const DIRECTORY_PROBLEM = 'directory.problem';
 
