--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -8,18 +8,9 @@
 import type * as types from '../Types';
 import type * as callTypes from './Types';
 
-/** Weight of the newest sample in the EWMA of the service time. */
-const SERVICE_TIME_SMOOTHING = 0.05;
-
 /** Timeout of the check of a server after a connection to it was lost, in milliseconds. */
 const LOSS_CHECK_TIMEOUT_MS = 500;
 
-/**
- * Service time assumed before the first answer, relative to the time until the latency objective.
- * Without it, a daemon that has just started would send requests to servers with long queues.
- */
-const ASSUMED_SERVICE_SHARE = 1 / 3;
-
 /** Dependencies and parameters of the server checks that replace the selection policy. */
 export interface ICheckedSelectorOptions {
   readonly checker: callTypes.IServerChecker;
@@ -34,7 +25,7 @@
   readonly onceHeard?: ((callback: () => void) => void) | undefined;
 }
 
-/** Selects servers of one service by checking them immediately before each dispatch. */
+/** Checks the servers of one service immediately before each dispatch. */
 export class CheckedSelector {
   private readonly replyCache = new checkReplyCache.CheckReplyCache();
 
@@ -42,9 +33,6 @@
 
   private readonly queueLimit: queueLimit.QueueLimit;
 
-  /** Moving average of the service time on an idle server. */
-  private idleServiceTimeMs: number | undefined;
-
   /** @param healthPath Path at which the servers answer checks. */
   public constructor(
     private readonly options: ICheckedSelectorOptions,
@@ -62,11 +50,15 @@
     });
   }
 
-  /** @param onSelected Called once, possibly synchronously, unless disposed first. */
-  public select(
+  /**
+   * Checks a few of the candidates.
+   * @param maxRounds Maximum number of checks, if fewer than usual.
+   * @param onEnd Called once, possibly synchronously, unless disposed first.
+   */
+  public check(
     candidates: readonly serverState.ServerState[],
-    objectiveAtMs: number | undefined,
-    onSelected: (selected: checkedSelection.SelectionResult) => void,
+    maxRounds: number | undefined,
+    onEnd: (result: checkedSelection.CheckResult) => void,
   ): types.IDisposable {
     this.order.recordCall();
     const { checker } = this.options;
@@ -85,21 +77,15 @@
         clock: this.clock,
         order: this.order,
         healthPath: this.healthPath,
-        idleServiceTimeMs: this.idleServiceTimeMs ?? this.assumedServiceTimeMs(objectiveAtMs),
-        objectiveAtMs,
         onReply: (server, reply) => this.recordReply(server, reply),
       },
-      onSelected,
+      onEnd,
+      maxRounds,
     );
     selection.begin();
     return selection;
   }
 
-  private assumedServiceTimeMs(objectiveAtMs: number | undefined): number | undefined {
-    if (objectiveAtMs === undefined) return undefined;
-    return ASSUMED_SERVICE_SHARE * Math.max(0, objectiveAtMs - this.clock.monotonicMs());
-  }
-
   /** Records that a server has refused a request, with the load that it stated. */
   public recordRefusal(server: serverState.ServerState): void {
     const { report, reportedAtMs, address, slots } = server;
@@ -109,12 +95,6 @@
     this.replyCache.recordFull(address, report, nowMs);
   }
 
-  /** Records the duration of an answered attempt, divided by the one expected relative to idle. */
-  public recordServiceTime(serviceTimeMs: number): void {
-    const previousMs = this.idleServiceTimeMs ?? serviceTimeMs;
-    this.idleServiceTimeMs = previousMs + SERVICE_TIME_SMOOTHING * (serviceTimeMs - previousMs);
-  }
-
   /**
    * Checks whether a server has ended. One that is unreachable is checked again once others reply:
    * after a cut of the network its requests would otherwise be taken for ones that crash servers.
