--- a/src/common/restraint/ColdShare.ts
+++ b/src/common/restraint/ColdShare.ts
@@ -41,7 +41,8 @@
   { rateFactor, rateAllowance }: restraintTypes.IColdTerms,
 ): IColdBudget {
   const total = (requestsPerSecond * rateFactor + rateAllowance) / MAX_VIEWS;
-  const burst = Math.min(MAX_SAVED_PERMITS, total / 2);
+  // Less than one permit could never be used.
+  const burst = Math.min(MAX_SAVED_PERMITS, Math.max(total / 2, Math.min(1, total)));
   return { perSecond: Math.min(requestsPerSecond, total - burst), burst };
 }
 
