Report the end of coldness as such, and keep the permits over a short warm time

Change: the timer is rounded up, the end reports no time left, and a further cold period begins with at most the permits that are left.

--- a/src/common/restraint/ColdServers.ts
+++ b/src/common/restraint/ColdServers.ts
@@ -259,13 +259,15 @@
   private awaitEnd(known: IEntry): void {
     const entry = known;
     entry.timer?.dispose();
-    entry.timer = this.clock.setTimer(entry.coldUntilMs - this.clock.monotonicMs(), () =>
-      this.end(entry),
-    );
+    const remainingMs = entry.coldUntilMs - this.clock.monotonicMs();
+    // A timer of Node.js drops fractions of a millisecond, and would fire early.
+    entry.timer = this.clock.setTimer(Math.ceil(remainingMs), () => this.end(entry));
   }
 
-  private end(entry: IEntry): void {
+  private end(known: IEntry): void {
+    const entry = known;
     entry.timer?.dispose();
+    entry.coldUntilMs = Math.min(entry.coldUntilMs, this.clock.monotonicMs());
     if (this.cold.delete(entry)) this.report(entry);
   }
 
--- a/src/common/restraint/ColdShare.test.ts
+++ b/src/common/restraint/ColdShare.test.ts
@@ -49,6 +49,24 @@
   expect(share.hasPermit).toBe(true);
 });
 
+// Guards against a server that is cold, warm and cold again in a moment, and gets the first permits of
+// each time.
+test('a server that is cold again gets no more permits than are left', () => {
+  const clock = new manualClock.ManualClock();
+  const share = makeShare(clock, 'd-1', ['d-1']);
+  let sent = 0;
+  for (let round = 0; round < 100; round += 1) {
+    share.begin(0);
+    clock.advance(10);
+    while (share.hasPermit) {
+      share.recordRequest();
+      sent += 1;
+    }
+  }
+  // One second at the rate, and what was saved.
+  expect(sent).toBeLessThanOrEqual(4 + 4);
+});
+
 // Guards against a permit that was drawn at random and is kept once the members are known.
 test('a daemon that gets to know the members begins without a permit', () => {
   const clock = new manualClock.ManualClock();
--- a/src/common/restraint/ColdShare.ts
+++ b/src/common/restraint/ColdShare.ts
@@ -54,6 +54,9 @@
 export class ColdShare {
   private permits = 0;
 
+  /** Whether the server was cold before, so that the permits are those that are left. */
+  private hasBegun = false;
+
   private refilledAtMs: number;
 
   private rate = 0;
@@ -117,10 +120,13 @@
    * @param recentRequests Requests that this daemon sent to the server in the last second.
    */
   public begin(recentRequests: number): void {
-    this.refilledAtMs = this.clock.monotonicMs();
-    this.slot = Number.NaN;
+    this.refill();
+    const isFirst = !this.hasBegun;
+    this.hasBegun = true;
+    if (this.view.members === undefined) return;
     const spread = Math.min(this.maxPermits, this.random.next());
-    this.permits = Math.max(-this.maxPermits, spread - recentRequests);
+    const permits = isFirst ? spread : Math.min(this.permits, spread);
+    this.permits = Math.max(-this.maxPermits, permits - recentRequests);
   }
 
   public recordRequest(): void {
