Render sections of the settings template in the stand-in too

Cause: the template has sections since the bound of cold servers, which the rendering for deployed daemons in tests and in the soak did not know. Change: one function renders a template as the platform does; the tests of the template use it as well, so that a missing value fails there too.

--- a/src/cli/commands/checkSettings.test.ts
+++ b/src/cli/commands/checkSettings.test.ts
@@ -4,6 +4,7 @@
 
 import * as commander from 'commander';
 
+import * as templates from '../../standin/renderTemplate';
 import * as checkSettings from './checkSettings';
 
 const TEMPLATE = path.join(__dirname, '../../../deploy/settings.yaml.template');
@@ -27,16 +28,6 @@
 /** Values that only some deployments have. */
 const OPTIONAL_VALUES = { 'bounds.coldOver': '1.5', 'bounds.coldSlack': '8' };
 
-/** Renders a template as the platform does: a section only if its value exists. */
-function render(template: string, values: Readonly<Record<string, string>>): string {
-  const withSections = template.replace(
-    /\{\{#([^}]+)\}\}(.*?)\{\{\/\1\}\}/gs,
-    (_all, name: string, content: string) =>
-      name in values ? content.replaceAll('{{.}}', values[name] ?? '') : '',
-  );
-  return withSections.replace(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name] ?? '');
-}
-
 let folder: string;
 let output: string;
 
@@ -67,7 +58,10 @@
 
 // Guards against shipping a template that renders invalid settings.
 test.each([{}, OPTIONAL_VALUES])('the template with %j renders valid settings', async (values) => {
-  const text = render(await fs.readFile(TEMPLATE, 'utf8'), { ...PLACEHOLDER_VALUES, ...values });
+  const text = templates.renderTemplate(await fs.readFile(TEMPLATE, 'utf8'), {
+    ...PLACEHOLDER_VALUES,
+    ...values,
+  });
   expect(text).not.toMatch(/[{}]{2}/);
   expect(text.includes('\ncoldRateFactor: 1.5\ncoldRateAllowance: 8\n')).toBe(
     'bounds.coldOver' in values,
--- a/src/platform/testing/DeployedDaemon.ts
+++ b/src/platform/testing/DeployedDaemon.ts
@@ -6,13 +6,14 @@
 import * as childProcess from '../../standin/ChildProcess';
 import type * as deployFile from '../../standin/DeployFile';
 import * as pauseModule from '../../standin/pause';
+import type * as templates from '../../standin/renderTemplate';
 
 const HOST = '127.0.0.1';
 const READY_TIMEOUT_MS = 20_000;
 const POLL_INTERVAL_MS = 20;
 
 /** Bounds of a small deployment, as they reach the settings template. */
-const BOUNDS: deployFile.TemplateValues = {
+const BOUNDS: templates.TemplateValues = {
   'bounds.configApply': '2000ms',
   'bounds.grace': '6s',
   'bounds.retryBudgetRatio': '0.2',
@@ -34,7 +35,7 @@
   readonly storeAddress: string;
   readonly failureDomain?: string;
   /** Placeholders of the settings template that differ from those of a small deployment. */
-  readonly values?: deployFile.TemplateValues;
+  readonly values?: templates.TemplateValues;
   /** Further parameters of `node`. */
   readonly nodeParameters?: readonly string[];
 }
--- a/src/standin/DeployFile.ts
+++ b/src/standin/DeployFile.ts
@@ -2,6 +2,8 @@
 import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
 
+import * as templates from './renderTemplate';
+
 const FILE = 'deploy/system.toml';
 
 /** Files and folders that the build reads. */
@@ -17,9 +19,6 @@
 /** Maximum size of the output of a build, in bytes. */
 const MAX_OUTPUT_BYTES = 16 * 1024 * 1024;
 
-/** Values of the placeholders of a settings template, by their names. */
-export type TemplateValues = Readonly<Record<string, string>>;
-
 /** Returns the folder of the repository, above the sources or their compiled files. */
 async function findRepository(): Promise<string> {
   for (const folder of [path.join(__dirname, '../..'), path.join(__dirname, '../../..')]) {
@@ -71,13 +70,9 @@
     return built;
   }
 
-  /** Returns the settings file of a process. The name of a JSON value ends in `|json`. */
-  public settings(values: TemplateValues): string {
-    return this.template.replace(/\{\{([^}]+)\}\}/g, (_, name: string) => {
-      const value = values[name];
-      if (value === undefined) throw new Error(`the settings template needs a value for ${name}`);
-      return value;
-    });
+  /** Returns the settings file of a process. */
+  public settings(values: templates.TemplateValues): string {
+    return templates.renderTemplate(this.template, values);
   }
 
   private build(): Promise<void> {
