Let servers become cold again in the soak

Cause: the soak did not know cold servers. The faults of limits and coldness are in a file of their own.

--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -1,6 +1,7 @@
 import type * as deployedDaemon from '../platform/testing/DeployedDaemon';
 import * as platformServer from '../platform/testing/PlatformServer';
 import type * as platformStore from '../platform/testing/PlatformStore';
+import * as rateFaults from './RateFaults';
 import type * as soakFleet from './SoakFleet';
 import type * as soakTypes from './Types';
 import * as pauseModule from '../standin/pause';
@@ -25,10 +26,6 @@
 /** Pause that a server asks for, in seconds. */
 const PAUSE_S = 1.5;
 
-/** Limit that a server names, in requests a second, and the least time for which it does. */
-const LIMIT_PER_SECOND = 4;
-const LIMIT_MS = 7_000;
-
 const DELAY_MS = 120;
 const SLOW_MS = 400;
 
@@ -50,6 +47,7 @@
       ...this.daemonFaults(),
       ...this.serverFaults(),
       ...this.statementFaults(),
+      ...rateFaults.makeRateFaults(fleet).map((fault) => this.withInterval('server', fault)),
       ...this.storeFaults(),
       ...(['reset', 'silent'] as const).map((kind) => this.networkFault(kind)),
     ];
@@ -158,7 +156,6 @@
   /** Servers that state that they leave, or that they want fewer requests. */
   private statementFaults(): IFault[] {
     const targetOf = (index: number) => (this.fleet.servers[index] as soakFleet.ISoakServer).target;
-    const openLimits = new Map<number, soakTypes.ILimitInterval>();
     return [
       this.withInterval('server', {
         name: 'server states that it leaves, and another takes its address',
@@ -180,24 +177,6 @@
           Object.assign(targetOf(index), { answer: 'signed', signals: {} });
         },
       }),
-      this.withInterval('server', {
-        name: 'server names a limit',
-        subject: 'server',
-        begin: async (index) => {
-          const { id } = targetOf(index);
-          const beginMs = performance.now();
-          const endMs = Number.POSITIVE_INFINITY;
-          const limit = { process: id, perSecond: LIMIT_PER_SECOND, beginMs, endMs };
-          openLimits.set(index, limit);
-          this.fleet.limits.push(limit);
-          targetOf(index).signals = { [platformServer.SERVER_LIMIT]: `${LIMIT_PER_SECOND}` };
-          await pauseModule.pause(LIMIT_MS);
-        },
-        end: async (index) => {
-          Object.assign(openLimits.get(index) ?? {}, { endMs: performance.now() });
-          targetOf(index).signals = {};
-        },
-      }),
     ];
   }
 
--- a/src/soak/SoakFleet.ts
+++ b/src/soak/SoakFleet.ts
@@ -17,6 +17,12 @@
 export const RETRY_ALLOWANCE = 58;
 export const RETRY_WINDOW_MS = 10_000;
 
+/** Requests a second that a cold server takes, and the bound on them in any one second. */
+const COLD_PER_SECOND = 4;
+const COLD_RATE_FACTOR = 1.5;
+const COLD_RATE_ALLOWANCE = 4;
+export const COLD_BOUND = COLD_PER_SECOND * COLD_RATE_FACTOR + COLD_RATE_ALLOWANCE;
+
 /** Time between SIGTERM and a forced exit, in milliseconds. */
 export const STOP_GRACE_MS = 6_000;
 
@@ -83,6 +89,8 @@
 
   public readonly limits: soakTypes.ILimitInterval[] = [];
 
+  public readonly coldIntervals: soakTypes.IColdInterval[] = [];
+
   /** Ends of daemon processes that nobody asked for, or with an exit code other than 0. */
   public readonly ownEnds: soakTypes.IOwnEnd[] = [];
 
@@ -161,7 +169,7 @@
     }));
     this.store.put(
       'op/config',
-      platformRecords.makeConfiguration(this.configurationVersion, rules),
+      platformRecords.makeConfiguration(this.configurationVersion, rules, COLD_PER_SECOND),
     );
   }
 
@@ -213,6 +221,8 @@
         'bounds.retryBudgetRatio': `${RETRY_FRACTION}`,
         'bounds.budgetSlack': `${RETRY_ALLOWANCE}`,
         'bounds.budgetWindow': `${RETRY_WINDOW_MS}ms`,
+        'bounds.coldOver': `${COLD_RATE_FACTOR}`,
+        'bounds.coldSlack': `${COLD_RATE_ALLOWANCE}`,
       },
       nodeParameters: ['--require', path.join(this.buildFolder, 'soak/ClockStep.js')],
     });
--- a/src/soak/Types.ts
+++ b/src/soak/Types.ts
@@ -48,6 +48,13 @@
   endMs: number;
 }
 
+/** Interval in which a server process was cold. */
+export interface IColdInterval {
+  readonly process: string;
+  readonly beginMs: number;
+  readonly endMs: number;
+}
+
 /** Interval in which a fault was active. */
 export interface IFaultInterval {
   readonly kind: 'daemon-stop' | 'daemon-failure' | 'store' | 'server' | 'network';
@@ -80,7 +87,7 @@
   readonly atMs: number;
 }
 
-/** Summary of a soak run. The last twelve fields must be 0. */
+/** Summary of a soak run. The last thirteen fields must be 0. */
 export interface ISoakResult {
   readonly seed: number;
   readonly faults: number;
@@ -103,6 +110,8 @@
   readonly disturbedPauses: number;
   /** Servers that got more requests than the limit that they named. */
   readonly limitOverruns: number;
+  /** Cold servers that got more requests in a second than the bound allows. */
+  readonly coldOverruns: number;
   /** Daemon processes that ended by themselves, or by a graceful stop with a failure. */
   readonly ownEnds: number;
 }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -6,6 +6,7 @@
 
 import * as seededRandom from '../common/SeededRandom';
 import type * as types from '../common/Types';
+import * as coldAudit from './ColdAudit';
 import * as restraintAudit from './RestraintAudit';
 import * as slowReaders from './SlowReaders';
 import * as soakAudit from './SoakAudit';
@@ -111,7 +112,7 @@
     versionMonitor.stop();
     await monitoring;
     const { calls } = load;
-    const { arrivals, statements, limits } = fleet;
+    const { arrivals, statements, limits, coldIntervals } = fleet;
     const { faultIntervals } = faults;
     const violations = soakAudit.audit({
       calls,
@@ -120,9 +121,14 @@
     });
     const observed = { calls, arrivals, statements, limits, faultIntervals };
     const restraintViolations = restraintAudit.auditRestraints(observed);
+    const coldOverruns = coldAudit.findColdOverruns(
+      { arrivals, coldIntervals, faultIntervals },
+      soakFleet.COLD_BOUND,
+    );
     const { ownEnds, publications } = fleet;
     const lateVersions = versionAudit.findLate(versionMonitor.behind, publications, faultIntervals);
-    logViolations({ ...violations, ...restraintViolations, lateVersions, ownEnds });
+    const found = { ...violations, ...restraintViolations, coldOverruns };
+    logViolations({ ...found, lateVersions, ownEnds });
     const countOf = (end: soakTypes.CallOutcome) => calls.filter((call) => call.end === end).length;
     return {
       seed,
@@ -142,6 +148,7 @@
       requestsToLeaving: restraintViolations.requestsToLeaving.length,
       disturbedPauses: restraintViolations.disturbedPauses.length,
       limitOverruns: restraintViolations.limitOverruns.length,
+      coldOverruns: coldOverruns.length,
       ownEnds: ownEnds.length,
     };
   } finally {
@@ -153,7 +160,7 @@
 function countViolations(result: soakTypes.ISoakResult): number {
   const { wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving } = result;
   const { tableReversions, lateVersions, budgetOverruns } = result;
-  const { requestsToLeaving, disturbedPauses, limitOverruns, ownEnds } = result;
+  const { requestsToLeaving, disturbedPauses, limitOverruns, coldOverruns, ownEnds } = result;
   return [
     ...[wrongAnswers, falseNotRun, doubledRuns, cutInFlight, workOnLeaving],
     ...[
@@ -163,6 +170,7 @@
       requestsToLeaving,
       disturbedPauses,
       limitOverruns,
+      coldOverruns,
       ownEnds,
     ],
   ].reduce((sum, count) => sum + count, 0);
