--- a/src/common/restraint/ColdShare.ts
+++ b/src/common/restraint/ColdShare.ts
@@ -41,7 +41,8 @@
   { rateFactor, rateAllowance }: restraintTypes.IColdTerms,
 ): IColdBudget {
   const total = (requestsPerSecond * rateFactor + rateAllowance) / MAX_VIEWS;
-  const burst = Math.min(MAX_SAVED_PERMITS, total / 2);
+  // Less than one permit could never be used.
+  const burst = Math.min(MAX_SAVED_PERMITS, Math.max(total / 2, Math.min(1, total)));
   return { perSecond: Math.min(requestsPerSecond, total - burst), burst };
 }
 
@@ -53,6 +54,9 @@
 export class ColdShare {
   private permits = 0;
 
+  /** Whether the server was cold before, so that the permits are those that are left. */
+  private hasBegun = false;
+
   private refilledAtMs: number;
 
   private rate = 0;
@@ -116,10 +120,13 @@
    * @param recentRequests Requests that this daemon sent to the server in the last second.
    */
   public begin(recentRequests: number): void {
-    this.refilledAtMs = this.clock.monotonicMs();
-    this.slot = Number.NaN;
+    this.refill();
+    const isFirst = !this.hasBegun;
+    this.hasBegun = true;
+    if (this.view.members === undefined) return;
     const spread = Math.min(this.maxPermits, this.random.next());
-    this.permits = Math.max(-this.maxPermits, spread - recentRequests);
+    const permits = isFirst ? spread : Math.min(this.permits, spread);
+    this.permits = Math.max(-this.maxPermits, permits - recentRequests);
   }
 
   public recordRequest(): void {
