Let large bodies leave a part of a narrow link to small messages

A live read waited behind the window of an answer of 540 KB on a link of 10 Mbit/s, in both directions.

--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -18,6 +18,7 @@
 import * as splits from '../common/routing/Splits';
 import * as requestSuspicion from '../common/suspicion/RequestSuspicion';
 import type * as tableTypes from '../common/table/Types';
+import * as linkPace from '../common/transfer/LinkPace';
 import type * as types from '../common/Types';
 import * as addressOpener from './AddressOpener';
 import * as directoryWatcher from './directory/DirectoryWatcher';
@@ -35,6 +36,7 @@
 import type * as callerProtocol from './server/CallerProtocol';
 import * as callerServer from './server/CallerServer';
 import * as connectionLimits from './server/ConnectionLimits';
+import * as pacedWriter from './server/PacedWriter';
 import * as readinessServer from './server/ReadinessServer';
 import type * as serverTypes from './server/Types';
 import * as serviceSet from './ServiceSet';
@@ -153,6 +155,7 @@
       random,
       dependencies.backendProtocol,
       this.bodyBudget,
+      this.makeLinkPace(),
     );
     this.transport.onConnectionsCounted((counts) => this.decisionLog.recordConnections(counts));
     this.checkBudget = new checkBudget.CheckBudget(clock);
@@ -515,6 +518,11 @@
     });
   }
 
+  /** Makes the pace of large bodies in one direction of the link. */
+  private makeLinkPace(): linkPace.LinkPace {
+    return new linkPace.LinkPace(() => this.options.linkMegabitsPerSecond ?? undefined, this.clock);
+  }
+
   private makeCallerServer(): callerServer.CallerServer {
     const readTable = () => this.table;
     const readPhase = () => this.phase;
@@ -542,6 +550,7 @@
         clock: this.clock,
         budget: this.bodyBudget,
         onConnectionClosed: (closure) => this.decisionLog.recordClosure(closure),
+        writer: new pacedWriter.PacedWriter(this.makeLinkPace(), this.clock),
         beforeRequest: () => this.pauseDetector.check(),
       },
       MAX_HEADER_BYTES,
--- a/src/node/dispatch/AttemptHandler.ts
+++ b/src/node/dispatch/AttemptHandler.ts
@@ -2,6 +2,8 @@
 
 import * as statuses from '../../common/call/Statuses';
 import type * as callTypes from '../../common/call/Types';
+import * as linkPace from '../../common/transfer/LinkPace';
+import type * as types from '../../common/Types';
 import * as bodyBuffer from '../BodyBuffer';
 import type * as connections from './Connection';
 import * as headers from './Headers';
@@ -19,6 +21,9 @@
 
   private status = 0;
 
+  /** Pause in reading a large answer. */
+  private pause: types.IDisposable | undefined;
+
   private ended = false;
 
   public constructor(
@@ -38,6 +43,7 @@
   public abort(): void {
     if (this.ended) return;
     this.ended = true;
+    this.pause?.dispose();
     this.body.clear();
     this.controller?.abort(new Error('attempt cancelled'));
   }
@@ -86,6 +92,7 @@
     if (this.body.size + chunk.length > this.request.maxAnswerBytes)
       this.rejectOversized(controller);
     else if (!this.body.add(chunk)) this.endForRoom();
+    else if (this.body.size > linkPace.SMALL_BODY_BYTES) this.paceReading(controller, chunk.length);
   }
 
   public onResponseEnd(): void {
@@ -121,6 +128,11 @@
     this.end({ kind: 'lost', reason, detail: error.message });
   }
 
+  private paceReading(controller: undici.Dispatcher.DispatchController, bytes: number): void {
+    this.pause = this.request.pauseAfter(bytes, () => controller.resume());
+    if (this.pause !== undefined) controller.pause();
+  }
+
   private hasBody(): boolean {
     return this.request.method !== 'HEAD' && !BODYLESS_STATUSES.has(this.status);
   }
@@ -167,6 +179,7 @@
 
   private end(outcome: callTypes.AttemptOutcome): void {
     this.ended = true;
+    this.pause?.dispose();
     this.body.clear();
     this.listener.onEnd(outcome);
   }
--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -8,6 +8,7 @@
 import type * as policyTypes from '../../common/policy/Types';
 import type * as restraintTypes from '../../common/restraint/Types';
 import type * as tableTypes from '../../common/table/Types';
+import type * as linkPace from '../../common/transfer/LinkPace';
 import type * as types from '../../common/Types';
 import type * as backendProtocol from './BackendProtocol';
 import * as connectionPool from './ConnectionPool';
@@ -71,6 +72,8 @@
       clock,
     ),
     private readonly budget = new byteBudget.ByteBudget(byteBudget.UNLIMITED),
+    /** Pace of large answers on their way in; undefined for none. */
+    private readonly inbound?: linkPace.LinkPace,
   ) {
     this.scheduleSweep();
   }
@@ -203,6 +206,11 @@
     return pool;
   }
 
+  private pauseAfter(bytes: number, onEnd: () => void): types.IDisposable | undefined {
+    const delayMs = this.inbound?.pass(bytes) ?? 0;
+    return delayMs === 0 ? undefined : this.clock.setTimer(delayMs, onEnd);
+  }
+
   private toRequest(
     call: callTypes.ICall,
     server: tableTypes.IServerRow,
@@ -219,6 +227,7 @@
       isCheck: false,
       maxAnswerBytes: service.maxAnswerBytes,
       reserveAnswer: (onEvicted) => this.budget.reserveAnswer(onEvicted),
+      pauseAfter: (bytes, onEnd) => this.pauseAfter(bytes, onEnd),
       allowsCloseDelimitedBody: protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, status, list, call.requestId),
       classify: (status, list, isReused) => protocol.classifyResponse(call, status, list, isReused),
@@ -239,6 +248,7 @@
       isCheck: true,
       maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
       reserveAnswer: (onEvicted) => this.budget.reserveAnswer(onEvicted),
+      pauseAfter: (bytes, onEnd) => this.pauseAfter(bytes, onEnd),
       allowsCloseDelimitedBody: this.protocol.allowsCloseDelimitedBody,
       onHead: (status, list) => this.recordHead(server, status, list),
       classify: (_status, list) =>
--- a/src/node/dispatch/Types.ts
+++ b/src/node/dispatch/Types.ts
@@ -1,6 +1,7 @@
 import type * as callTypes from '../../common/call/Types';
 import type * as memoryTypes from '../../common/memory/Types';
 import type * as policyTypes from '../../common/policy/Types';
+import type * as types from '../../common/Types';
 import type * as backendProtocol from './BackendProtocol';
 
 /** A request to a backend server, and how its response is classified. */
@@ -19,6 +20,11 @@
   readonly allowsCloseDelimitedBody: boolean;
   /** Opens the part of the daemon's budget that the answer takes. */
   reserveAnswer(onEvicted: () => void): memoryTypes.IReservation;
+  /**
+   * Records bytes of a large answer that were read. Returns undefined, or a pause in reading, at the
+   * end of which `onEnd` is called.
+   */
+  pauseAfter(bytes: number, onEnd: () => void): types.IDisposable | undefined;
   /** Called with the status and the headers of a final response, before its body arrives. */
   onHead(status: number, headers: readonly string[]): void;
   /** @param isReused Whether the connection has carried an earlier exchange. */
--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -174,9 +174,9 @@
     this.isClosing = true;
   }
 
-  /** Bytes of responses that have not been handed to the operating system yet. */
+  /** Bytes of responses that have not been handed to the operating system yet, small ones rounded. */
   public get unsentBytes(): number {
-    return this.socket.writableLength;
+    return this.socket.writableLength + this.cost.replyBytes;
   }
 
   /**
@@ -186,7 +186,8 @@
   public closeIfIdle(): void {
     const isReadingHead = this.socket.bytesRead > this.bytesWhenIdle;
     if (this.size > 0 || this.arrivals === 0 || isReadingHead) return;
-    if (this.unsentBytes > 0) this.socket.once('drain', () => this.closeIfIdle());
+    if (this.last !== undefined) this.last.onceWritten(() => this.closeIfIdle());
+    else if (this.socket.writableLength > 0) this.socket.once('drain', () => this.closeIfIdle());
     else this.socket.destroy();
   }
 
--- a/src/node/server/CallerExchange.ts
+++ b/src/node/server/CallerExchange.ts
@@ -10,6 +10,7 @@
 import * as fingerprints from './Fingerprints';
 import * as requestHead from './RequestHead';
 import * as requestSyntax from './RequestSyntax';
+import type * as pacedWriter from './PacedWriter';
 import * as responseWriter from './ResponseWriter';
 import * as startWait from './StartWait';
 import type * as serverTypes from './Types';
@@ -36,6 +37,8 @@
   readonly clock: types.IClock;
   /** Bytes of bodies that the daemon holds. */
   readonly budget: byteBudget.ByteBudget;
+  /** Writes large answers; undefined to write them at once. */
+  readonly writer?: pacedWriter.PacedWriter | undefined;
   /** Called before a request is processed, to detect a pause of the process. */
   beforeRequest(): void;
 }
@@ -308,9 +311,10 @@
       this.refuse({ kind: 'unknown', reason: 'answer-truncated', detail, dispatched: true });
       return;
     }
-    const { protocol } = this.context;
-    responseWriter.writeAnswer(this.response, call, answer, protocol, this.closesConnection);
-    this.owner.holdReply(this.response, answer.body.length);
+    const { protocol, writer } = this.context;
+    const { response, closesConnection } = this;
+    this.owner.holdReply(response, answer.body.length);
+    responseWriter.writeAnswer(response, call, answer, protocol, closesConnection, writer);
     this.finish();
     const latencyMs = this.context.clock.monotonicMs() - this.startMs;
     this.context.observer.onAnswered(call, answer.status, server, latencyMs);
--- a/src/node/server/ResponseWriter.ts
+++ b/src/node/server/ResponseWriter.ts
@@ -3,6 +3,7 @@
 import type * as callTypes from '../../common/call/Types';
 import * as headers from '../dispatch/Headers';
 import type * as callerProtocol from './CallerProtocol';
+import type * as pacedWriter from './PacedWriter';
 
 const OK = 200;
 const NO_CONTENT = 204;
@@ -24,13 +25,17 @@
   return declaredLength === undefined ? [] : ['content-length', declaredLength];
 }
 
-/** Writes the answer of a backend server to the caller. */
+/**
+ * Writes the answer of a backend server to the caller.
+ * @param writer Writes large bodies; undefined to write them at once.
+ */
 export function writeAnswer(
   response: http.ServerResponse,
   call: callTypes.ICall,
   answer: callTypes.IAnswer,
   protocol: callerProtocol.CallerProtocol,
   close: boolean,
+  writer?: pacedWriter.PacedWriter,
 ): void {
   const list = protocol.forwardedResponseHeaders(answer);
   list.push(...contentLength(call.method, answer), ...protocol.addedHeaders(call));
@@ -39,7 +44,10 @@
   // Node.js would put the headers in front of an interim response that waits for its turn as well.
   if (response.socket === null) response.flushHeaders();
   const { body } = answer;
-  if (body.length > MAX_STRING_BODY_BYTES) response.end(body);
+  if (body.length > MAX_STRING_BODY_BYTES) {
+    if (writer === undefined) response.end(body);
+    else writer.end(response, body);
+  }
   // Latin-1 maps each byte to one character and back, so any content is preserved.
   else
     response.end(
--- a/src/node/settings/RoutedSettings.ts
+++ b/src/node/settings/RoutedSettings.ts
@@ -51,6 +51,8 @@
   coldRateAllowance: zod.number().min(0).optional(),
   /** Memory of the VM in megabytes. By default that which the operating system reports. */
   memoryMb: POSITIVE.nullish(),
+  /** Capacity of the VM's link. Large bodies leave a part of it to others. Without it, they do not. */
+  linkMegabitsPerSecond: zod.number().positive().nullish(),
   /** Descriptors of the process, of which 200 are for files. */
   maxDescriptors: POSITIVE.nullish(),
   /** Limit on the connections of one IP address. By default there is none. */
