--- a/src/common/scheduling/CallTerms.ts
+++ b/src/common/scheduling/CallTerms.ts
@@ -5,10 +5,10 @@
  * is refused. Three quarters of the time are then left for another daemon, at a time at which this
  * one's overload may have ended.
  */
-const MAX_HOLD_FRACTION = 1 / 4;
+const MAX_HOLD_FRACTION = 0.25;
 
 /** The same fraction for a call that was refused before: its caller does not return again. */
-const MAX_HOLD_FRACTION_OF_RETURNED = 1 / 2;
+const MAX_HOLD_FRACTION_OF_RETURNED = 0.7;
 
 /**
  * Returns the limits in time of a call that enters now.
