Send calls that would miss their objective to a second server

Deployments with checked servers had no second sends (hedgeFraction 0). A call that may be repeated, has no large answer and begins on a server whose report lets it end after the objective is now sent to a second one, if a check finds one idle at normal speed that can still answer in time. Second sends take at most half of the retry budget, and count against all of it.

--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -62,6 +62,11 @@
     });
   }
 
+  /** Service time on an idle server, once it is known. */
+  public get serviceTimeMs(): number | undefined {
+    return this.idleServiceTimeMs;
+  }
+
   /** @param onSelected Called once, possibly synchronously, unless disposed first. */
   public select(
     candidates: readonly serverState.ServerState[],
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -4,6 +4,7 @@
 import type * as types from '../Types';
 import type * as admissionQueue from './AdmissionQueue';
 import * as failures from './Failures';
+import * as secondSend from './SecondSend';
 import type * as serviceBalancer from './ServiceBalancer';
 import type * as callTypes from './Types';
 
@@ -51,6 +52,8 @@
 
   private selection: types.IDisposable | undefined;
 
+  private secondSend: types.IDisposable | undefined;
+
   private admittedAtMs: number | undefined;
 
   private retries = 0;
@@ -174,6 +177,7 @@
       onLoadReport: (report) => balancer.recordReport(server.address, report),
       onEnd: (outcome) => this.endAttempt(attempt, outcome),
     });
+    if (this.active.has(attempt)) this.scheduleSecondSend(attempt);
   }
 
   private reportStart(server: serverState.ServerState, cost: number): void {
@@ -205,11 +209,35 @@
   private scheduleHedge(): void {
     const { service } = this.call;
     if (!service.idempotent || service.workClass !== 'prompt') return;
+    if (this.context.balancer.checksServers) return;
     if (service.hedgeFraction === 0 || this.hedges >= MAX_HEDGES) return;
     const { clock, balancer } = this.context;
     this.hedgeTimer = clock.setTimer(balancer.hedgeDelay.delayMs, () => this.hedge());
   }
 
+  /** Looks for a second server if the first one is expected to answer after the objective. */
+  private scheduleSecondSend({ started }: IActiveAttempt): void {
+    const { service, objectiveAtMs, hasLargeAnswer } = this.call;
+    if (!service.idempotent || service.hedgeFraction === 0 || hasLargeAnswer === true) return;
+    const { balancer, clock } = this.context;
+    const { idleServiceTimeMs } = balancer;
+    if (objectiveAtMs === undefined || idleServiceTimeMs === undefined || this.hedges > 0) return;
+    const { relativeDuration } = started;
+    const remainingMs = objectiveAtMs - clock.monotonicMs();
+    const first = { idleServiceTimeMs, relativeDuration, remainingMs };
+    this.secondSend?.dispose();
+    const second = new secondSend.SecondSend(this.call, this.tried, first, balancer, clock, {
+      maySend: () => this.active.size === 1 && this.hasAttemptsLeft && !this.isSuspect,
+      send: (server, cost) => {
+        this.hedges += 1;
+        this.context.observer?.onSecondSend?.(this.call, 'sent');
+        this.send(server, cost);
+      },
+    });
+    this.secondSend = second;
+    second.begin();
+  }
+
   private hedge(): void {
     if (this.ended || !this.hasAttemptsLeft || this.wasInFlightOnLostServer()) return;
     const server = this.context.balancer.choose(this.tried, this.call.table);
@@ -259,6 +287,7 @@
     if (this.hedges === 0 || this.active.size === 0) return;
     const otherStartsMs = [...this.active].map(({ started }) => started.startMs);
     const won = otherStartsMs.some((startMs) => startMs < winner.started.startMs);
+    if (won) this.context.observer?.onSecondSend?.(this.call, 'won');
     const nowMs = this.context.clock.monotonicMs();
     this.context.balancer.recordHedgeOutcome(
       won,
@@ -379,6 +408,7 @@
     this.ended = true;
     this.deadlineTimer?.dispose();
     this.hedgeTimer?.dispose();
+    this.secondSend?.dispose();
     this.selection?.dispose();
     const { admission } = this.context.balancer;
     if (outcome?.kind === 'not-run' && this.retries > 0) {
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -235,6 +235,21 @@
     this.retryBudget.charge(FAILED_RETRY_SURCHARGE * count);
   }
 
+  /** Whether servers are checked before each dispatch. */
+  public get checksServers(): boolean {
+    return this.checkedSelector !== undefined;
+  }
+
+  /** Service time on an idle server, if servers are checked and it is known. */
+  public get idleServiceTimeMs(): number | undefined {
+    return this.checkedSelector?.serviceTimeMs;
+  }
+
+  /** Whether permits for a hedge are left in both budgets. */
+  public get hasHedgePermit(): boolean {
+    return this.hedgeBudget.available && this.retryBudget.available;
+  }
+
   /** Takes a permit for a hedge. Returns false if either budget is exhausted. */
   public takeHedgePermit(): boolean {
     // Hedges count against both budgets. Over 14 levels, two separate budgets would multiply.
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -222,6 +222,8 @@
     latencyMs: number,
   ): void;
   onRetryDecided(call: ICall, decision: IRetryDecision): void;
+  /** Called when a call is sent to a second server, and when that one answers first. */
+  onSecondSend?(call: ICall, result: 'sent' | 'won'): void;
   /** Called when it is known whether a server ended while it ran the request of the call. */
   onLossDecided(call: ICall, server: string, verdict: LossVerdict): void;
 }
--- a/src/common/directory/TableBuilder.ts
+++ b/src/common/directory/TableBuilder.ts
@@ -10,6 +10,12 @@
 /** Size limit of an answer, in bytes. A daemon buffers answers in memory until complete. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
+/**
+ * Fraction of the retry budget that second sends of late calls may take. The rest is kept for requests
+ * that servers refuse or lose.
+ */
+const SECOND_SEND_SHARE = 0.5;
+
 /** Limits of the whole fleet, the same for every service. */
 export interface IFleetLimits {
   /** Maximum number of daemons running at once. */
@@ -42,7 +48,7 @@
     requestKey: 'none',
     deadlineMs: 0,
     probesPerSecond: fleet.checksPerSecond,
-    hedgeFraction: 0,
+    hedgeFraction: SECOND_SEND_SHARE * fleet.retryFraction,
     retryFraction: fleet.retryFraction,
     maxRequestBytes: limits.maxBodyBytes,
     maxAnswerBytes: MAX_ANSWER_BYTES,
--- a/src/common/testing/PlacingFleet.ts
+++ b/src/common/testing/PlacingFleet.ts
@@ -163,6 +163,8 @@
     const rankOf = (address: string) => subset.rendezvousRank(this.nameOf(index), address);
     const options = { checker: links, budget, random, failureDomain, rankOf };
     const balancer = new serviceBalancer.ServiceBalancer(policy, clock, true, options);
+    // The daemon's share of an allowance of 200 extra requests in 10 s.
+    balancer.setRetryReserve(160 / load.daemons, 4 / load.daemons);
     const suspicion = new requestSuspicion.RequestSuspicion(clock);
     const coordinator = new callCoordinator.CallCoordinator(links, suspicion, clock);
     this.daemons.push({ balancer, coordinator, links });
--- a/src/node/telemetry/DecisionLog.ts
+++ b/src/node/telemetry/DecisionLog.ts
@@ -51,6 +51,13 @@
     registers: [this.registry],
   });
 
+  private readonly secondSends = new promClient.Counter({
+    name: 'lavenderspar_second_sends_total',
+    help: 'Calls sent to a second server since the first was slow, and those it answered first',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
+
   private readonly signals = new promClient.Counter({
     name: 'lavenderspar_server_signals_total',
     help: 'Changes of what servers state about the requests that they want',
@@ -183,6 +190,11 @@
     this.log(names.RETRY_DECIDED, { requestId: call.requestId, ...decision });
   }
 
+  public onSecondSend(call: callTypes.ICall, result: 'sent' | 'won'): void {
+    this.secondSends.inc({ service: call.service.name, result });
+    this.log(names.SECOND_SEND, { requestId: call.requestId, result });
+  }
+
   public onLossDecided(
     call: callTypes.ICall,
     server: string,
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -8,6 +8,7 @@
 export const CALL_REFUSED = 'call.refused';
 export const CALL_LATENCY = 'call.latency_ms';
 export const ATTEMPT_STARTED = 'attempt.started';
+export const SECOND_SEND = 'call.second_send';
 export const RETRY_DECIDED = 'retry.decided';
 export const ATTEMPT_ENDED = 'attempt.ended';
 export const ATTEMPT_LATENCY = 'attempt.latency_ms';
