--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -6,6 +6,7 @@
 import type * as policyTypes from '../policy/Types';
 import type * as serverRestraints from '../restraint/ServerRestraints';
 import * as callScheduler from '../scheduling/CallScheduler';
+import * as serverChoice from '../scheduling/ServerChoice';
 import type * as schedulingTypes from '../scheduling/Types';
 import type * as tableTypes from '../table/Types';
 import type * as types from '../Types';
@@ -243,6 +244,39 @@
     this.retryBudget.charge(FAILED_RETRY_SURCHARGE * count);
   }
 
+  /** Whether servers are checked before each dispatch. */
+  public get checksServers(): boolean {
+    return this.checkedSelector !== undefined;
+  }
+
+  /** Service time of a call on an idle server, if servers are checked and it is known. */
+  public expectedWorkMs(call: StartedCall): number | undefined {
+    return this.scheduler?.expectedWorkMs(call);
+  }
+
+  /**
+   * Checks a few servers once, without waiting for room.
+   * @param onChecked Called once with the one of the lowest cost, or with undefined if none accepts
+   * work, unless disposed first.
+   */
+  public checkOnce(
+    excluded: ReadonlySet<string>,
+    call: Pick<callTypes.ICall, 'table'>,
+    onChecked: (choice: serverChoice.IServerChoice | undefined) => void,
+  ): types.IDisposable {
+    if (this.checkedSelector === undefined) return NO_SELECTION;
+    const candidates = this.candidates(excluded, call.table, true);
+    return this.checkedSelector.check(candidates, undefined, (result) => {
+      const choices = result.kind === 'none' ? [] : serverChoice.byCost(result.checked);
+      onChecked(choices.find(({ server }) => this.eligibility.restraintOf(server) === undefined));
+    });
+  }
+
+  /** Whether permits for a hedge are left in both budgets. */
+  public get hasHedgePermit(): boolean {
+    return this.hedgeBudget.available && this.retryBudget.available;
+  }
+
   /** Takes a permit for a hedge. Returns false if either budget is exhausted. */
   public takeHedgePermit(): boolean {
     // Hedges count against both budgets. Over 14 levels, two separate budgets would multiply.
--- a/src/common/call/Types.ts
+++ b/src/common/call/Types.ts
@@ -225,6 +225,8 @@
   onRetryDecided(call: ICall, decision: IRetryDecision): void;
   /** Called when the call is refused because no server had room for it. */
   onWaitEnded(call: ICall, refusal: schedulingTypes.IOverload): void;
+  /** Called when a call is sent to a second server, and when that one answers first. */
+  onSecondSend?(call: ICall, result: 'sent' | 'won'): void;
   /** Called when it is known whether a server ended while it ran the request of the call. */
   onLossDecided(call: ICall, server: string, verdict: LossVerdict): void;
 }
--- a/src/common/scheduling/CallScheduler.ts
+++ b/src/common/scheduling/CallScheduler.ts
@@ -121,6 +121,13 @@
     this.work.record(call, serviceTimeMs);
   }
 
+  /** Returns the expected service time of a call on an idle server, if it was observed. */
+  public expectedWorkMs(
+    call: Pick<schedulingTypes.ScheduledCall, 'route' | 'priority'>,
+  ): number | undefined {
+    return this.work.of(call);
+  }
+
   /** Offers a server, at which an attempt of this daemon has ended, if it has just told its load. */
   public offerAfterEnd(server: serverState.ServerState): void {
     if (this.waiting.size === 0 || server.report === undefined) return;
--- a/src/node/telemetry/Names.ts
+++ b/src/node/telemetry/Names.ts
@@ -9,6 +9,7 @@
 export const CALL_WITHOUT_ROOM = 'call.without_room';
 export const CALL_LATENCY = 'call.latency_ms';
 export const ATTEMPT_STARTED = 'attempt.started';
+export const SECOND_SEND = 'call.second_send';
 export const RETRY_DECIDED = 'retry.decided';
 export const ATTEMPT_ENDED = 'attempt.ended';
 export const ATTEMPT_LATENCY = 'attempt.latency_ms';
