Run fewer requests ahead for a caller that leaves its answers unread

Change: while answers wait for the caller, two of its requests run at the same time in place of eight.

--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -10,6 +10,9 @@
 /** Requests of one connection that are in progress at the same time. */
 export const MAX_CONCURRENT_EXCHANGES = 8;
 
+/** The same while answers wait for the caller to take them. */
+const MAX_CONCURRENT_UNREAD = 2;
+
 /** Requests of one connection whose response is not written, beyond which no more are read. */
 export const MAX_WAITING_EXCHANGES = 16;
 
@@ -244,8 +247,9 @@
     if (this.cost.replyBytes > MAX_UNREAD_BYTES) return undefined;
     const next = this.exchanges.find((exchange) => !this.begun.has(exchange));
     if (next === undefined || next === this.exchanges[0]) return next;
-    const hasRoom = this.begun.size < MAX_CONCURRENT_EXCHANGES;
-    return hasRoom && next.mayRunAhead ? next : undefined;
+    const { writableNeedDrain: isUnread } = this.socket;
+    const room = isUnread ? MAX_CONCURRENT_UNREAD : MAX_CONCURRENT_EXCHANGES;
+    return this.begun.size < room && next.mayRunAhead ? next : undefined;
   }
 
   /** Whether there is room for a further request. */
