--- a/src/node/dispatch/HttpTransport.ts
+++ b/src/node/dispatch/HttpTransport.ts
@@ -21,6 +21,12 @@
 /** Maximum size of the response to a probe or a health check, in bytes. */
 const MAX_PROBE_ANSWER_BYTES = 4_096;
 
+/**
+ * Time for which a new connection is kept open after the timeout of its first health check, in
+ * milliseconds. A full server accepts a connection once a slot is free.
+ */
+const LATE_ACCEPTANCE_MS = 4_000;
+
 /** Health checks open no connection to a server that already has this many. */
 const MAX_CHECK_CONNECTIONS = 4;
 
@@ -92,7 +98,7 @@
   /**
    * Checks the health of a server on a connection of its pool, which also verifies the connection
    * for the request that may follow. A check is never cancelled before its timeout, since
-   * cancelling it would close the connection.
+   * cancelling it would close the connection. One on a new connection is left to end later.
    */
   public check(
     server: tableTypes.IServerRow,
@@ -101,8 +107,11 @@
     onReply: (reply: policyTypes.CheckReply) => void,
   ): void {
     let timer: types.IDisposable | undefined;
+    let hasReplied = false;
     const end = (reply: policyTypes.CheckReply) => {
       timer?.dispose();
+      if (hasReplied) return;
+      hasReplied = true;
       onReply(reply);
     };
     const request = this.toCheckRequest(server, healthPath);
@@ -119,8 +128,9 @@
       },
     );
     timer = this.clock.setTimer(timeoutMs, () => {
-      attempt.cancel();
-      onReply({ kind: 'silent' });
+      end({ kind: 'silent' });
+      if (!attempt.isOnNewConnection) attempt.cancel();
+      else timer = this.clock.setTimer(LATE_ACCEPTANCE_MS, () => attempt.cancel());
     });
     attempt.begin();
   }
--- a/src/node/dispatch/PooledAttempt.ts
+++ b/src/node/dispatch/PooledAttempt.ts
@@ -28,6 +28,11 @@
     );
   }
 
+  /** Whether its connection has carried no earlier exchange. */
+  public get isOnNewConnection(): boolean {
+    return this.connection?.exchangeCount === 1;
+  }
+
   public cancel(): void {
     if (this.ended) return;
     this.ended = true;
