Mend what the reviews of scheduling and of callers' connections found

- A refusal was learned only if its report had the same fractional time, as on a virtual clock only.
- A retry of a call counted as a call that returned, and its elapsed time twice.
- Calls refused in the same pass still counted as before the later ones.
- Rechecks of a dead home set ended all waiting calls; now four servers in a row, or all.
- A server that left, was ejected or unlisted during its check got the request.
- A server without a permit stayed excluded for the whole wait of a call.
- A request behind an answer of more than 256 KB never began.

--- a/src/common/call/CheckedSelector.ts
+++ b/src/common/call/CheckedSelector.ts
@@ -11,6 +11,9 @@
 /** Timeout of the check of a server after a connection to it was lost, in milliseconds. */
 const LOSS_CHECK_TIMEOUT_MS = 500;
 
+/** Age up to which a load report is that of the response which has just ended, in milliseconds. */
+const SAME_RESPONSE_MS = 5;
+
 /** Dependencies and parameters of the server checks that replace the selection policy. */
 export interface ICheckedSelectorOptions {
   readonly checker: callTypes.IServerChecker;
@@ -60,6 +63,7 @@
     maxRounds: number | undefined,
     onEnd: (result: checkedSelection.CheckResult) => void,
   ): types.IDisposable {
+    // A recheck counts as well: while calls wait, more servers have to be asked.
     this.order.recordCall();
     const { checker } = this.options;
     const selection = new checkedSelection.CheckedSelection(
@@ -90,7 +94,7 @@
   public recordRefusal(server: serverState.ServerState): void {
     const { report, reportedAtMs, address, slots } = server;
     const nowMs = this.clock.monotonicMs();
-    if (report === undefined || reportedAtMs !== nowMs) return;
+    if (report === undefined || nowMs - reportedAtMs > SAME_RESPONSE_MS) return;
     this.queueLimit.recordRefusal(report, slots);
     this.replyCache.recordFull(address, report, nowMs);
   }
--- a/src/common/call/RunningCall.ts
+++ b/src/common/call/RunningCall.ts
@@ -252,6 +252,8 @@
 
   private hedge(): void {
     if (this.ended || !this.hasAttemptsLeft || this.wasInFlightOnLostServer()) return;
+    // A table has made the servers checked ones, which get second sends instead.
+    if (this.context.balancer.checksServers) return;
     const server = this.context.balancer.choose(this.tried, this.call.table);
     if (server !== undefined && this.context.balancer.takeHedgePermit()) {
       this.hedges += 1;
--- a/src/common/call/ServerEligibility.ts
+++ b/src/common/call/ServerEligibility.ts
@@ -102,7 +102,8 @@
    * @param startedMs Monotonic time of `recordStart`.
    */
   public mayStart({ row }: serverState.ServerState, startedMs: number): boolean {
-    return row.weight > 0 && (this.restraints?.mayStart(row, startedMs) ?? true);
+    const isLeaving = this.availability.get(row.address)?.isLeaving === true;
+    return row.weight > 0 && !isLeaving && (this.restraints?.mayStart(row, startedMs) ?? true);
   }
 
   /** Whether a server that gets no requests because of its limit should be checked. */
--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -202,7 +202,7 @@
       selector,
       {
         candidates: (excluded, table) => this.candidates(excluded, table, true),
-        isRestrained: (server) => this.eligibility.restraintOf(server) !== undefined,
+        isUnavailable: (server) => this.isUnavailable(server),
       },
       checkOptions,
       clock,
@@ -268,7 +268,7 @@
     const candidates = this.candidates(excluded, call.table, true);
     return this.checkedSelector.check(candidates, undefined, (result) => {
       const choices = result.kind === 'none' ? [] : serverChoice.byCost(result.checked);
-      onChecked(choices.find(({ server }) => this.eligibility.restraintOf(server) === undefined));
+      onChecked(choices.find(({ server }) => !this.isUnavailable(server)));
     });
   }
 
@@ -365,6 +365,12 @@
     this.states.forEach((state) => state.dropReport());
   }
 
+  /** Whether a server that was a candidate before its check gets no work now. */
+  private isUnavailable(server: serverState.ServerState): boolean {
+    const { address } = server;
+    return this.servers.get(address) !== server || this.avoidanceOf(address) !== undefined;
+  }
+
   private replaceServers(rows: readonly tableTypes.IServerRow[], isFirst: boolean): void {
     this.recordUnlisted();
     const listed = new Set(rows.map((row) => row.address));
--- a/src/common/policy/CheckedSelection.ts
+++ b/src/common/policy/CheckedSelection.ts
@@ -36,15 +36,20 @@
   readonly onReply: (server: serverState.ServerState, reply: policyTypes.CheckReply) => void;
 }
 
+/** Servers that were checked, with their replies; undefined for those without one yet. */
+export type CheckedServers = ReadonlyMap<
+  serverState.ServerState,
+  policyTypes.CheckReply | undefined
+>;
+
 /** Result of a check of servers. */
 export type CheckResult =
   /** No server accepts work. */
-  | { readonly kind: 'none' }
+  | { readonly kind: 'none'; readonly checked: CheckedServers }
   | {
       /** `acceptable`: one of the servers has room, and none needs to be preferred to it. */
       readonly kind: 'acceptable' | 'busy';
-      /** The servers that were checked, with their replies; undefined for those without one yet. */
-      readonly checked: ReadonlyMap<serverState.ServerState, policyTypes.CheckReply | undefined>;
+      readonly checked: CheckedServers;
     };
 
 /**
@@ -154,7 +159,7 @@
 
   private decide(): void {
     const cost = this.lowestCost;
-    if (!Number.isFinite(cost)) this.finish({ kind: 'none' });
+    if (!Number.isFinite(cost)) this.finish({ kind: 'none', checked: this.replies });
     else {
       const kind = cost <= ACCEPTABLE_COST ? 'acceptable' : 'busy';
       this.finish({ kind, checked: this.replies });
--- a/src/common/scheduling/CallScheduler.test.ts
+++ b/src/common/scheduling/CallScheduler.test.ts
@@ -60,7 +60,7 @@
   const source = {
     candidates: (excluded: ReadonlySet<string>) =>
       servers.filter(({ address }) => !excluded.has(address)),
-    isRestrained: () => false,
+    isUnavailable: () => false,
   };
   scheduler = new callScheduler.CallScheduler(selector, source, options, clock);
   scheduler.recordServiceTime({ priority: 0 }, WORK_MS);
--- a/src/common/scheduling/CallScheduler.ts
+++ b/src/common/scheduling/CallScheduler.ts
@@ -14,8 +14,11 @@
 import * as waitingCalls from './WaitingCalls';
 import * as workEstimates from './WorkEstimates';
 
-/** Rechecks in a row that reach no server, after which the waiting calls end. */
-const MAX_UNREACHABLE_RECHECKS = 3;
+/**
+ * Servers that rechecks find out of reach, one after the other, before the waiting calls end: more than
+ * the smallest home set, which a failure may take as a whole.
+ */
+const MAX_UNREACHABLE_SERVERS = 4;
 
 /** Age up to which the load report of an answer describes its server, in milliseconds. */
 const FRESH_REPORT_MS = 10;
@@ -30,7 +33,7 @@
 const ASSUMED_SERVICE_SHARE = 1 / 3;
 
 interface IEntry extends waitingCalls.IWaitingCall {
-  readonly excluded: Set<string>;
+  readonly excluded: ReadonlySet<string>;
   /** First check of servers for this call. */
   firstCheck: types.IDisposable | undefined;
   /** Whether the expected work was observed, and not assumed. */
@@ -66,7 +69,11 @@
 
   private isRechecking = false;
 
-  private unreachableRechecks = 0;
+  /** Servers out of reach since a recheck last reached one. */
+  private readonly unreachable = new Set<serverState.ServerState>();
+
+  /** Time that callers had used up when their calls came, which retries of a call do not change. */
+  private readonly elapsedMs = new WeakMap<schedulingTypes.ScheduledCall, number>();
 
   /** Servers without room in the latest rechecks. */
   private readonly rechecked = new Set<serverState.ServerState>();
@@ -99,7 +106,8 @@
   ): types.IDisposable {
     const nowMs = this.clock.monotonicMs();
     const remainingMs = (call.deadlineMs ?? Number.POSITIVE_INFINITY) - nowMs;
-    const elapsedMs = this.usualTimes.elapsedMs(call, remainingMs);
+    const elapsedMs = this.elapsedMs.get(call) ?? this.usualTimes.elapsedMs(call, remainingMs);
+    this.elapsedMs.set(call, elapsedMs);
     const knownWorkMs = this.work.of(call);
     const workMs = knownWorkMs ?? CallScheduler.assumedWorkMs(call, nowMs);
     const terms = callTerms.termsOf(call, workMs, nowMs, elapsedMs);
@@ -151,26 +159,32 @@
     if (this.waiting.size === 0) this.stopTimer();
   }
 
-  private checkFirst(entry: IEntry): void {
+  /** @param passedOver Addresses of servers that want no requests now. */
+  private checkFirst(entry: IEntry, passedOver: ReadonlySet<string> = new Set()): void {
     const waits = entry;
-    const candidates = this.servers.candidates(entry.excluded, entry.call.table);
+    const candidates = this.servers
+      .candidates(entry.excluded, entry.call.table)
+      .filter(({ address }) => !passedOver.has(address));
     waits.firstCheck = this.selector.check(candidates, undefined, (result) =>
-      this.endFirstCheck(entry, result),
+      this.endFirstCheck(entry, result, passedOver),
     );
     if (waits.ended) waits.firstCheck.dispose();
   }
 
-  private endFirstCheck(entry: IEntry, result: checkedSelection.CheckResult): void {
+  private endFirstCheck(
+    entry: IEntry,
+    result: checkedSelection.CheckResult,
+    passedOver: ReadonlySet<string>,
+  ): void {
     if (entry.ended) return;
     if (result.kind === 'none') {
-      this.end(entry, result);
+      this.end(entry, { kind: 'none' });
       return;
     }
     const choice = this.firstChoice(entry, result);
-    if (choice !== undefined && this.servers.isRestrained(choice.server)) {
+    if (choice !== undefined && this.servers.isUnavailable(choice.server)) {
       // The check told of a restraint, or another call took the permit for the server meanwhile.
-      entry.excluded.add(choice.server.address);
-      this.checkFirst(entry);
+      this.checkFirst(entry, new Set([...passedOver, choice.server.address]));
     } else if (choice !== undefined && this.mayGoFirst(choice)) {
       this.end(entry, { kind: 'server', server: choice.server, cost: choice.cost });
     } else {
@@ -208,7 +222,7 @@
     if (this.waiting.size === 0) {
       this.rate.begin();
       this.pace.quicken();
-      this.unreachableRechecks = 0;
+      this.unreachable.clear();
       this.rechecked.clear();
     }
     const waits = entry;
@@ -234,7 +248,7 @@
     server: serverState.ServerState,
     reply: schedulingTypes.Reply,
   ): IEntry | undefined {
-    if (this.waiting.size === 0 || this.servers.isRestrained(server)) return undefined;
+    if (this.waiting.size === 0 || this.servers.isUnavailable(server)) return undefined;
     const nowMs = this.clock.monotonicMs();
     const choice = serverChoice.choiceOf(server, reply);
     return this.waiting.first(
@@ -274,16 +288,10 @@
 
   /** Checks servers for the first call that may be sent to any. */
   private recheck(): void {
-    this.timer = undefined;
-    const first = this.waiting.first(this.clock.monotonicMs());
-    if (first === undefined) return;
-    const candidates = this.servers.candidates(first.excluded, first.call.table);
-    if (candidates.length === 0) {
-      this.waiting.delete(first);
-      this.end(first, { kind: 'none' });
-      this.recheck();
-      return;
-    }
+    this.stopTimer();
+    if (this.isRechecking) return;
+    const candidates = this.candidatesOfFirst();
+    if (candidates === undefined) return;
     this.isRechecking = true;
     const { rounds } = this.pace;
     this.selector.check(this.notRechecked(candidates, rounds), rounds, (result) =>
@@ -291,6 +299,18 @@
     );
   }
 
+  /** Returns the servers of the first call that has any, and ends those before it. */
+  private candidatesOfFirst(): readonly serverState.ServerState[] | undefined {
+    for (;;) {
+      const first = this.waiting.first(this.clock.monotonicMs());
+      if (first === undefined) return undefined;
+      const candidates = this.servers.candidates(first.excluded, first.call.table);
+      if (candidates.length > 0) return candidates;
+      this.waiting.delete(first);
+      this.end(first, { kind: 'none' });
+    }
+  }
+
   /** Returns the candidates that were not rechecked lately, so that each gets its turn. */
   private notRechecked(
     candidates: readonly serverState.ServerState[],
@@ -304,16 +324,24 @@
 
   private endRecheck(result: checkedSelection.CheckResult): void {
     this.isRechecking = false;
-    this.unreachableRechecks = result.kind === 'none' ? this.unreachableRechecks + 1 : 0;
-    if (result.kind !== 'none') {
-      result.checked.forEach((_reply, server) => this.rechecked.add(server));
+    result.checked.forEach((_reply, server) => this.rechecked.add(server));
+    if (result.kind === 'none') this.recordUnreachable(result.checked);
+    else {
+      this.unreachable.clear();
       this.offer(result.checked);
     }
-    if (this.unreachableRechecks >= MAX_UNREACHABLE_RECHECKS) this.endAll();
     this.refuse();
     this.schedule();
   }
 
+  /** Ends the waiting calls if all servers seem to be out of reach. */
+  private recordUnreachable(checked: checkedSelection.CheckedServers): void {
+    checked.forEach((_reply, server) => this.unreachable.add(server));
+    const candidates = this.candidatesOfFirst() ?? [];
+    const isEach = candidates.every((server) => this.unreachable.has(server));
+    if (isEach || this.unreachable.size >= MAX_UNREACHABLE_SERVERS) this.endAll();
+  }
+
   private endAll(): void {
     this.waiting.inOrder(this.clock.monotonicMs()).forEach((entry) => {
       this.waiting.delete(entry);
@@ -325,9 +353,13 @@
   private refuse(): void {
     const nowMs = this.clock.monotonicMs();
     const waiting = this.waiting.size;
-    this.waiting.inOrder(nowMs).forEach((entry, callsBefore) => {
+    let callsBefore = 0;
+    this.waiting.inOrder(nowMs).forEach((entry) => {
       const cause = this.refusals.causeOf(entry, callsBefore, nowMs);
-      if (cause === undefined) return;
+      if (cause === undefined) {
+        callsBefore += 1;
+        return;
+      }
       const retryAfterMs = this.refusals.retryAfterMs(entry, waiting, nowMs);
       const waitedMs = nowMs - entry.terms.enteredAtMs;
       this.waiting.delete(entry);
--- a/src/common/scheduling/RoomRule.ts
+++ b/src/common/scheduling/RoomRule.ts
@@ -56,7 +56,9 @@
   nowMs: number,
 ): boolean {
   if (reply === undefined || !Number.isFinite(cost)) return false;
-  if (terms.workMs === undefined) return true;
+  if (terms.workMs === undefined) {
+    return reply.kind === 'ready' && dispatchCost.loadOf(server, reply) <= server.slots;
+  }
   const endMs = nowMs + cost * terms.workMs;
   if (callTerms.standingOf(terms, nowMs) !== 'in-time') {
     return endMs <= terms.deadlineMs && takesLate(terms, server, reply, nowMs);
--- a/src/common/scheduling/Types.ts
+++ b/src/common/scheduling/Types.ts
@@ -52,8 +52,8 @@
     excluded: ReadonlySet<string>,
     table: tableTypes.ITable | undefined,
   ): serverState.ServerState[];
-  /** Whether a server has stated that it wants no requests now. */
-  isRestrained(server: serverState.ServerState): boolean;
+  /** Whether a server wants no requests now, or is no longer one of the service. */
+  isUnavailable(server: serverState.ServerState): boolean;
 }
 
 /** Limits in time of a call, in monotonic milliseconds. Infinite where they do not apply. */
--- a/src/node/RoutedDaemon.ts
+++ b/src/node/RoutedDaemon.ts
@@ -239,6 +239,7 @@
       countUnreachableServices: () => this.reach.lostServices.length,
       countSuspectRequests: () => this.suspicion.suspectCount,
       countConnections: () => this.callerServer.connectionCount,
+      countWaitingCalls: () => this.services.waitingCalls,
       budget: this.bodyBudget,
       connections: this.transport.connectionCounts,
     });
--- a/src/node/ServiceSet.ts
+++ b/src/node/ServiceSet.ts
@@ -59,6 +59,14 @@
     return new Map([...this.services].map(([name, { balancer }]) => [name, balancer]));
   }
 
+  /** Number of calls of all services that wait for a server. */
+  public get waitingCalls(): number {
+    return [...this.services.values()].reduce(
+      (sum, { balancer }) => sum + balancer.waitingCalls,
+      0,
+    );
+  }
+
   public balancerOf(service: string): serviceBalancer.ServiceBalancer | undefined {
     return this.services.get(service)?.balancer;
   }
--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -134,7 +134,7 @@
     this.positions.set(exchange, this.arrivals);
     this.owner.onBusy(this);
     this.cost.addRequest();
-    this.beginNext();
+    if (!this.isEnded) this.beginNext();
   }
 
   /** Removes a request that has ended, and starts those that waited for it. */
@@ -163,6 +163,10 @@
 
   public holdReply(response: http.ServerResponse, bytes: number): void {
     this.cost.holdReply(response, bytes);
+    // The cost counts the answer until the response closes, and a request may wait for that.
+    response.once('close', () => {
+      if (!this.socket.destroyed) this.beginNext();
+    });
   }
 
   /** Closes the connection after the requests that have been read. */
--- a/src/node/telemetry/addDaemonGauges.ts
+++ b/src/node/telemetry/addDaemonGauges.ts
@@ -17,6 +17,7 @@
   readonly countUnreachableServices: () => number;
   readonly countSuspectRequests: () => number;
   readonly countConnections: () => number;
+  readonly countWaitingCalls: () => number;
   readonly budget: byteBudget.ByteBudget;
   readonly connections: connectionCounts.ConnectionCounts;
 }
@@ -63,6 +64,11 @@
     'Connections to backend servers that were opened and closed, by cause',
     () => sources.connections.byCause,
   );
+  decisions.addGauge(
+    'waiting_calls',
+    'Calls that wait for room on a backend server',
+    sources.countWaitingCalls,
+  );
   decisions.addGauge('caller_connections', 'Open connections of callers', sources.countConnections);
   const { budget } = sources;
   decisions.addGauge(
