Tell unread answers by the socket, and idle connections by written answers

A connection whose first request runs for longer than the read timeout, with an answer to a later one ready, was closed as unread; one whose answer was still being written counted as idle. Tests for these and for the retry of a call and a dead home set.

--- a/src/common/scheduling/CallScheduler.test.ts
+++ b/src/common/scheduling/CallScheduler.test.ts
@@ -274,6 +274,37 @@
   expect([...results.values()]).toEqual([{ kind: 'none' }, { kind: 'none' }]);
 });
 
+// Guards against 503 while other servers run: a failure took the servers that are asked first.
+test('calls go on waiting while only a part of the servers is unreachable', () => {
+  ['b', 'c', 'd'].forEach((address) => {
+    servers.push(makeServer(address));
+    replies.set(address, { kind: 'unreachable' });
+  });
+  enter('a', { objectiveMs: 2_000 });
+  clock.advance(400);
+  expect(results.size).toBe(0);
+});
+
+// Guards against a retry that counts as a call which was refused before, and loses its place.
+test('a retry of a call has the terms of its first attempt', () => {
+  replies.set('x', ready(0));
+  for (let count = 0; count < 10; count += 1) {
+    enter(`${count}`);
+    servers[0]?.dropReport();
+    clock.advance(20);
+  }
+  replies.set('x', FULL);
+  const nowMs = clock.monotonicMs();
+  const call = { table: TABLE, priority: 0, objectiveAtMs: nowMs + 600, deadlineMs: nowMs + 3_000 };
+  const refused = jest.fn();
+  scheduler.enter(call, new Set(), refused).dispose();
+  clock.advance(200);
+  scheduler.enter(call, new Set(), refused);
+  enter('new', { objectiveMs: 500 });
+  scheduler.offerAfterEnd(reported(1));
+  expect(refused).toHaveBeenCalledWith(expect.objectContaining({ kind: 'server' }));
+});
+
 // Guards against a second attempt at the server that has just rejected the first one.
 test('a server that a call has tried is not offered to it', () => {
   servers.push(makeServer('y'));
--- a/src/node/server/CallerConnection.ts
+++ b/src/node/server/CallerConnection.ts
@@ -152,11 +152,9 @@
       this.cost.removeRequest();
       this.beginNext();
       this.feed.wake();
+      if (!this.hasResponsesDue && !this.socket.destroyed) this.owner.onIdle(this);
     });
-    if (this.size === 0) {
-      this.bytesWhenIdle = this.socket.bytesRead - this.feed.heldBytes;
-      if (!this.socket.destroyed) this.owner.onIdle(this);
-    }
+    if (this.size === 0) this.bytesWhenIdle = this.socket.bytesRead - this.feed.heldBytes;
     if (closesConnection) this.discard(later);
     else this.beginNext();
   }
--- a/src/node/server/CallerServer.ts
+++ b/src/node/server/CallerServer.ts
@@ -163,9 +163,9 @@
   /** Handles that nothing was sent or taken by the caller for a while. */
   private handleTimeout(socket: net.Socket): void {
     const connection = this.connections.get(socket);
-    if (connection !== undefined && connection.unsentBytes > 0) connection.end('unread');
-    // A request runs, and may take longer.
-    else if ((connection?.size ?? 0) > 0) socket.setTimeout(this.server.timeout);
+    if (connection !== undefined && socket.writableLength > 0) connection.end('unread');
+    // A request runs, and may take longer; answers to later ones wait behind it.
+    else if (connection?.hasResponsesDue === true) socket.setTimeout(this.server.timeout);
     else CallerServer.closeIdle(socket);
   }
 
--- a/src/node/server/Pipelining.test.ts
+++ b/src/node/server/Pipelining.test.ts
@@ -71,6 +71,17 @@
   return [...received.matchAll(/body-\d+/g)].map(([body]) => body);
 }
 
+// Guards against a request that never begins, since the answer before it still counts as unwritten.
+test('a request behind an answer of hundreds of kilobytes is answered', async () => {
+  socket.write(get('/status/1') + post('/lodgement/2', 'x'));
+  await rig.attempt(1);
+  await rig.reply(1, 200, OK, 'a'.repeat(300_000));
+  await rig.attempt(2);
+  await rig.reply(2, 200, OK, 'body-2');
+  await until(() => bodies().length === 1);
+  expect(statuses()).toEqual(['200', '200']);
+});
+
 // Guards against responses that a caller takes for those to other requests.
 test('pipelined requests run at the same time and are answered in order', async () => {
   socket.write(get('/status/1') + get('/status/2') + get('/status/3'));
