--- a/src/common/scheduling/CallTerms.ts
+++ b/src/common/scheduling/CallTerms.ts
@@ -1,5 +1,11 @@
 import type * as schedulingTypes from './Types';
 
+/**
+ * Work that a call may turn out to need, relative to the expected one. A call counts as in time while
+ * it could be with this: the work of calls varies, and one that is given up for late is certainly late.
+ */
+export const SHORT_WORK = 0.75;
+
 /**
  * Fraction of the time until the deadline after which a call that can no longer meet its objective
  * is refused. Three quarters of the time are then left for another daemon, at a time at which this
@@ -22,7 +28,7 @@
 ): schedulingTypes.ICallTerms {
   const objectiveAtMs = (call.objectiveAtMs ?? Number.POSITIVE_INFINITY) - elapsedMs;
   const deadlineMs = call.deadlineMs ?? Number.POSITIVE_INFINITY;
-  const latestInTimeMs = Math.min(objectiveAtMs, deadlineMs) - (workMs ?? 0);
+  const latestInTimeMs = Math.min(objectiveAtMs, deadlineMs) - SHORT_WORK * (workMs ?? 0);
   const holdFraction = elapsedMs > 0 ? MAX_HOLD_FRACTION_OF_RETURNED : MAX_HOLD_FRACTION;
   const holdUntilMs = nowMs + holdFraction * (deadlineMs - nowMs);
   return {
--- a/src/common/scheduling/RoomRule.ts
+++ b/src/common/scheduling/RoomRule.ts
@@ -63,7 +63,8 @@
   if (callTerms.standingOf(terms, nowMs) !== 'in-time') {
     return endMs <= terms.deadlineMs && takesLate(terms, server, reply, nowMs);
   }
-  if (endMs > terms.objectiveAtMs) return false;
+  const earliestEndMs = nowMs + callTerms.SHORT_WORK * cost * terms.workMs;
+  if (earliestEndMs > terms.objectiveAtMs) return false;
   if (hasSpareRoom(server, reply)) return true;
   return terms.priority <= mostUrgent && dispatchCost.loadOf(server, reply) <= server.slots;
 }
