Let calls give way only on services whose routes have several priorities

With one priority a call takes any room in which it meets its objective and is held for an eighth of the time to it, as before the scheduler.

--- a/src/common/call/ServiceBalancer.ts
+++ b/src/common/call/ServiceBalancer.ts
@@ -179,6 +179,7 @@
     this.table = table;
     this.service = service.name;
     this.setHealthPath(service.healthPath);
+    this.scheduler?.setOnePriority(service.hasOnePriority === true);
     this.maxDaemons = table.maxDaemons;
     this.retryBudget.setFraction(service.retryFraction);
     this.hedgeBudget.setFraction(service.hedgeFraction);
--- a/src/common/directory/TableBuilder.test.ts
+++ b/src/common/directory/TableBuilder.test.ts
@@ -40,6 +40,21 @@
   expect(table.servers.get('reads')?.map(({ weight }) => weight)).toEqual([100, 0]);
 });
 
+// Guards against calls that give way to others where the configuration has none.
+test('a service has one priority unless its routes have several', () => {
+  const base = configurationOf(1);
+  const routeOf = (prefix: string, priority: number): routingTypes.IRoute => ({
+    ...{ name: prefix, host: 'h', prefix, targets: [{ service: 'reads', weight: 1 }], priority },
+    ...{ idempotent: true, timeoutMs: 1, objectiveMs: 1, maxAttempts: 1 },
+  });
+  const hasOneOf = (routes: readonly routingTypes.IRoute[]) =>
+    make()
+      .build({ ...base, routes }, [], 1, FLEET)
+      .services.get('reads')?.hasOnePriority;
+  expect(hasOneOf([routeOf('/a/', 1), routeOf('/b/', 1)])).toBe(true);
+  expect(hasOneOf([routeOf('/a/', 1), routeOf('/b/', 0)])).toBe(false);
+});
+
 // Guards against requests to servers that operators have evacuated.
 test('a server of an evacuated failure domain has weight 0', () => {
   const other = { ...SERVER, id: '2', address: '10.0.0.2:80', failureDomain: 'b' };
--- a/src/common/directory/TableBuilder.ts
+++ b/src/common/directory/TableBuilder.ts
@@ -40,6 +40,7 @@
   terms: routingTypes.IServiceTerms,
   limits: routingTypes.ICallerLimits,
   fleet: IFleetLimits,
+  hasOnePriority: boolean,
 ): tableTypes.IServiceRow {
   return {
     name: terms.name,
@@ -53,9 +54,25 @@
     maxRequestBytes: limits.maxBodyBytes,
     maxAnswerBytes: MAX_ANSWER_BYTES,
     healthPath: terms.healthPath,
+    hasOnePriority,
   };
 }
 
+/** Returns the priorities of the routes to each service. */
+function prioritiesOf(
+  routes: readonly routingTypes.IRoute[],
+): ReadonlyMap<string, ReadonlySet<number>> {
+  const priorities = new Map<string, Set<number>>();
+  routes.forEach(({ targets, priority }) =>
+    targets.forEach(({ service }) => {
+      const known = priorities.get(service);
+      if (known === undefined) priorities.set(service, new Set([priority]));
+      else known.add(priority);
+    }),
+  );
+  return priorities;
+}
+
 function toServer(
   server: directoryTypes.IRegistration,
   terms: routingTypes.IServiceTerms,
@@ -124,10 +141,11 @@
       cachedRoutes.retryFraction === retryFraction &&
       cachedRoutes.checksPerSecond === checksPerSecond;
     if (isCacheValid) return cachedRoutes;
+    const priorities = prioritiesOf(configuration.routes);
     const services = new Map(
       configuration.services.map((terms) => [
         terms.name,
-        toService(terms, configuration.limits, fleet),
+        toService(terms, configuration.limits, fleet, (priorities.get(terms.name)?.size ?? 0) <= 1),
       ]),
     );
     const routes = new routeTable.RouteTable(configuration, services, this.routeSplits);
--- a/src/common/scheduling/CallScheduler.test.ts
+++ b/src/common/scheduling/CallScheduler.test.ts
@@ -305,6 +305,29 @@
   expect(refused).toHaveBeenCalledWith(expect.objectContaining({ kind: 'server' }));
 });
 
+// Guards against calls that give way although no other kind uses the service.
+test('with one priority a call takes any room in which it is in time, also a queue', () => {
+  scheduler.setOnePriority(true);
+  replies.set('x', ready(3));
+  enter('a', { objectiveMs: 600 });
+  expect(results.get('a')).toMatchObject({ kind: 'server' });
+});
+
+// Guards against a call that is held while its caller could be served by another daemon, and against
+// a refusal while a slot is free.
+test.each([
+  ['refused if no slot is free', FULL, 'overloaded'],
+  ['sent to a slow server with a free slot', ready(1, 0, 5), 'server'],
+] as const)('with one priority a call is held for an eighth, then %s', (_name, reply, kind) => {
+  scheduler.setOnePriority(true);
+  replies.set('x', reply);
+  enter('a', { objectiveMs: 400 });
+  clock.advance(400 / 8 - 1);
+  expect(results.size).toBe(0);
+  clock.advance(20);
+  expect(results.get('a')).toMatchObject({ kind });
+});
+
 // Guards against a second attempt at the server that has just rejected the first one.
 test('a server that a call has tried is not offered to it', () => {
   servers.push(makeServer('y'));
--- a/src/common/scheduling/CallScheduler.ts
+++ b/src/common/scheduling/CallScheduler.ts
@@ -69,6 +69,8 @@
 
   private isRechecking = false;
 
+  private hasOnePriority = false;
+
   /** Servers out of reach since a recheck last reached one. */
   private readonly unreachable = new Set<serverState.ServerState>();
 
@@ -90,6 +92,11 @@
     this.refusals = new refusalRule.RefusalRule(this.rate, options.random);
   }
 
+  /** Sets whether all calls have the same priority, so that none gives way to another. */
+  public setOnePriority(hasOnePriority: boolean): void {
+    this.hasOnePriority = hasOnePriority;
+  }
+
   /** Number of calls that wait for room. */
   public get size(): number {
     return this.waiting.size;
@@ -110,7 +117,9 @@
     this.elapsedMs.set(call, elapsedMs);
     const knownWorkMs = this.work.of(call);
     const workMs = knownWorkMs ?? CallScheduler.assumedWorkMs(call, nowMs);
-    const terms = callTerms.termsOf(call, workMs, nowMs, elapsedMs);
+    const terms = this.hasOnePriority
+      ? callTerms.plainTermsOf(call, workMs, nowMs)
+      : callTerms.termsOf(call, workMs, nowMs, elapsedMs);
     this.priorities.record(terms.priority);
     const entry = {
       isWorkKnown: knownWorkMs !== undefined,
--- a/src/common/scheduling/CallTerms.ts
+++ b/src/common/scheduling/CallTerms.ts
@@ -38,10 +38,28 @@
     objectiveAtMs,
     deadlineMs,
     latestInTimeMs,
+    isPlain: false,
     giveUpAtMs: Math.min(deadlineMs - (workMs ?? 0), Math.max(latestInTimeMs, holdUntilMs)),
   };
 }
 
+/**
+ * Fraction of the time until the objective for which a call of a service with one priority is held
+ * while each server would make it late. Its caller still has time to be served by another daemon.
+ */
+const PLAIN_HOLD_FRACTION = 1 / 8;
+
+/** Returns the limits in time of a call that enters now, on a service with one priority. */
+export function plainTermsOf(
+  call: schedulingTypes.ScheduledCall,
+  workMs: number | undefined,
+  nowMs: number,
+): schedulingTypes.ICallTerms {
+  const terms = termsOf(call, workMs, nowMs);
+  const holdMs = PLAIN_HOLD_FRACTION * (terms.objectiveAtMs - nowMs);
+  return { ...terms, isPlain: true, giveUpAtMs: nowMs + holdMs };
+}
+
 /** Returns what an answer would be worth if an attempt started now on an idle server. */
 export function standingOf(
   terms: schedulingTypes.ICallTerms,
--- a/src/common/scheduling/RefusalRule.ts
+++ b/src/common/scheduling/RefusalRule.ts
@@ -28,6 +28,7 @@
   ): schedulingTypes.RefusalCause | undefined {
     if (callTerms.standingOf(terms, nowMs) === 'lost') return 'no-time';
     if (nowMs >= terms.giveUpAtMs) return 'no-room';
+    if (terms.isPlain) return undefined;
     // The first call always waits, so that the rate is observed again after an overload.
     const expectedMs = callsBefore * this.rate.intervalMs;
     return nowMs + expectedMs > terms.giveUpAtMs ? 'outranked' : undefined;
--- a/src/common/scheduling/RoomRule.ts
+++ b/src/common/scheduling/RoomRule.ts
@@ -60,6 +60,10 @@
     return reply.kind === 'ready' && dispatchCost.loadOf(server, reply) <= server.slots;
   }
   const endMs = nowMs + cost * terms.workMs;
+  if (terms.isPlain) {
+    const isLast = nowMs >= terms.giveUpAtMs && dispatchCost.loadOf(server, reply) <= server.slots;
+    return endMs <= terms.objectiveAtMs || isLast;
+  }
   if (callTerms.standingOf(terms, nowMs) !== 'in-time') {
     return endMs <= terms.deadlineMs && takesLate(terms, server, reply, nowMs);
   }
--- a/src/common/scheduling/Types.ts
+++ b/src/common/scheduling/Types.ts
@@ -67,6 +67,8 @@
   readonly deadlineMs: number;
   /** Latest start of an attempt that meets the objective on an idle server. */
   readonly latestInTimeMs: number;
+  /** Whether the call gives way to no other kind, and takes any room in which it is in time. */
+  readonly isPlain: boolean;
   /** Time at which the call is refused unless a server with room was found. */
   readonly giveUpAtMs: number;
 }
--- a/src/common/table/Types.ts
+++ b/src/common/table/Types.ts
@@ -31,6 +31,8 @@
   readonly maxAnswerBytes: number;
   /** Path of the health endpoint. Set only if servers are checked before dispatch. */
   readonly healthPath?: string | undefined;
+  /** Whether all its calls have the same priority, so that none has to give way to another. */
+  readonly hasOnePriority?: boolean | undefined;
 }
 
 /** A backend server: one row of kind `server`. */
